Let pools carry any protocol, and begin the forwarding core

Cause: upstream connections knew only searches and records, and routes, announced upstreams and plain forwarding had no place in the product. The pool takes its protocol as functions now; the core of forwarding stands without sockets and is not driven yet.

--- a/arbutusbridge/daemon/connection.py
+++ b/arbutusbridge/daemon/connection.py
@@ -152,10 +152,11 @@
         except BlockingIOError:
             return
         except OSError:
-            data = b""
-        if not data:
             self.close()
             return
+        if not data:
+            self.on_end()
+            return
         self.answering = True
         try:
             self.parser.feed_data(data)
@@ -170,6 +171,10 @@
         if self.out_of_step:
             self.close()
 
+    def on_end(self) -> None:
+        """Takes the orderly end of what the peer sends."""
+        self.close()
+
     def on_message_begin(self) -> None:
         """Notices a second response, called by the parser."""
         if self.response is not None:
--- a/arbutusbridge/daemon/instance.py
+++ b/arbutusbridge/daemon/instance.py
@@ -130,7 +130,7 @@
         """Brings counts that tasks keep themselves into the metrics."""
         metrics = self.metrics
         metrics.raise_to(metrics.store_calls, self.platform.calls_made)
-        metrics.raise_to(metrics.connects, self.pools.inbox.connects)
+        metrics.raise_to(metrics.connects, self.pools.protocol.connects)
         for reason, count in self.entry.guard.refused.items():
             metrics.raise_to(metrics.callers_refused.labels(reason), count)
 
--- a/arbutusbridge/daemon/pool.py
+++ b/arbutusbridge/daemon/pool.py
@@ -3,23 +3,14 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
 
-from arbutusbridge.core.messages import Reply, ReplyKind
+from arbutusbridge.core.messages import ReplyKind
 from arbutusbridge.daemon.connection import Connection
-from arbutusbridge.daemon.subrequests import (
-    StatusReport,
-    decode_reply,
-    decode_report,
-    encode_attempt,
-)
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
-    from arbutusbridge.core.messages import Attempt
-    from arbutusbridge.core.model import Upstream
     from arbutusbridge.daemon.hub import SocketHub
 
 DEFAULT_CONNECTIONS = 3
@@ -50,45 +41,47 @@
     """One request for a connection.
 
     Attributes:
-      attempt: The attempt, None for a probe or cancellation.
-      data: The attempt's body, or the whole request of any other job.
+      purpose: What it is sent for, known to the protocol alone.
+      data: What the protocol writes the request from.
+      latest: When it is too late to send it.
       expires: When its connection is closed if there is no reply yet.
+      once: Whether it must not be run late or twice.
       abandoned: Whether its reply is to be dropped.
-      is_probe: Whether its reply is a status report.
       sent: Whether it was written to a connection.
       requeued: Whether it already came back from a dead connection unsent.
       handed_at: When it was written to a connection.
       found_idle: Time for which that connection had been idle, in seconds.
     """
 
-    attempt: Attempt | None
+    purpose: Any
     data: bytes
+    latest: float
     expires: float
+    once: bool = False
     abandoned: bool = False
-    is_probe: bool = False
     sent: bool = False
     requeued: bool = False
     handed_at: float = 0.0
     found_idle: float = 0.0
 
-    @property
-    def is_record(self) -> bool:
-        """Whether it must not be run late or twice."""
-        return self.attempt is not None and self.attempt.key is not None
-
 
 @dataclass(slots=True)
-class Inbox:
-    """What upstreams said since the core was last told.
+class JobProtocol:
+    """How requests are written and what their ends mean.
 
     Attributes:
-      replies: Replies to attempts.
-      reports: Status reports.
+      encode: Returns a job's bytes as of a time.
+      take: Takes a job, its connection, status and body; returns whether the
+        response fits the request.
+      fail: Takes a job without a response and what became of it.
+      connect: Opens a connection.
       connects: Connections begun, ever.
     """
 
-    replies: list[Reply] = field(default_factory=list)
-    reports: list[StatusReport] = field(default_factory=list)
+    encode: Callable[[Job, float], bytes]
+    take: Callable[[Job, Connection, int, bytes], bool]
+    fail: Callable[[Job, ReplyKind], None]
+    connect: Callable[..., Connection] = Connection
     connects: int = 0
 
 
@@ -99,7 +92,9 @@
     becomes free, and is only ever written to a connection that is made.
 
     Attributes:
-      upstream: Where it is.
+      upstream: Whose connections they are.
+      address: IP number and port.
+      protocol: How its requests are written and read.
       most: Connections that this instance may hold.
       idle: Connections without a request.
       busy: The request that each other connection carries.
@@ -110,16 +105,19 @@
 
     def __init__(
         self,
-        upstream: Upstream,
+        upstream: Any,
+        address: tuple[str, int],
+        most: int,
         hub: SocketHub,
         clock: Callable[[], float],
-        inbox: Inbox,
+        protocol: JobProtocol,
     ) -> None:
         self.upstream = upstream
+        self.address = address
         self.hub = hub
         self.clock = clock
-        self.inbox = inbox
-        self.most = min(DEFAULT_CONNECTIONS, upstream.connections)
+        self.protocol = protocol
+        self.most = most
         self.idle: list[Connection] = []
         self.busy: dict[Connection, Job] = {}
         self.connecting: dict[Connection, float] = {}
@@ -131,11 +129,6 @@
         """Connections held, made or not."""
         return len(self.idle) + len(self.busy) + len(self.connecting)
 
-    @property
-    def address(self) -> tuple[str, int]:
-        """Where connections go."""
-        return self.upstream.address, self.upstream.port
-
     def set_most(self, most: int) -> None:
         """Sets the connections allowed; those too many go when idle."""
         self.most = most
@@ -149,12 +142,12 @@
 
     def submit(self, job: Job) -> None:
         """Sends a request on an idle connection, or lets it wait."""
-        if job.is_record and is_late(job, self.clock()):
+        if job.once and is_late(job, self.clock()):
             self.fail(job, ReplyKind.NOT_SENT)
             return
         while self.idle:
             connection = self.idle.pop()
-            if not job.is_record:
+            if not job.once:
                 self.hand(connection, job)
                 return
             # A record must not meet a connection that the peer has closed.
@@ -174,9 +167,9 @@
         """Opens one more connection if requests wait and it is allowed."""
         if len(self.connecting) >= len(self.waiting) or self.size >= self.most:
             return
-        self.inbox.connects += 1
+        self.protocol.connects += 1
         try:
-            connection = Connection(
+            connection = self.protocol.connect(
                 self.hub, self.address, self.on_response, self.on_closed
             )
         except OSError:
@@ -192,10 +185,7 @@
         job.sent = True
         job.handed_at = now
         job.found_idle = now - connection.idle_since
-        data = job.data
-        if job.attempt is not None:
-            data = encode_attempt(job.attempt, data, now)
-        connection.start(data)
+        connection.start(self.protocol.encode(job, now))
 
     def on_made(self, connection: Connection) -> None:
         """Takes a connection into use once it is made."""
@@ -228,29 +218,12 @@
         if job is None:
             connection.close()
             return
-        in_step = self.take(job, status, body)
+        in_step = self.protocol.take(job, connection, status, body)
         if in_step and connection.reusable:
             self.release(connection)
         else:
             connection.close()
 
-    def take(self, job: Job, status: int, body: bytes) -> bool:
-        """Reads a response; returns False if it does not fit the request."""
-        name = self.upstream.name
-        if job.attempt is not None:
-            attempt_id = job.attempt.attempt_id
-            reply = decode_reply(name, attempt_id, status, body)
-            if not job.abandoned:
-                self.inbox.replies.append(reply)
-            return reply.kind is not ReplyKind.INVALID
-        if not job.is_probe:
-            return True
-        report = decode_report(name, body)
-        if report is None:
-            return False
-        self.inbox.reports.append(report)
-        return True
-
     def on_closed(self, connection: Connection) -> None:
         """Takes the loss of a connection."""
         if self.connecting.pop(connection, None) is not None:
@@ -282,11 +255,8 @@
             self.fail(self.waiting.popleft(), ReplyKind.NOT_SENT)
 
     def fail(self, job: Job, kind: ReplyKind) -> None:
-        """Reports that an attempt has no reply."""
-        if job.attempt is not None and not job.abandoned:
-            name = self.upstream.name
-            reply = Reply(job.attempt.attempt_id, name, kind)
-            self.inbox.replies.append(reply)
+        """Reports that a request has no response."""
+        self.protocol.fail(job, kind)
 
     def abandon(self, job: Job) -> None:
         """Drops a request, or the reply to it once it was sent."""
@@ -326,9 +296,7 @@
 
 def is_late(job: Job, now: float) -> bool:
     """Tells whether it is too late to send a request."""
-    if job.attempt is None:
-        return now >= job.expires
-    return now >= job.attempt.deadline
+    return now >= job.latest
 
 
 def kind_of_loss(connection: Connection, job: Job, now: float) -> ReplyKind:
--- a/arbutusbridge/daemon/upstreams.py
+++ b/arbutusbridge/daemon/upstreams.py
@@ -9,7 +9,13 @@
 
 from arbutusbridge.core.messages import Reply, ReplyKind
 from arbutusbridge.daemon.events import settled, statuses, within
-from arbutusbridge.daemon.pool import REPLY_GRACE_SECONDS, Inbox, Job, Pool
+from arbutusbridge.daemon.pool import (
+    DEFAULT_CONNECTIONS,
+    REPLY_GRACE_SECONDS,
+    Job,
+    Pool,
+)
+from arbutusbridge.daemon.searchjobs import Inbox, Probe, search_protocol
 from arbutusbridge.daemon.subrequests import STATUS_REQUEST, encode_cancel
 
 if TYPE_CHECKING:
@@ -58,6 +64,7 @@
         self.retired: list[Pool] = []
         self.jobs: dict[int, tuple[Pool, Job]] = {}
         self.inbox = Inbox()
+        self.protocol = search_protocol(self.inbox)
         self.allotment: Allotment | None = None
         self.probing = False
         self.probe_due: Callable[[Upstream], bool] = lambda _upstream: True
@@ -79,7 +86,12 @@
         for name, upstream in upstreams.items():
             if name not in self.pools:
                 self.pools[name] = Pool(
-                    upstream, self.hub, self.timers.clock, self.inbox
+                    upstream,
+                    (upstream.address, upstream.port),
+                    min(DEFAULT_CONNECTIONS, upstream.connections),
+                    self.hub,
+                    self.timers.clock,
+                    self.protocol,
                 )
             self.set_share(self.pools[name])
         if not self.probing:
@@ -144,7 +156,13 @@
             )
             self.inbox.replies.append(reply)
             return
-        job = Job(attempt, body, attempt.deadline + REPLY_GRACE_SECONDS)
+        job = Job(
+            attempt,
+            body,
+            attempt.deadline,
+            attempt.deadline + REPLY_GRACE_SECONDS,
+            once=attempt.key is not None,
+        )
         self.jobs[attempt.attempt_id] = (pool, job)
         pool.submit(job)
 
@@ -159,7 +177,8 @@
             pool, job = found
             pool.abandon(job)
             if pool.idle and job.sent:
-                pool.submit(Job(None, encode_cancel(item.attempt_id), expires))
+                data = encode_cancel(item.attempt_id)
+                pool.submit(Job(None, data, expires, expires))
 
     @handler("due")
     def on_due(self, tokens: list[Any]) -> None:
@@ -175,7 +194,8 @@
         expires = self.timers.clock() + PROBE_REPLY_SECONDS
         for pool in self.pools.values():
             if self.probe_due(pool.upstream):
-                pool.submit(Job(None, STATUS_REQUEST, expires, is_probe=True))
+                probe = Probe(pool.upstream.name)
+                pool.submit(Job(probe, STATUS_REQUEST, expires, expires))
         self.timers.after(PROBE_SECONDS, self.channel, PROBE)
 
     def sweep(self) -> None:
--- /dev/null
+++ b/arbutusbridge/forwarding/attempts.py
@@ -0,0 +1,247 @@
+"""First attempts, retries and hedges of the parts of a request."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+from arbutusbridge.core.messages import Decision
+from arbutusbridge.forwarding.choice import cheapest
+from arbutusbridge.forwarding.messages import (
+    ARRIVED_ENDS,
+    NOT_RUN_ENDS,
+    AttemptEnd,
+    Drop,
+    Send,
+)
+from arbutusbridge.forwarding.upstreams import OpenAttempt, overdue_after
+
+if TYPE_CHECKING:
+    from arbutusbridge.forwarding.exchange import Exchange, Part
+    from arbutusbridge.forwarding.forwarder import Forwarder
+    from arbutusbridge.forwarding.messages import UpstreamReply
+    from arbutusbridge.forwarding.upstreams import Upstream
+
+MOST_SENDS = 4
+"""Attempts of one part at most, those that an upstream refused included."""
+
+RECHECK_S = 0.02
+"""Time between two looks at a part that could not be helped."""
+
+HEDGE_RESERVE = 3.0
+"""Extra arrivals that hedges leave to retries in the budget."""
+
+
+def begin_part(
+    exchange: Exchange,
+    part: Part,
+    forwarder: Forwarder,
+    now: float,
+    out: list[object],
+) -> None:
+    """Sends the first attempt of a part, or gives it up."""
+    forwarder.budget(part.service, now).note_request(now)
+    upstream = pick(exchange, part, forwarder, now)
+    if upstream is None:
+        part.given_up = True
+        return
+    launch(exchange, part, upstream, forwarder, now, out, extra=False)
+
+
+def pick(
+    exchange: Exchange, part: Part, forwarder: Forwarder, now: float
+) -> Upstream | None:
+    """Returns the best upstream for the next attempt of a part.
+
+    One that was not asked yet goes first, as long as the route allows
+    another one.
+    """
+    usable = forwarder.directory.usable(part.service, now)
+    waiting = [attempt.upstream for attempt in part.open]
+    options = [one for one in usable if one not in waiting]
+    fresh = [one for one in options if one not in part.asked]
+    if len(part.asked) >= exchange.route.most_upstreams:
+        fresh = []
+    return cheapest(
+        fresh or [one for one in options if one in part.asked],
+        exchange.route,
+        forwarder.times,
+        forwarder.place,
+        now,
+        forwarder.rng.random(),
+    )
+
+
+def launch(
+    exchange: Exchange,
+    part: Part,
+    upstream: Upstream,
+    forwarder: Forwarder,
+    now: float,
+    out: list[object],
+    extra: bool,
+) -> None:
+    """Sends one attempt."""
+    route = exchange.route
+    data_centre = upstream.announcement.data_centre
+    usual = forwarder.times.usual(route, data_centre)
+    attempt_id = forwarder.last_attempt = forwarder.last_attempt + 1
+    attempt = OpenAttempt(
+        attempt_id,
+        exchange,
+        part,
+        upstream,
+        now,
+        now + overdue_after(usual),
+        usual,
+        extra=extra,
+    )
+    forwarder.attempts[attempt_id] = attempt
+    upstream.open[attempt_id] = attempt
+    part.open.append(attempt)
+    part.look_at = attempt.due_at
+    part.sends += 1
+    if upstream not in part.asked:
+        part.asked.append(upstream)
+    if extra:
+        forwarder.budget(part.service, now).note_extra(now)
+    out.append(
+        Send(
+            attempt_id,
+            upstream.announcement,
+            exchange.request,
+            exchange.give_up_at,
+            route.idempotent,
+        )
+    )
+
+
+def on_end(
+    exchange: Exchange,
+    part: Part,
+    reply: UpstreamReply,
+    forwarder: Forwarder,
+    now: float,
+    out: list[object],
+) -> None:
+    """Takes the end of an attempt into its part."""
+    if reply.end in ARRIVED_ENDS:
+        part.arrivals += 1
+    if reply.end not in NOT_RUN_ENDS:
+        part.may_have_run = True
+    if reply.end is AttemptEnd.RESULT:
+        part.reply = reply
+        part.look_at = math.inf
+        drop_open(part, False, forwarder, out)
+        return
+    part.failure = reply
+    if not part.open:
+        retry(exchange, part, forwarder, now, out)
+
+
+def retry(
+    exchange: Exchange,
+    part: Part,
+    forwarder: Forwarder,
+    now: float,
+    out: list[object],
+) -> None:
+    """Sends a part again that has no attempt on its way.
+
+    What may have run is sent again only if that is allowed. A part that the
+    budget has no room for is looked at again later.
+    """
+    if part.may_have_run and not exchange.route.idempotent:
+        part.given_up = True
+        return
+    upstream = pick(exchange, part, forwarder, now)
+    if upstream is None or part.sends >= MOST_SENDS:
+        part.given_up = True
+        return
+    again = upstream in part.asked and part.failure is not None
+    if again and part.look_at == math.inf:
+        # The same upstream has just failed; a short wait helps it most.
+        part.look_at = now + RECHECK_S
+        return
+    extra = part.arrivals > 0
+    budget = forwarder.budget(part.service, now)
+    if extra and budget.left(forwarder.instances, now) < 1.0:
+        forwarder.count("retry_refused")
+        part.look_at = now + RECHECK_S
+        return
+    exchange.retries += 1
+    launch(exchange, part, upstream, forwarder, now, out, extra)
+    out.append(decision("retry", exchange, part, forwarder, now))
+
+
+def hedge(
+    exchange: Exchange,
+    part: Part,
+    forwarder: Forwarder,
+    now: float,
+    out: list[object],
+) -> None:
+    """Sends a second attempt beside one that is overdue, if it may help."""
+    part.look_at = now + RECHECK_S
+    if not exchange.route.idempotent or part.sends >= MOST_SENDS:
+        part.look_at = math.inf
+        return
+    upstream = pick(exchange, part, forwarder, now)
+    if upstream is None or not upstream.fit(now):
+        return
+    left = forwarder.budget(part.service, now).left(forwarder.instances, now)
+    if left < HEDGE_RESERVE:
+        forwarder.count("hedge_refused")
+        return
+    exchange.hedges += 1
+    launch(exchange, part, upstream, forwarder, now, out, extra=True)
+    out.append(decision("hedge", exchange, part, forwarder, now))
+
+
+def look(
+    exchange: Exchange, forwarder: Forwarder, now: float, out: list[object]
+) -> None:
+    """Helps the parts that are due for a look."""
+    for part in exchange.parts:
+        if not part.pending or part.look_at > now:
+            continue
+        if part.open:
+            hedge(exchange, part, forwarder, now, out)
+        else:
+            retry(exchange, part, forwarder, now, out)
+
+
+def drop_open(
+    part: Part, at_once: bool, forwarder: Forwarder, out: list[object]
+) -> None:
+    """Stops waiting for the open attempts of a part."""
+    for attempt in part.open:
+        attempt.dropped = True
+        out.append(Drop(attempt.attempt_id, attempt.upstream.name, at_once))
+    part.open.clear()
+
+
+def decision(
+    what: str,
+    exchange: Exchange,
+    part: Part,
+    forwarder: Forwarder,
+    now: float,
+) -> Decision:
+    """Builds the log line of an attempt beyond the first."""
+    attempt = part.open[-1]
+    budget = forwarder.budget(part.service, now)
+    failure = part.failure
+    return Decision(
+        exchange.request.request_id,
+        what,
+        {
+            "service": part.service,
+            "upstream": attempt.upstream.name,
+            "asked": [one.name for one in part.asked],
+            "after": failure.end.value if failure else "overdue",
+            "detail": failure.detail if failure else "",
+            "age_ms": round((now - exchange.request.arrived) * 1000),
+            "budget_left": round(budget.left(forwarder.instances, now), 1),
+        },
+    )
--- /dev/null
+++ b/arbutusbridge/forwarding/budget.py
@@ -0,0 +1,88 @@
+"""Bound on the arrivals at a service beyond the first of each request.
+
+Every instance may spend a share of the requests that it saw itself, and its
+part of a fixed allowance. The sums over all instances then stay within the
+bound of the deployment in every sliding window.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class ExtraBounds:
+    """Bound of a deployment on extra arrivals at one service.
+
+    Attributes:
+      ratio: Extra arrivals per request.
+      slack: Extra arrivals allowed besides, over all instances.
+      window_s: Length of the sliding window.
+    """
+
+    ratio: float = 0.2
+    slack: float = 50.0
+    window_s: float = 10.0
+
+
+SAFETY = 0.85
+"""Part of the bound that is spent; the rest covers instances that started
+lately and arrivals counted in another window than here."""
+
+SLOT_S = 0.5
+"""Resolution of the window."""
+
+
+class ServiceBudget:
+    """Requests and extra arrivals at one service in the last window.
+
+    Attributes:
+      bounds: Bound of the whole deployment.
+      started: When this instance began to count.
+      slots: Start, requests and extras of each half second, oldest first.
+      requests: Requests in the window.
+      extras: Extra arrivals in the window.
+    """
+
+    def __init__(self, bounds: ExtraBounds, started: float) -> None:
+        self.bounds = bounds
+        self.started = started
+        self.slots: deque[list[float]] = deque()
+        self.requests = 0.0
+        self.extras = 0.0
+
+    def advance(self, now: float) -> list[float]:
+        """Drops what left the window; returns the current half second."""
+        slots = self.slots
+        oldest = now - self.bounds.window_s - SLOT_S
+        while slots and slots[0][0] < oldest:
+            _, requests, extras = slots.popleft()
+            self.requests -= requests
+            self.extras -= extras
+        if not slots or now - slots[-1][0] >= SLOT_S:
+            slots.append([now, 0.0, 0.0])
+        return slots[-1]
+
+    def note_request(self, now: float) -> None:
+        """Counts a request of a caller for the service."""
+        self.advance(now)[1] += 1
+        self.requests += 1
+
+    def note_extra(self, now: float, arrivals: int = 1) -> None:
+        """Counts arrivals beyond the first of a request."""
+        self.advance(now)[2] += arrivals
+        self.extras += arrivals
+
+    def left(self, instances: int, now: float) -> float:
+        """Returns the extra arrivals that this instance may still cause.
+
+        The fixed allowance of a new instance grows over one window, since
+        the instance that it follows may have spent the same allowance.
+        """
+        self.advance(now)
+        bounds = self.bounds
+        age = min(1.0, (now - self.started) / bounds.window_s)
+        allowance = bounds.slack / max(1, instances) * age
+        most = bounds.ratio * self.requests + allowance
+        return most * SAFETY - self.extras
--- /dev/null
+++ b/arbutusbridge/forwarding/conclusion.py
@@ -0,0 +1,167 @@
+"""When a request gets its final answer, and which."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from arbutusbridge.core.messages import Decision
+from arbutusbridge.forwarding.attempts import drop_open
+from arbutusbridge.forwarding.merge import greatest
+from arbutusbridge.forwarding.messages import (
+    Merged,
+    Refusal,
+    Refused,
+    Relayed,
+)
+
+if TYPE_CHECKING:
+    from arbutusbridge.forwarding.exchange import Exchange
+    from arbutusbridge.forwarding.forwarder import Forwarder
+
+UNSERVABLE_RETRY_S = 0.5
+"""When to come back while too few upstreams are known; announcements of new
+ones arrive within about this time."""
+
+FAILED_RETRY_S = 0.1
+"""When to come back after upstreams failed; most recover or are left out by
+then."""
+
+
+def conclude(
+    exchange: Exchange, forwarder: Forwarder, now: float, out: list[object]
+) -> None:
+    """Answers once nothing is left that is worth the wait."""
+    if exchange.finished:
+        return
+    if exchange.route.shards:
+        conclude_sharded(exchange, forwarder, now, out)
+    else:
+        conclude_whole(exchange, forwarder, now, out)
+
+
+def conclude_sharded(
+    exchange: Exchange, forwarder: Forwarder, now: float, out: list[object]
+) -> None:
+    """Answers a request to many shards when it can't get better in time."""
+    answered = exchange.answered
+    enough = exchange.covers(answered)
+    overdue = now >= exchange.answer_by
+    if answered == exchange.attainable and enough:
+        merge(exchange, forwarder, now, out)
+    elif enough and overdue:
+        merge(exchange, forwarder, now, out)
+    elif not exchange.covers(exchange.attainable):
+        refuse(exchange, forwarder, now, out)
+    elif now >= exchange.give_up_at:
+        refuse(exchange, forwarder, now, out, timed_out=True)
+
+
+def conclude_whole(
+    exchange: Exchange, forwarder: Forwarder, now: float, out: list[object]
+) -> None:
+    """Answers a request to one service with its upstream's response."""
+    part = exchange.parts[0]
+    reply = part.reply
+    if reply is None and part.given_up and part.failure is not None:
+        # A failure that the upstream answered itself is handed on as it is.
+        if part.failure.stamp:
+            reply = part.failure
+    if reply is not None:
+        finish(exchange, forwarder, now, out, "relayed", status=reply.status)
+        out.append(Relayed(exchange.request, reply))
+    elif part.given_up:
+        refuse(exchange, forwarder, now, out)
+    elif now >= exchange.give_up_at:
+        refuse(exchange, forwarder, now, out, timed_out=True)
+
+
+def merge(
+    exchange: Exchange, forwarder: Forwarder, now: float, out: list[object]
+) -> None:
+    """Answers with the records of the shards that replied."""
+    replies = [part.reply for part in exchange.parts if part.reply is not None]
+    missing = [part for part in exchange.parts if part.reply is None]
+    body = greatest(
+        (reply.body for reply in replies), exchange.route.most_records
+    )
+    outcome = "partial" if missing else "complete"
+    names = {part.service: last_end(part) for part in missing}
+    finish(exchange, forwarder, now, out, outcome, missing=names)
+    out.append(
+        Merged(
+            exchange.request,
+            [reply.stamp for reply in replies],
+            len(missing),
+            body,
+        )
+    )
+
+
+def last_end(part: object) -> str:
+    """Returns what became of a part without a reply, for the log."""
+    failure = part.failure
+    if part.open:
+        return "open"
+    return failure.end.value if failure is not None else "no_upstream"
+
+
+def refuse(
+    exchange: Exchange,
+    forwarder: Forwarder,
+    now: float,
+    out: list[object],
+    timed_out: bool = False,
+) -> None:
+    """Answers that the request was not served, and whether it may have run."""
+    if not exchange.may_have_run:
+        refusal, retry = Refusal.UNSERVABLE, UNSERVABLE_RETRY_S
+    elif timed_out:
+        refusal, retry = Refusal.TIMED_OUT, FAILED_RETRY_S
+    else:
+        refusal, retry = Refusal.LOST, FAILED_RETRY_S
+    missing = {
+        part.service: last_end(part)
+        for part in exchange.parts
+        if part.reply is None
+    }
+    finish(exchange, forwarder, now, out, refusal.value, missing=missing)
+    out.append(Refused(exchange.request, refusal, retry))
+
+
+def finish(
+    exchange: Exchange,
+    forwarder: Forwarder,
+    now: float,
+    out: list[object],
+    outcome: str,
+    **detail: object,
+) -> None:
+    """Ends a request and logs how it went, in one line."""
+    exchange.finished = True
+    chosen = ",".join(
+        f"{part.service}={part.asked[-1].name}"
+        for part in exchange.parts
+        if part.asked
+    )
+    for part in exchange.parts:
+        drop_open(part, False, forwarder, out)
+    del forwarder.exchanges[exchange.request]
+    out.append(
+        Decision(
+            exchange.request.request_id,
+            "answer",
+            {
+                "outcome": outcome,
+                "route": exchange.route.name,
+                "version": exchange.version,
+                "ms": round((now - exchange.request.arrived) * 1000, 1),
+                "parts": len(exchange.parts),
+                "answered": exchange.answered,
+                "retries": exchange.retries,
+                "hedges": exchange.hedges,
+                "store_age_ms": forwarder.store_age_ms(now),
+                "chosen": chosen,
+                **detail,
+            },
+        )
+    )
--- /dev/null
+++ b/arbutusbridge/forwarding/exchange.py
@@ -0,0 +1,123 @@
+"""State of one caller's request from its arrival to its final answer."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from arbutusbridge.forwarding.messages import UpstreamReply
+    from arbutusbridge.forwarding.model import CallerRequest, Route
+    from arbutusbridge.forwarding.upstreams import OpenAttempt, Upstream
+
+CALLER_WAY_S = 0.018
+"""Time that an answer and the connection before it take on the way; callers
+are 3 ms away, and a new connection needs three of these ways."""
+
+DEADLINE_MARGIN_S = 0.03
+"""Time before a deadline at which the final answer goes out."""
+
+
+@dataclass(slots=True, eq=False)
+class Part:
+    """One shard of a request, or the whole of it.
+
+    Attributes:
+      service: The service that runs it.
+      open: Attempts that are waited for, the oldest first.
+      asked: Upstreams that it was sent to.
+      sends: Attempts so far.
+      arrivals: Attempts that may have reached an upstream.
+      may_have_run: Whether some attempt that ended may have run.
+      reply: The success, None until then.
+      failure: The last reply that was none.
+      given_up: Whether nothing more is tried.
+      look_at: When to see whether it needs another attempt.
+    """
+
+    service: str
+    open: list[OpenAttempt] = field(default_factory=list)
+    asked: list[Upstream] = field(default_factory=list)
+    sends: int = 0
+    arrivals: int = 0
+    may_have_run: bool = False
+    reply: UpstreamReply | None = None
+    failure: UpstreamReply | None = None
+    given_up: bool = False
+    look_at: float = math.inf
+
+    @property
+    def pending(self) -> bool:
+        """Whether it may still get a success."""
+        return self.reply is None and not self.given_up
+
+
+@dataclass(slots=True, eq=False)
+class Exchange:
+    """One request on its way.
+
+    Attributes:
+      request: The caller's request.
+      route: Its route when it arrived.
+      version: Version of the configuration that the route is of.
+      parts: Its shards, or one part for the whole.
+      answer_by: When an answer that covers enough goes out as it is.
+      give_up_at: When it gets its final answer whatever there is.
+      wake_at: Time of the next timer that is set.
+      hedges: Attempts made because another was overdue.
+      retries: Attempts made because another failed.
+      finished: Whether the final answer went out.
+    """
+
+    request: CallerRequest
+    route: Route
+    version: int
+    parts: list[Part]
+    answer_by: float
+    give_up_at: float
+    wake_at: float = math.inf
+    hedges: int = 0
+    retries: int = 0
+    finished: bool = False
+
+    @classmethod
+    def begin(
+        cls,
+        request: CallerRequest,
+        route: Route,
+        version: int,
+        services: tuple[str, ...],
+    ) -> Exchange:
+        """Builds the state of a request that has just arrived."""
+        arrived = request.arrived
+        limit = min(arrived + route.timeout_s, request.deadline)
+        return cls(
+            request,
+            route,
+            version,
+            [Part(service) for service in services],
+            arrived + route.target_s - CALLER_WAY_S,
+            max(limit - DEADLINE_MARGIN_S, arrived),
+        )
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether some upstream may have run it, or may run it yet."""
+        return any(part.may_have_run or part.open for part in self.parts)
+
+    @property
+    def answered(self) -> int:
+        """Parts with a success."""
+        return sum(part.reply is not None for part in self.parts)
+
+    @property
+    def attainable(self) -> int:
+        """Parts that have or may still get a success."""
+        return sum(not part.given_up for part in self.parts)
+
+    def covers(self, parts: int) -> bool:
+        """Tells whether so many parts are enough for an answer."""
+        least = self.route.least_coverage * len(self.parts)
+        # Rounding must not ask for one shard more than the route does.
+        return parts > 0 and parts >= least - 1e-9
--- /dev/null
+++ b/arbutusbridge/forwarding/forwarder.py
@@ -0,0 +1,255 @@
+"""Core of forwarding: requests, replies and announcements in, actions out."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING
+
+from arbutusbridge.core.messages import Decision
+from arbutusbridge.forwarding import attempts, conclusion
+from arbutusbridge.forwarding.budget import ExtraBounds, ServiceBudget
+from arbutusbridge.forwarding.exchange import Exchange, Part
+from arbutusbridge.forwarding.messages import (
+    AttemptEnd,
+    Refusal,
+    Refused,
+    UpstreamReply,
+    WakeAt,
+)
+from arbutusbridge.forwarding.routes import RouteTable
+from arbutusbridge.forwarding.upstreams import Directory, ReplyTimes
+
+if TYPE_CHECKING:
+    import random
+
+    from arbutusbridge.forwarding.choice import Place
+    from arbutusbridge.forwarding.model import (
+        Announcement,
+        CallerRequest,
+        RoutingConfiguration,
+    )
+    from arbutusbridge.forwarding.upstreams import OpenAttempt
+
+NOT_READY_RETRY_S = 0.5
+"""When to come back to an instance that knows no configuration yet."""
+
+
+class Forwarder:
+    """What all requests of one instance share, and its event entry.
+
+    Attributes:
+      place: Where this instance runs.
+      table: Routes in force, None before the first configuration.
+      directory: Upstreams as announced.
+      times: Usual reply times.
+      budgets: Extra arrivals by service.
+      attempts: Attempts without an end by id.
+      exchanges: Requests without a final answer.
+      instances: Instances that the extra arrivals are shared with.
+      counts: Decisions by name, for the metrics.
+      confirmed_at: When the store last confirmed what is known.
+    """
+
+    def __init__(
+        self,
+        place: Place,
+        bounds: ExtraBounds,
+        rng: random.Random,
+        started: float = 0.0,
+    ) -> None:
+        self.place = place
+        self.bounds = bounds
+        self.rng = rng
+        self.started = started
+        self.table: RouteTable | None = None
+        self.directory = Directory()
+        self.times = ReplyTimes()
+        self.budgets: dict[str, ServiceBudget] = {}
+        self.attempts: dict[int, OpenAttempt] = {}
+        self.exchanges: dict[CallerRequest, Exchange] = {}
+        self.instances = 1
+        self.counts: Counter[str] = Counter()
+        self.confirmed_at = started
+        self.last_attempt = 0
+
+    def count(self, what: str) -> None:
+        """Counts a decision that has no log line of its own."""
+        self.counts[what] += 1
+
+    def store_age_ms(self, now: float) -> int:
+        """Returns the age of what the store last confirmed."""
+        return round((now - self.confirmed_at) * 1000)
+
+    def budget(self, service: str, now: float) -> ServiceBudget:
+        """Returns the extra arrivals of a service."""
+        budget = self.budgets.get(service)
+        if budget is None:
+            budget = ServiceBudget(self.bounds, self.started)
+            self.budgets[service] = budget
+        return budget
+
+    def configure(self, configuration: RoutingConfiguration) -> bool:
+        """Puts a configuration in force unless it is no newer.
+
+        Requests on their way keep the route that they came with.
+        """
+        table = self.table
+        if table and configuration.version <= table.configuration.version:
+            return False
+        self.table = RouteTable(configuration)
+        return True
+
+    def announce(self, announcement: Announcement, now: float) -> bool:
+        """Takes what an upstream says of itself."""
+        return self.directory.announce(announcement, now)
+
+    def withdraw(self, upstream: str) -> None:
+        """Takes the end of an upstream's announcement."""
+        self.directory.remove(upstream)
+
+    def arrive(self, request: CallerRequest, now: float) -> list[object]:
+        """Takes a caller's request; returns its first actions."""
+        out: list[object] = []
+        table = self.table
+        if table is None:
+            self.refuse(request, Refusal.NOT_READY, NOT_READY_RETRY_S, out)
+            return out
+        route = table.find(request.host, request.target)
+        if route is None:
+            self.refuse(request, Refusal.NO_ROUTE, None, out)
+            return out
+        services = route.shards or (table.next_service(route),)
+        version = table.configuration.version
+        exchange = Exchange.begin(request, route, version, services)
+        self.exchanges[request] = exchange
+        if self.servable(exchange, now):
+            for part in exchange.parts:
+                attempts.begin_part(exchange, part, self, now, out)
+        self.follow_up(exchange, now, out)
+        return out
+
+    def servable(self, exchange: Exchange, now: float) -> bool:
+        """Gives up parts without upstreams; tells whether enough are left."""
+        for part in exchange.parts:
+            if not self.directory.usable(part.service, now):
+                part.given_up = True
+        return exchange.covers(exchange.attainable)
+
+    def refuse(
+        self,
+        request: CallerRequest,
+        refusal: Refusal,
+        retry_after_s: float | None,
+        out: list[object],
+    ) -> None:
+        """Answers a request that goes nowhere."""
+        version = self.table.configuration.version if self.table else 0
+        detail = {
+            "outcome": refusal.value,
+            "host": request.host,
+            "target": request.target[:80],
+            "version": version,
+        }
+        out.append(Decision(request.request_id, "answer", detail))
+        out.append(Refused(request, refusal, retry_after_s))
+
+    def replies(
+        self, batch: list[UpstreamReply], now: float
+    ) -> list[object]:
+        """Takes the ends of attempts; returns the actions that follow."""
+        out: list[object] = []
+        touched: dict[Exchange, None] = {}
+        for reply in batch:
+            attempt = self.attempts.pop(reply.attempt_id, None)
+            if attempt is None:
+                continue
+            self.observe(attempt, reply, now, out)
+            if attempt.dropped:
+                continue
+            exchange, part = attempt.owner, attempt.part
+            assert isinstance(exchange, Exchange) and isinstance(part, Part)
+            part.open.remove(attempt)
+            attempts.on_end(exchange, part, reply, self, now, out)
+            touched[exchange] = None
+        for exchange in touched:
+            self.follow_up(exchange, now, out)
+        return out
+
+    def observe(
+        self,
+        attempt: OpenAttempt,
+        reply: UpstreamReply,
+        now: float,
+        out: list[object],
+    ) -> None:
+        """Takes what the end of an attempt says of its upstream."""
+        upstream = attempt.upstream
+        del upstream.open[attempt.attempt_id]
+        upstream.observe(attempt, reply.end, now)
+        if reply.load is not None:
+            upstream.load = reply.load
+            upstream.load_at = now
+        exchange = attempt.owner
+        assert isinstance(exchange, Exchange)
+        if reply.end is AttemptEnd.RESULT:
+            data_centre = upstream.announcement.data_centre
+            self.times.add(exchange.route, data_centre, now - attempt.sent_at)
+        elif reply.end is AttemptEnd.MISDIRECTED:
+            upstream.gone = True
+        elif reply.end is AttemptEnd.NOT_SENT and attempt.extra:
+            part = attempt.part
+            assert isinstance(part, Part)
+            self.budget(part.service, now).note_extra(now, -1)
+
+    def wake(self, request: CallerRequest, now: float) -> list[object]:
+        """Takes a due timer of a request."""
+        out: list[object] = []
+        exchange = self.exchanges.get(request)
+        if exchange is None or now < exchange.wake_at:
+            return out
+        attempts.look(exchange, self, now, out)
+        exchange.wake_at = float("inf")
+        self.follow_up(exchange, now, out)
+        return out
+
+    def abandon(self, request: CallerRequest, now: float) -> list[object]:
+        """Takes the end of a caller's connection.
+
+        Work that may be repeated is stopped at once; what runs once is let
+        run, since it can't be undone.
+        """
+        out: list[object] = []
+        exchange = self.exchanges.pop(request, None)
+        if exchange is None:
+            return out
+        exchange.finished = True
+        for part in exchange.parts:
+            attempts.drop_open(part, exchange.route.idempotent, self, out)
+        age_ms = round((now - request.arrived) * 1000)
+        detail = {"route": exchange.route.name, "age_ms": age_ms}
+        out.append(Decision(request.request_id, "caller_left", detail))
+        return out
+
+    def follow_up(
+        self, exchange: Exchange, now: float, out: list[object]
+    ) -> None:
+        """Answers a request if it is time, or sets its next timer."""
+        conclusion.conclude(exchange, self, now, out)
+        if exchange.finished:
+            return
+        times = [part.look_at for part in exchange.parts if part.pending]
+        times.append(exchange.give_up_at)
+        if exchange.answer_by > now:
+            times.append(exchange.answer_by)
+        earliest = min(times)
+        if earliest < exchange.wake_at:
+            exchange.wake_at = earliest
+            out.append(WakeAt(earliest, exchange.request))
+
+    def finish_all(self, now: float) -> list[object]:
+        """Gives every open request its final answer, for a planned stop."""
+        out: list[object] = []
+        for exchange in list(self.exchanges.values()):
+            exchange.answer_by = exchange.give_up_at = now
+            conclusion.conclude(exchange, self, now, out)
+        return out
--- /dev/null
+++ b/arbutusbridge/forwarding/routes.py
@@ -0,0 +1,60 @@
+"""Choice of the route that a request belongs to."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from arbutusbridge.forwarding.model import Route, RoutingConfiguration
+
+
+class RouteTable:
+    """Routes of one configuration by host and path.
+
+    Attributes:
+      configuration: The configuration that they come from.
+      hosts: Routes by prefix, by host.
+      turns: Weight owed to each service of a weighted route.
+    """
+
+    def __init__(self, configuration: RoutingConfiguration) -> None:
+        self.configuration = configuration
+        self.hosts: dict[str, dict[str, Route]] = {}
+        self.turns: dict[str, dict[str, float]] = {}
+        for route in configuration.routes:
+            self.hosts.setdefault(route.host, {})[route.prefix] = route
+
+    def find(self, host: str, target: str) -> Route | None:
+        """Returns the route with the longest prefix of a path, if any.
+
+        Args:
+          host: Host in lower case.
+          target: Path, with or without a query.
+        """
+        prefixes = self.hosts.get(host)
+        if prefixes is None:
+            return None
+        path = target.partition("?")[0]
+        end = len(path)
+        while (end := path.rfind("/", 0, end)) >= 0:
+            route = prefixes.get(path[: end + 1])
+            if route is not None:
+                return route
+        return None
+
+    def next_service(self, route: Route) -> str:
+        """Returns the service whose turn it is on a weighted route.
+
+        The turns of smooth weighted round robin keep each service's share
+        close to its weight over any few requests.
+        """
+        if len(route.services) == 1:
+            return route.services[0].name
+        owed = self.turns.setdefault(route.name, {})
+        total = 0.0
+        for service in route.services:
+            total += service.weight
+            owed[service.name] = owed.get(service.name, 0.0) + service.weight
+        chosen = max(owed, key=lambda name: owed[name])
+        owed[chosen] -= total
+        return chosen
