--- a/Makefile
+++ b/Makefile
@@ -5,9 +5,9 @@
 
 venv: $(VENV)/.installed
 
-$(VENV)/.installed: requirements.txt constraints.txt pyproject.toml
+$(VENV)/.installed: requirements-dev.txt requirements.txt constraints.txt pyproject.toml
 	python3 -m venv $(VENV)
-	$(PY) -m pip install -q -r requirements.txt -c constraints.txt
+	$(PY) -m pip install -q -r requirements-dev.txt -c constraints.txt
 	$(PY) -m pip install -q --no-deps -e .
 	touch $@
 
--- a/arbutusbridge/cmd/__init__.py
+++ b/arbutusbridge/cmd/__init__.py
@@ -1,7 +1,17 @@
-"""Command line: parse and hand over."""
+"""Thin commands over the library.
+
+Nothing is imported here, so that a command that is a program of its own loads
+only what it needs.
+"""
 
 from __future__ import annotations
 
-from arbutusbridge.cmd.main import main
+
+def main(argv: list[str] | None = None) -> int:
+    """Runs one command and returns its exit code."""
+    from arbutusbridge.cmd.main import main as run
+
+    return run(argv)
+
 
 __all__ = ["main"]
--- /dev/null
+++ b/arbutusbridge/cmd/forward.py
@@ -0,0 +1,67 @@
+"""Command ``forward``: run one instance that forwards by route.
+
+It is also a program of its own, ``python -m arbutusbridge.cmd.forward``, that
+loads nothing of the other commands: an instance starts several times a day,
+and callers wait for it.
+"""
+
+from __future__ import annotations
+
+import os
+import signal
+import sys
+from pathlib import Path
+
+from arbutusbridge.daemon.forwardinstance import ForwardInstance
+from arbutusbridge.daemon.logs import get_logger, start_logging
+from arbutusbridge.errors import SettingsError
+from arbutusbridge.platform import DIALECT, WIRE
+from arbutusbridge.settings.forwarding import ForwardSettings
+from arbutusbridge.settings.loader import load_model
+
+SETTINGS_VARIABLE = "ARBUTUSBRIDGE_SETTINGS"
+"""Environment variable with the path of the settings file."""
+
+EXIT_USAGE = 2
+
+logger = get_logger(__name__)
+
+
+def forward(settings: Path) -> int:
+    """Run one instance that forwards by route.
+
+    Args:
+      settings: The instance's settings file.
+
+    Returns:
+      The exit code.
+    """
+    checked = load_model(settings, ForwardSettings)
+    handler = start_logging(checked.log_level, sys.stdout)
+
+    def reload() -> ForwardSettings | None:
+        try:
+            return load_model(settings, ForwardSettings)
+        except SettingsError as err:
+            logger.error("settings not taken", extra={"error": str(err)})
+            return None
+
+    instance = ForwardInstance.from_config(checked, WIRE, DIALECT, reload)
+    signal.signal(signal.SIGHUP, instance._signal_handler)
+    instance.run()
+    handler.close()
+    return 0
+
+
+def main() -> int:
+    """Runs the instance whose settings the environment names."""
+    path = os.environ.get(SETTINGS_VARIABLE, "")
+    try:
+        return forward(Path(path))
+    except SettingsError as err:
+        print(f"arbutusbridge: {err}", file=sys.stderr)
+        return EXIT_USAGE
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- a/arbutusbridge/cmd/main.py
+++ b/arbutusbridge/cmd/main.py
@@ -16,6 +16,7 @@
     bench,
     config,
     demo,
+    forward,
     key,
     replay,
     serve,
@@ -40,6 +41,7 @@
 
 COMMANDS = {
     "serve": serve.serve,
+    "forward": forward.forward,
     "demo": demo.demo,
     "config": {
         "check": config.check,
--- a/arbutusbridge/core/messages.py
+++ b/arbutusbridge/core/messages.py
@@ -8,7 +8,10 @@
 
 import enum
 from dataclasses import dataclass, field
-from typing import Any
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from arbutusbridge.forwarding.feed import Page
 
 Version = tuple[int, int]
 """A (layout epoch, snapshot id) pair; greater is newer."""
@@ -241,6 +244,7 @@
 
     DONE = "done"
     CONFLICT = "conflict"
+    HISTORY_LOST = "history_lost"
     UNAVAILABLE = "unavailable"
 
 
@@ -253,12 +257,14 @@
       status: What is known of it.
       value: Value read, None when the key does not exist.
       index: Index of the value read.
+      page: Keys read, None for calls that read none.
     """
 
     token: tuple[str, str]
     status: StoreStatus
     value: bytes | None = None
     index: int = 0
+    page: Page | None = None
 
 
 class NoticeKind(enum.StrEnum):
--- a/arbutusbridge/core/stop.py
+++ b/arbutusbridge/core/stop.py
@@ -3,10 +3,17 @@
 from __future__ import annotations
 
 import enum
+import math
 
 FINISH_GRACE_SECONDS = 5.0
 """Time past the last open deadline after which the process ends anyway."""
 
+LAST_ANSWERS_SECONDS = 0.8
+"""Time before a bounded stop is over at which open requests are answered."""
+
+EXIT_SECONDS = 0.4
+"""Time before a bounded stop is over at which the process ends."""
+
 
 class Phase(enum.StrEnum):
     """Where an instance is on its way from serving to its end."""
@@ -24,6 +31,7 @@
     CLOSE_AFTER_ANSWERS = enum.auto()
     STOP_LISTENING = enum.auto()
     CLOSE_IDLE = enum.auto()
+    ANSWER_ALL = enum.auto()
     EXIT = enum.auto()
 
 
@@ -36,11 +44,15 @@
 
     Attributes:
       lag: Seconds that the balancer may take to notice.
+      most: Seconds that the whole stop may take.
       phase: Where the instance is.
     """
 
-    def __init__(self, lag: float) -> None:
+    def __init__(self, lag: float, most: float = math.inf) -> None:
         self.lag = lag
+        self.most = most
+        self.began = 0.0
+        self.answered_all = False
         self.phase = Phase.SERVING
         self.listens_until = 0.0
         self.ends_by = 0.0
@@ -55,6 +67,7 @@
         if self.stopping:
             return []
         self.phase = Phase.WITHDRAWING
+        self.began = now
         self.listens_until = now + self.lag
         return [StopStep.SAY_LEAVING, StopStep.CLOSE_AFTER_ANSWERS]
 
@@ -78,7 +91,12 @@
         if self.phase is not Phase.FINISHING:
             return []
         self.ends_by = max(self.ends_by, last_deadline + FINISH_GRACE_SECONDS)
-        if open_work and now < self.ends_by:
-            return [StopStep.CLOSE_IDLE]
+        left = self.began + self.most - now
+        if open_work and now < self.ends_by and left > EXIT_SECONDS:
+            steps = [StopStep.CLOSE_IDLE]
+            if left <= LAST_ANSWERS_SECONDS and not self.answered_all:
+                self.answered_all = True
+                steps.append(StopStep.ANSWER_ALL)
+            return steps
         self.phase = Phase.STOPPED
         return [StopStep.EXIT]
--- a/arbutusbridge/daemon/connection.py
+++ b/arbutusbridge/daemon/connection.py
@@ -21,6 +21,16 @@
 MOST_BODY_BYTES = 8_388_608
 """Largest response body taken; a longer one closes the connection."""
 
+KEEP_ALIVE_OPTIONS = (
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 2500),
+)
+"""Options that end a connection whose peer has been silent for 3 s; changes
+of the store must be in force 3 s after a disturbance has settled."""
+
 FINAL_STATUS = 200
 """Lowest status of a response that is not merely informational."""
 
@@ -73,6 +83,8 @@
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.sock.setblocking(False)
         self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        for level, option, value in KEEP_ALIVE_OPTIONS:
+            self.sock.setsockopt(level, option, value)
         self.descriptor = self.sock.fileno()
         error = self.sock.connect_ex(address)
         if error not in (0, errno.EINPROGRESS):
@@ -80,6 +92,10 @@
             raise OSError(error, os.strerror(error))
         hub.add(self.descriptor, WRITABLE, self.on_ready)
 
+    def usable(self, _now: float) -> bool:
+        """Tells whether an idle connection may carry a request now."""
+        return self.alive
+
     @property
     def reusable(self) -> bool:
         """Whether the response ended in step with its request."""
--- a/arbutusbridge/daemon/events.py
+++ b/arbutusbridge/daemon/events.py
@@ -75,3 +75,23 @@
 
 class within(Event):  # noqa: N801
     """Connections are within the shares of a count: ``within(digest)``."""
+
+
+class arrived(Event):  # noqa: N801
+    """A caller's request to forward: ``arrived(request)``."""
+
+
+class caller_left(Event):  # noqa: N801
+    """A caller that closed its connection: ``caller_left(request)``."""
+
+
+class ended_attempts(Event):  # noqa: N801
+    """Ends of forwarded attempts, by turn: ``ended_attempts(replies)``."""
+
+
+class announced(Event):  # noqa: N801
+    """Changed keys of upstreams: ``announced(items)``."""
+
+
+class routed(Event):  # noqa: N801
+    """A routing configuration that the store holds: ``routed(items)``."""
--- /dev/null
+++ b/arbutusbridge/daemon/forwarding.py
@@ -0,0 +1,210 @@
+"""Drive the forwarder: events in, its actions out to the other tasks."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING, Any
+
+from circuits import BaseComponent, handler
+from result import Err
+
+from arbutusbridge.core.messages import Decision
+from arbutusbridge.daemon.logs import get_logger, log_decision
+from arbutusbridge.forwarding import (
+    Drop,
+    ExtraBounds,
+    Forwarder,
+    Place,
+    Send,
+    WakeAt,
+)
+
+if TYPE_CHECKING:
+    from arbutusbridge.daemon.forwardmetrics import ForwardMetrics
+    from arbutusbridge.daemon.ingress import Ingress
+    from arbutusbridge.daemon.links import UpstreamLinks
+    from arbutusbridge.daemon.timers import TimerService
+    from arbutusbridge.forwarding import CallerRequest, UpstreamReply
+    from arbutusbridge.forwarding.feed import Item
+    from arbutusbridge.forwarding.wireformat import WireFormat
+
+logger = get_logger(__name__)
+
+
+class Forwarding(BaseComponent):
+    """Owns the forwarder of one instance.
+
+    Attributes:
+      forwarder: The core.
+      knows_upstreams: Whether announcements were read once.
+    """
+
+    channel = "forwarding"
+
+    def __init__(
+        self,
+        place: Place,
+        bounds: ExtraBounds,
+        timers: TimerService,
+        wire: WireFormat,
+        metrics: ForwardMetrics,
+    ) -> None:
+        super().__init__()
+        self.timers = timers
+        self.wire = wire
+        self.metrics = metrics
+        self.forwarder = Forwarder(
+            place, bounds, random.Random(), timers.clock()
+        )
+        self.knows_upstreams = False
+        self.ingress: Ingress
+        self.links: UpstreamLinks
+
+    def attach(self, ingress: Ingress, links: UpstreamLinks) -> None:
+        """Names the tasks that carry its actions out."""
+        self.ingress = ingress
+        self.links = links
+
+    @property
+    def ready(self) -> bool:
+        """Whether requests can be routed to upstreams."""
+        return self.forwarder.table is not None and self.knows_upstreams
+
+    @handler("arrived")
+    def on_arrived(self, request: CallerRequest) -> None:
+        """Takes a caller's request."""
+        self.carry_out(self.forwarder.arrive(request, self.timers.clock()))
+
+    @handler("caller_left")
+    def on_caller_left(self, request: CallerRequest) -> None:
+        """Drops the work for a caller that has gone."""
+        self.carry_out(self.forwarder.abandon(request, self.timers.clock()))
+
+    @handler("ended_attempts")
+    def on_ended(self, replies: list[UpstreamReply]) -> None:
+        """Takes the ends of one turn's attempts."""
+        for reply in replies:
+            self.metrics.ends.labels(reply.end.value).inc()
+        self.carry_out(self.forwarder.replies(replies, self.timers.clock()))
+
+    @handler("due")
+    def on_due(self, requests: list[Any]) -> None:
+        """Takes due timers of requests."""
+        for request in requests:
+            self.carry_out(self.forwarder.wake(request, self.timers.clock()))
+
+    @handler("routed")
+    def on_routed(self, items: list[Item]) -> None:
+        """Puts a new configuration in force."""
+        for item in items:
+            if item.value is None or item.key != self.wire.configuration_key:
+                continue
+            decoded = self.wire.decode_configuration(item.value)
+            if isinstance(decoded, Err):
+                logger.error(
+                    "configuration refused",
+                    extra={
+                        "revision": item.revision,
+                        "mistake": decoded.err_value,
+                        "remedy": "Write a valid configuration.",
+                    },
+                )
+                continue
+            configuration = decoded.ok_value
+            taken = self.forwarder.configure(configuration)
+            if taken:
+                self.ingress.bound(configuration.bounds)
+                self.share()
+                self.metrics.version.set(configuration.version)
+            logger.info(
+                "configuration" if taken else "configuration not newer",
+                extra={
+                    "version": configuration.version,
+                    "revision": item.revision,
+                    "routes": len(configuration.routes),
+                },
+            )
+
+    @handler("announced")
+    def on_announced(self, items: list[Item]) -> None:
+        """Takes changes of upstreams' announcements."""
+        now = self.timers.clock()
+        for item in items:
+            name = item.key.removeprefix(self.wire.upstreams_prefix)
+            if item.value is None:
+                self.withdraw(name, item.revision)
+                continue
+            decoded = self.wire.decode_announcement(item.key, item.value)
+            if isinstance(decoded, Err):
+                logger.warning(
+                    "announcement ignored",
+                    extra={
+                        "upstream": name,
+                        "revision": item.revision,
+                        "mistake": decoded.err_value,
+                    },
+                )
+                self.withdraw(name, item.revision)
+                continue
+            announcement = decoded.ok_value
+            fresh = self.forwarder.announce(announcement, now)
+            if fresh:
+                self.links.retire(name)
+            logger.info(
+                "upstream announced" if fresh else "upstream changed",
+                extra={
+                    "upstream": name,
+                    "service": announcement.service,
+                    "leaving": announcement.leaving,
+                    "revision": item.revision,
+                },
+            )
+        self.knows_upstreams = True
+        self.forwarder.confirmed_at = now
+
+    def withdraw(self, name: str, revision: int) -> None:
+        """Takes the end of an upstream's announcement."""
+        if name not in self.forwarder.directory.by_name:
+            return
+        self.forwarder.withdraw(name)
+        self.links.retire(name)
+        logger.info(
+            "upstream gone", extra={"upstream": name, "revision": revision}
+        )
+
+    def share(self, instances: int | None = None) -> None:
+        """Shares connections and extra attempts with other instances."""
+        if instances is not None:
+            self.forwarder.instances = instances
+        table = self.forwarder.table
+        if table is not None:
+            self.links.share(
+                table.configuration.connections, self.forwarder.instances
+            )
+
+    def finish_all(self) -> None:
+        """Gives every open request its final answer."""
+        self.carry_out(self.forwarder.finish_all(self.timers.clock()))
+
+    def carry_out(self, actions: list[Any]) -> None:
+        """Carries out the forwarder's actions."""
+        for action in actions:
+            match action:
+                case Send():
+                    self.metrics.attempts.inc()
+                    self.links.send(action)
+                case Drop():
+                    self.links.drop(action)
+                case WakeAt():
+                    self.timers.at(action.at, self.channel, action.request)
+                case Decision():
+                    self.note(action)
+                case _:
+                    self.ingress.answer(action)
+        self.links.flush()
+
+    def note(self, decision: Decision) -> None:
+        """Counts and logs a decision."""
+        self.metrics.note(decision)
+        log_decision(logger, decision)
+
--- /dev/null
+++ b/arbutusbridge/daemon/forwardinstance.py
@@ -0,0 +1,222 @@
+"""Assembly of one forwarding instance under one circuits manager."""
+
+from __future__ import annotations
+
+import signal
+from typing import TYPE_CHECKING, Any
+
+from circuits import BaseComponent, handler
+from circuits.core.pollers import EPoll
+
+from arbutusbridge.core.stop import StopPlan
+from arbutusbridge.daemon.events import announced, routed
+from arbutusbridge.daemon.forwarding import Forwarding
+from arbutusbridge.daemon.forwardmetrics import ForwardMetrics
+from arbutusbridge.daemon.hub import SocketHub
+from arbutusbridge.daemon.ingress import Ingress
+from arbutusbridge.daemon.lifecycle import Door, Lifecycle
+from arbutusbridge.daemon.links import UpstreamLinks
+from arbutusbridge.daemon.logs import get_logger
+from arbutusbridge.daemon.operators import Operators
+from arbutusbridge.daemon.platform import PlatformClient
+from arbutusbridge.daemon.storefeed import StoreFeed
+from arbutusbridge.daemon.timers import TimerService
+from arbutusbridge.forwarding import ExtraBounds, Place
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from arbutusbridge.daemon.dialect import Dialect
+    from arbutusbridge.forwarding.wireformat import WireFormat
+    from arbutusbridge.settings.forwarding import ForwardSettings
+
+logger = get_logger(__name__)
+
+
+class ForwardInstance(BaseComponent):
+    """One instance that forwards by route: its tasks and its stop.
+
+    Attributes:
+      settings: What the process learnt from its settings file.
+      metrics: Its instruments.
+      reload: Reads the settings file again; called on SIGHUP.
+    """
+
+    channel = "instance"
+
+    def __init__(
+        self,
+        settings: ForwardSettings,
+        wire: WireFormat,
+        dialect: Dialect,
+        reload: Callable[[], ForwardSettings | None],
+    ) -> None:
+        super().__init__()
+        self.settings = settings
+        self.reload = reload
+        self.metrics = ForwardMetrics()
+        # circuits' default poller fails above descriptor 1,023.
+        self.poller = EPoll().register(self)
+        self.timers = TimerService().register(self)
+        self.hub = SocketHub().register(self)
+        self.forwarding = Forwarding(
+            Place(settings.data_centre, settings.regions),
+            bounds_of(settings),
+            self.timers,
+            wire,
+            self.metrics,
+        ).register(self)
+        self.ingress = Ingress(
+            (settings.callers.ip, settings.callers.port),
+            self.hub,
+            self.timers,
+            wire,
+            Forwarding.channel,
+        ).register(self)
+        self.links = UpstreamLinks(
+            self.hub, self.timers, wire, Forwarding.channel
+        ).register(self)
+        self.forwarding.attach(self.ingress, self.links)
+        self.store = PlatformClient(
+            self.hub, self.timers, [(settings.store.ip, settings.store.port)]
+        ).register(self)
+        self.feeds = [
+            StoreFeed(
+                prefix, self.store, dialect, self.timers, event, "forwarding"
+            ).register(self)
+            for prefix, event in (
+                (wire.configuration_key, routed),
+                (wire.upstreams_prefix, announced),
+            )
+        ]
+        self.lifecycle = Lifecycle(
+            StopPlan(settings.balancer_lag_seconds, settings.stop_seconds),
+            self.hub,
+            self.timers,
+            self.door(),
+        ).register(self)
+        addresses = {"operators": settings.operators}
+        if settings.metrics is not None:
+            addresses["metrics"] = settings.metrics
+        for channel, address in addresses.items():
+            Operators(
+                address,
+                self.timers,
+                self.metrics,
+                self.status,
+                self.gather,
+                channel,
+            ).register(self)
+        logger.notice(
+            "started",
+            extra={
+                "instance": settings.name,
+                "data_centre": settings.data_centre,
+            },
+        )
+
+    @classmethod
+    def from_config(
+        cls,
+        settings: ForwardSettings,
+        wire: WireFormat,
+        dialect: Dialect,
+        reload: Callable[[], ForwardSettings | None],
+    ) -> ForwardInstance:
+        """Builds the instance that the settings describe."""
+        return cls(settings, wire, dialect, reload)
+
+    def _signal_handler(self, number: int, _frame: Any) -> None:
+        """Takes the place of circuits' handler, which cuts callers off."""
+        if number == signal.SIGHUP:
+            self.timers.after(0.0, self.channel, "reload")
+        else:
+            self.lifecycle.request_stop()
+
+    def door(self) -> Door:
+        """Returns the callers' side as a planned stop sees it."""
+        ingress = self.ingress
+        exchanges = self.forwarding.forwarder.exchanges
+
+        def close_after_answers() -> None:
+            ingress.draining = True
+
+        return Door(
+            lambda: len(ingress.links),
+            lambda: max((e.give_up_at for e in exchanges.values()), default=0),
+            close_after_answers,
+            ingress.stop_listening,
+            ingress.close_idle_for,
+            self.forwarding.finish_all,
+        )
+
+    @handler("due")
+    def on_due(self, _tokens: list[Any]) -> None:
+        """Reads the settings file again."""
+        settings = self.reload()
+        if settings is None:
+            return
+        self.settings = settings
+        self.forwarding.forwarder.rebound(bounds_of(settings))
+        logger.notice("settings reloaded", extra={"instance": settings.name})
+
+    def status(self) -> dict[str, Any]:
+        """Returns what operators see of this instance."""
+        forwarder = self.forwarding.forwarder
+        table = forwarder.table
+        return {
+            "name": self.settings.name,
+            "data_centre": self.settings.data_centre,
+            "config_version": table.configuration.version if table else 0,
+            "ready": self.forwarding.ready and not self.lifecycle.plan.stopping,
+            "phase": self.lifecycle.plan.phase.value,
+            "instances_counted": forwarder.instances,
+            "upstreams": len(forwarder.directory.by_name),
+            "requests_open": len(forwarder.exchanges),
+            "attempts_open": len(forwarder.attempts),
+            "store": {
+                feed.prefix: {
+                    "revision": feed.feed.revision,
+                    "failures": feed.feed.failures,
+                    "reloads": feed.feed.reloads,
+                    "age_s": round(
+                        self.timers.clock() - feed.feed.confirmed_at, 1
+                    ),
+                }
+                for feed in self.feeds
+            },
+        }
+
+    def gather(self) -> None:
+        """Brings counts that tasks keep themselves into the metrics."""
+        metrics = self.metrics
+        forwarder = self.forwarding.forwarder
+        metrics.raise_to(metrics.store_calls, self.store.calls_made)
+        metrics.raise_to(metrics.connects, self.links.protocol.connects)
+        for reason, count in self.ingress.refused.items():
+            metrics.raise_to(metrics.callers_refused.labels(reason), count)
+        for what, count in forwarder.counts.items():
+            metrics.raise_to(metrics.silent.labels(what), count)
+        metrics.upstreams.set(len(forwarder.directory.by_name))
+        confirmed = max(feed.feed.confirmed_at for feed in self.feeds)
+        metrics.store_age.set(self.timers.clock() - confirmed)
+
+    @handler("exception", channel="*")
+    def on_exception(
+        self, kind: Any, value: Any, traceback: Any, **_context: Any
+    ) -> None:
+        """Logs a handler's exception, which circuits would only print."""
+        logger.error(
+            "handler failed",
+            extra={
+                "kind": kind.__name__,
+                "error": str(value),
+                "place": str(traceback)[-600:],
+            },
+        )
+
+
+def bounds_of(settings: ForwardSettings) -> ExtraBounds:
+    """Returns the bound on extra arrivals that the settings name."""
+    extras = settings.extras
+    return ExtraBounds(extras.ratio, extras.slack, extras.window_s)
--- /dev/null
+++ b/arbutusbridge/daemon/forwardmetrics.py
@@ -0,0 +1,91 @@
+"""Metrics of an instance that forwards by route."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from prometheus_client import Gauge, Histogram
+
+from arbutusbridge.daemon.metrics import (
+    COVERAGE_BUCKETS,
+    LATENCY_BUCKETS_S,
+    MetricsBase,
+)
+
+if TYPE_CHECKING:
+    from arbutusbridge.core.messages import Decision
+
+
+class ForwardMetrics(MetricsBase):
+    """The instruments of one forwarding instance."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.latency = Histogram(
+            "arbutusbridge_forward_seconds",
+            "Time from arrival to the final answer.",
+            ["route", "outcome"],
+            buckets=LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
+        self.coverage = Histogram(
+            "arbutusbridge_forward_coverage",
+            "Share of the shards in merged answers.",
+            ["route"],
+            buckets=COVERAGE_BUCKETS,
+            registry=self.registry,
+        )
+        self.decisions = self.counter(
+            "forward_decisions", "Decisions as logged, by name.", ["what"]
+        )
+        self.silent = self.counter(
+            "forward_refused_extras",
+            "Retries and hedges that the budget had no room for.",
+            ["what"],
+        )
+        self.attempts = self.counter(
+            "forward_attempts", "Attempts sent to upstreams."
+        )
+        self.ends = self.counter(
+            "forward_ends", "What became of attempts.", ["end"]
+        )
+        self.connects = self.counter(
+            "forward_connects", "Connections to upstreams begun."
+        )
+        self.callers_refused = self.counter(
+            "forward_callers_refused",
+            "Connections of callers told off and closed.",
+            ["reason"],
+        )
+        self.store_calls = self.counter(
+            "forward_store_calls", "Calls to the store, watches among them."
+        )
+        self.version = Gauge(
+            "arbutusbridge_forward_version",
+            "Version of the routing configuration in force.",
+            registry=self.registry,
+        )
+        self.upstreams = Gauge(
+            "arbutusbridge_forward_upstreams",
+            "Upstreams announced.",
+            registry=self.registry,
+        )
+        self.store_age = Gauge(
+            "arbutusbridge_forward_store_age_seconds",
+            "Time since the store last confirmed what is known.",
+            registry=self.registry,
+        )
+
+    def note(self, decision: Decision) -> None:
+        """Counts a decision, and times it if it is an answer."""
+        self.decisions.labels(decision.what).inc()
+        detail = decision.detail
+        if decision.what != "answer" or "ms" not in detail:
+            return
+        route = detail["route"]
+        self.latency.labels(route, detail["outcome"]).observe(
+            detail["ms"] / 1000
+        )
+        if detail["outcome"] in ("complete", "partial"):
+            share = detail["answered"] / detail["parts"]
+            self.coverage.labels(route).observe(share)
--- a/arbutusbridge/daemon/instance.py
+++ b/arbutusbridge/daemon/instance.py
@@ -9,11 +9,12 @@
 from circuits.core.pollers import EPoll
 
 from arbutusbridge.core.members import MemberState
+from arbutusbridge.core.stop import StopPlan
 from arbutusbridge.daemon.adoption import Adoption
 from arbutusbridge.daemon.entry import Entry
 from arbutusbridge.daemon.expiry import ClaimExpiry
 from arbutusbridge.daemon.hub import SocketHub
-from arbutusbridge.daemon.lifecycle import Lifecycle
+from arbutusbridge.daemon.lifecycle import Door, Lifecycle
 from arbutusbridge.daemon.logs import get_logger
 from arbutusbridge.daemon.metrics import Metrics
 from arbutusbridge.daemon.operators import Operators
@@ -87,14 +88,17 @@
             settings, self.timers, Queries.channel
         ).register(self)
         self.lifecycle = Lifecycle(
-            settings.balancer_lag_seconds,
+            StopPlan(settings.balancer_lag_seconds),
             self.hub,
             self.timers,
-            self.entry,
-            self.queries.tier,
+            self.door(),
         ).register(self)
         self.operators = Operators(
-            settings, self.timers, self.metrics, self.status, self.gather
+            settings.operators,
+            self.timers,
+            self.metrics,
+            self.status,
+            self.gather,
         ).register(self)
 
     @classmethod
@@ -102,6 +106,33 @@
         """Builds the instance that the settings describe."""
         return cls(settings)
 
+    def door(self) -> Door:
+        """Returns the callers' side as a planned stop sees it."""
+        tier = self.queries.tier
+        guard = self.entry.guard
+
+        def open_work() -> int:
+            requests = len(tier.queries) + len(tier.records)
+            return requests + len(guard.connections)
+
+        def last_deadline() -> float:
+            deadlines = [query.deadline for query in tier.queries.values()]
+            deadlines += [record.deadline for record in tier.records.values()]
+            return max(deadlines, default=0.0)
+
+        def close_after_answers() -> None:
+            guard.draining = True
+
+        return Door(
+            open_work,
+            last_deadline,
+            close_after_answers,
+            self.entry.stop_listening,
+            guard.close_idle_for,
+            # This stop is not bounded: open requests end by their deadlines.
+            lambda: None,
+        )
+
     def _signal_handler(self, _number: int, _frame: Any) -> None:
         """Takes the place of circuits' handler, which cuts callers off."""
         self.lifecycle.request_stop()
--- a/arbutusbridge/daemon/lifecycle.py
+++ b/arbutusbridge/daemon/lifecycle.py
@@ -4,6 +4,8 @@
 
 import contextlib
 import socket
+from collections.abc import Callable
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
 from circuits import BaseComponent, handler
@@ -14,8 +16,6 @@
 from arbutusbridge.daemon.logs import get_logger
 
 if TYPE_CHECKING:
-    from arbutusbridge.core.tier import Tier
-    from arbutusbridge.daemon.entry import Entry
     from arbutusbridge.daemon.hub import SocketHub
     from arbutusbridge.daemon.timers import TimerService
 
@@ -28,28 +28,48 @@
 """Time without a byte after which a connection counts as idle."""
 
 
+@dataclass(frozen=True, slots=True)
+class Door:
+    """What a stop needs to know and do at the callers' side.
+
+    Attributes:
+      open_work: Returns connections and requests that are not finished.
+      last_deadline: Returns the latest deadline of an open request, or 0.
+      close_after_answers: Lets every answer close its connection.
+      stop_listening: Closes the listener and none of its connections.
+      close_idle: Closes connections that carried nothing for some seconds.
+      answer_all: Gives open requests their final answers.
+    """
+
+    open_work: Callable[[], int]
+    last_deadline: Callable[[], float]
+    close_after_answers: Callable[[], None]
+    stop_listening: Callable[[], None]
+    close_idle: Callable[[float], None]
+    answer_all: Callable[[], None]
+
+
 class Lifecycle(BaseComponent):
     """Takes the instance from a signal to the end of its process.
 
     Attributes:
       plan: The phases of the stop.
+      door: The callers' side.
     """
 
     channel = "lifecycle"
 
     def __init__(
         self,
-        lag: float,
+        plan: StopPlan,
         hub: SocketHub,
         timers: TimerService,
-        entry: Entry,
-        tier: Tier,
+        door: Door,
     ) -> None:
         super().__init__()
-        self.plan = StopPlan(lag)
+        self.plan = plan
         self.timers = timers
-        self.entry = entry
-        self.tier = tier
+        self.door = door
         self.asked, self.ask = socket.socketpair()
         self.asked.setblocking(False)
         self.ask.setblocking(False)
@@ -74,25 +94,14 @@
     def on_due(self, _tokens: list[Any]) -> None:
         """Looks at what is still open."""
         steps = self.plan.tick(
-            self.timers.clock(), self.open_work, self.last_deadline
+            self.timers.clock(),
+            self.door.open_work(),
+            self.door.last_deadline(),
         )
         self.carry_out(steps)
         if StopStep.EXIT not in steps:
             self.timers.after(TICK_SECONDS, self.channel, "tick")
 
-    @property
-    def open_work(self) -> int:
-        """Connections and requests that are not finished."""
-        requests = len(self.tier.queries) + len(self.tier.records)
-        return requests + len(self.entry.guard.connections)
-
-    @property
-    def last_deadline(self) -> float:
-        """The latest deadline of an open request, 0 if there is none."""
-        deadlines = [query.deadline for query in self.tier.queries.values()]
-        deadlines += [record.deadline for record in self.tier.records.values()]
-        return max(deadlines, default=0.0)
-
     def carry_out(self, steps: list[StopStep]) -> None:
         """Carries out steps of the plan."""
         for step in steps:
@@ -100,17 +109,20 @@
                 case StopStep.SAY_LEAVING:
                     self.fire(stopping(), "*")
                 case StopStep.CLOSE_AFTER_ANSWERS:
-                    self.entry.guard.draining = True
+                    self.door.close_after_answers()
                 case StopStep.STOP_LISTENING:
                     logger.notice("listener closes")
-                    self.entry.stop_listening()
+                    self.door.stop_listening()
                 case StopStep.CLOSE_IDLE:
-                    self.entry.guard.close_idle_for(IDLE_SECONDS)
+                    self.door.close_idle(IDLE_SECONDS)
+                case StopStep.ANSWER_ALL:
+                    logger.notice("open requests get their last answers")
+                    self.door.answer_all()
                 case StopStep.EXIT:
                     self.exit()
 
     def exit(self) -> None:
         """Ends the loop, with which the process ends."""
-        logger.notice("stopped", extra={"left_open": self.open_work})
+        logger.notice("stopped", extra={"left_open": self.door.open_work()})
         self.fire(ended(), "*")
         self.root.stop()
--- /dev/null
+++ b/arbutusbridge/daemon/links.py
@@ -0,0 +1,194 @@
+"""Connections to announced upstreams and the attempts they carry."""
+
+from __future__ import annotations
+
+import functools
+from typing import TYPE_CHECKING, Any
+
+from circuits import BaseComponent, handler
+
+from arbutusbridge.core.messages import ReplyKind
+from arbutusbridge.daemon.events import ended_attempts
+from arbutusbridge.daemon.pool import Job, JobProtocol, Pool
+from arbutusbridge.daemon.relayconnection import RelayConnection
+from arbutusbridge.forwarding.messages import AttemptEnd, UpstreamReply
+
+if TYPE_CHECKING:
+    from arbutusbridge.daemon.connection import Connection
+    from arbutusbridge.daemon.hub import SocketHub
+    from arbutusbridge.daemon.timers import TimerService
+    from arbutusbridge.forwarding.messages import Drop, Send
+    from arbutusbridge.forwarding.model import Announcement
+    from arbutusbridge.forwarding.wireformat import WireFormat
+
+SWEEP_SECONDS = 0.1
+"""Time between two looks for overdue connections."""
+
+REPLY_GRACE_S = 0.2
+"""Time past an attempt's deadline after which its connection is closed."""
+
+CONNECTIONS_USED = 0.9
+"""Part of an upstream's connections that the instances share out; the rest is
+left to instances that are not counted yet."""
+
+UNKNOWN_CONNECTIONS = 2
+"""Connections to one upstream while its service's bound is not known."""
+
+SWEEP = "sweep"
+
+
+class UpstreamLinks(BaseComponent):
+    """Sends attempts to upstreams and reports how they end, by turn.
+
+    Attributes:
+      pools: Connections by upstream id.
+      retired: Pools of upstreams that are gone, while they carry something.
+      jobs: Open attempts by id, with their pool.
+      replies: Ends not yet reported.
+      bounds: Connections that one upstream accepts, by service.
+      instances: Instances that share them.
+    """
+
+    channel = "links"
+
+    def __init__(
+        self,
+        hub: SocketHub,
+        timers: TimerService,
+        wire: WireFormat,
+        target: str,
+    ) -> None:
+        super().__init__()
+        self.hub = hub
+        self.timers = timers
+        self.wire = wire
+        self.target = target
+        self.pools: dict[str, Pool] = {}
+        self.retired: list[Pool] = []
+        self.jobs: dict[int, tuple[Pool, Job]] = {}
+        self.replies: list[UpstreamReply] = []
+        self.bounds: dict[str, int] = {}
+        self.instances = 1
+        connect = functools.partial(RelayConnection, is_for=wire.is_for)
+        self.protocol = JobProtocol(self.encode, self.take, self.fail, connect)
+        hub.after_turn.append(self.flush)
+        timers.after(SWEEP_SECONDS, self.channel, SWEEP)
+
+    def share(self, bounds: dict[str, int], instances: int) -> None:
+        """Takes the bounds that all instances keep to together."""
+        if bounds == self.bounds and instances == self.instances:
+            return
+        self.bounds = bounds
+        self.instances = instances
+        for pool in self.pools.values():
+            pool.set_most(self.most_for(pool.upstream))
+
+    def most_for(self, upstream: Announcement) -> int:
+        """Returns the connections that this instance may hold."""
+        bound = self.bounds.get(upstream.service)
+        if bound is None:
+            return UNKNOWN_CONNECTIONS
+        return max(1, int(bound * CONNECTIONS_USED / self.instances))
+
+    def pool_for(self, upstream: Announcement) -> Pool:
+        """Returns the connections to an upstream, new ones if it moved."""
+        pool = self.pools.get(upstream.upstream)
+        if pool is not None and pool.address != upstream.address:
+            self.retire(upstream.upstream)
+            pool = None
+        if pool is None:
+            pool = self.pools[upstream.upstream] = Pool(
+                upstream,
+                upstream.address,
+                self.most_for(upstream),
+                self.hub,
+                self.timers.clock,
+                self.protocol,
+            )
+        return pool
+
+    def retire(self, name: str) -> None:
+        """Lets go of an upstream that is gone; what was sent may finish."""
+        pool = self.pools.pop(name, None)
+        if pool is not None:
+            pool.retire()
+            self.retired.append(pool)
+
+    def send(self, send: Send) -> None:
+        """Hands one attempt to its upstream's connections."""
+        job = Job(
+            send,
+            b"",
+            send.deadline,
+            send.deadline + REPLY_GRACE_S,
+            once=not send.repeatable,
+        )
+        pool = self.pool_for(send.upstream)
+        self.jobs[send.attempt_id] = (pool, job)
+        pool.submit(job)
+
+    def drop(self, drop: Drop) -> None:
+        """Stops waiting for an attempt."""
+        found = self.jobs.get(drop.attempt_id)
+        if found is None:
+            return
+        pool, job = found
+        if not job.sent:
+            pool.abandon(job)
+            self.report(job, AttemptEnd.NOT_SENT, "dropped before it was sent")
+        elif drop.at_once:
+            pool.cut(job)
+        else:
+            pool.abandon(job)
+
+    def encode(self, job: Job, connection: Connection, now: float) -> bytes:
+        """Writes an attempt."""
+        send = job.purpose
+        assert isinstance(connection, RelayConnection)
+        request = send.request
+        connection.expect(request.request_id, request.method != "HEAD")
+        return self.wire.encode_attempt(send, now)
+
+    def take(
+        self, job: Job, connection: Connection, status: int, body: bytes
+    ) -> bool:
+        """Reads the response to an attempt."""
+        assert isinstance(connection, RelayConnection)
+        send = job.purpose
+        reply = self.wire.decode_reply(
+            send.attempt_id, status, connection.headers, body
+        )
+        self.jobs.pop(send.attempt_id, None)
+        self.replies.append(reply)
+        return True
+
+    def fail(self, job: Job, kind: ReplyKind) -> None:
+        """Reports an attempt without a response."""
+        end = AttemptEnd.LOST
+        if kind is ReplyKind.NOT_SENT:
+            end = AttemptEnd.NOT_SENT
+        self.report(job, end, kind.name.lower())
+
+    def report(self, job: Job, end: AttemptEnd, detail: str) -> None:
+        """Reports how an attempt ended, once."""
+        attempt_id = job.purpose.attempt_id
+        if self.jobs.pop(attempt_id, None) is not None:
+            reply = UpstreamReply(attempt_id, end, detail=detail)
+            self.replies.append(reply)
+
+    @handler("due")
+    def on_due(self, _tokens: list[Any]) -> None:
+        """Closes connections that are overdue."""
+        now = self.timers.clock()
+        for pool in (*self.pools.values(), *self.retired):
+            if pool.busy or pool.connecting or pool.waiting:
+                pool.sweep(now)
+        self.retired = [pool for pool in self.retired if pool.size]
+        self.timers.after(SWEEP_SECONDS, self.channel, SWEEP)
+        self.flush()
+
+    def flush(self) -> None:
+        """Reports what ended, in one event."""
+        if self.replies:
+            replies, self.replies = self.replies, []
+            self.fire(ended_attempts(replies), self.target)
--- a/arbutusbridge/daemon/metrics.py
+++ b/arbutusbridge/daemon/metrics.py
@@ -23,12 +23,37 @@
 COVERAGE_BUCKETS = (0.0, 0.5, 0.8, 0.9, 0.95, 0.99, 0.999, 1.0)
 
 
-class Metrics:
-    """The instruments of one instance, in a registry of their own."""
+class MetricsBase:
+    """Instruments in a registry of their own."""
 
     def __init__(self) -> None:
         self.registry = CollectorRegistry()
         self.totals: dict[Counter, float] = {}
+
+    def counter(
+        self, name: str, text: str, labels: list[str] | None = None
+    ) -> Counter:
+        """Makes a counter of this instance."""
+        return Counter(
+            f"arbutusbridge_{name}",
+            text,
+            labels or [],
+            registry=self.registry,
+        )
+
+    def raise_to(self, counter: Counter, total: float) -> None:
+        """Raises a counter to a total that is kept elsewhere."""
+        before = self.totals.get(counter, 0.0)
+        if total > before:
+            counter.inc(total - before)
+            self.totals[counter] = total
+
+
+class Metrics(MetricsBase):
+    """The instruments of one instance, in a registry of their own."""
+
+    def __init__(self) -> None:
+        super().__init__()
         self.latency = Histogram(
             "arbutusbridge_answer_seconds",
             "Time from arrival to the final answer.",
@@ -90,21 +115,3 @@
             "Configuration version in force.",
             registry=self.registry,
         )
-
-    def counter(
-        self, name: str, text: str, labels: list[str] | None = None
-    ) -> Counter:
-        """Makes a counter of this instance."""
-        return Counter(
-            f"arbutusbridge_{name}",
-            text,
-            labels or [],
-            registry=self.registry,
-        )
-
-    def raise_to(self, counter: Counter, total: float) -> None:
-        """Raises a counter to a total that is kept elsewhere."""
-        before = self.totals.get(counter, 0.0)
-        if total > before:
-            counter.inc(total - before)
-            self.totals[counter] = total
--- a/arbutusbridge/daemon/operators.py
+++ b/arbutusbridge/daemon/operators.py
@@ -16,9 +16,9 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from arbutusbridge.daemon.metrics import Metrics
+    from arbutusbridge.daemon.metrics import MetricsBase
     from arbutusbridge.daemon.timers import TimerService
-    from arbutusbridge.settings.instance import InstanceSettings
+    from arbutusbridge.settings.instance import Address
 
 
 class Operators(BaseComponent):
@@ -33,17 +33,18 @@
 
     def __init__(
         self,
-        settings: InstanceSettings,
+        address: Address,
         timers: TimerService,
-        metrics: Metrics,
+        metrics: MetricsBase,
         status: Callable[[], dict[str, Any]],
         gather: Callable[[], None],
+        channel: str = "operators",
     ) -> None:
-        super().__init__()
+        super().__init__(channel=channel)
         self.metrics = metrics
         self.status = status
         self.gather = gather
-        bind = (settings.operators.ip, settings.operators.port)
+        bind = (address.ip, address.port)
         self.server = BaseServer(
             bind, channel=self.channel, display_banner=False
         ).register(self)
--- a/arbutusbridge/daemon/platform.py
+++ b/arbutusbridge/daemon/platform.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import base64
-from collections.abc import Callable
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
@@ -22,11 +21,12 @@
 from arbutusbridge.daemon.wire import encode_request
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from arbutusbridge.daemon.dialect import Decoder, Request
     from arbutusbridge.daemon.hub import SocketHub
     from arbutusbridge.daemon.timers import TimerService
 
-Decoder = Callable[[tuple[str, str], int, bytes], StoreResult]
-
 CALL_SECONDS = 2.0
 """Time that a store call may take."""
 
@@ -66,7 +66,7 @@
         hub: SocketHub,
         timers: TimerService,
         addresses: list[tuple[str, int]],
-        namespace: str,
+        namespace: str = "",
     ) -> None:
         super().__init__()
         self.hub = hub
@@ -177,6 +177,24 @@
         self.timers.after(seconds, self.channel, call.number)
         connection.start(encode_request(method, path, body, "platform"))
 
+    def ask(
+        self,
+        request: Request,
+        token: tuple[str, str],
+        on_done: Callable[[StoreResult], None],
+        seconds: float = CALL_SECONDS,
+    ) -> None:
+        """Sends a call that a dialect has written."""
+        self.call(
+            request.method,
+            request.path,
+            request.body,
+            token,
+            on_done,
+            request.decode,
+            seconds,
+        )
+
     def connect(self) -> Connection:
         """Opens a connection, to each address in turn."""
         address = self.addresses[self.next_address % len(self.addresses)]
--- a/arbutusbridge/daemon/pool.py
+++ b/arbutusbridge/daemon/pool.py
@@ -70,7 +70,7 @@
     """How requests are written and what their ends mean.
 
     Attributes:
-      encode: Returns a job's bytes as of a time.
+      encode: Returns a job's bytes for a connection as of a time.
       take: Takes a job, its connection, status and body; returns whether the
         response fits the request.
       fail: Takes a job without a response and what became of it.
@@ -78,7 +78,7 @@
       connects: Connections begun, ever.
     """
 
-    encode: Callable[[Job, float], bytes]
+    encode: Callable[[Job, Connection, float], bytes]
     take: Callable[[Job, Connection, int, bytes], bool]
     fail: Callable[[Job, ReplyKind], None]
     connect: Callable[..., Connection] = Connection
@@ -147,11 +147,11 @@
             return
         while self.idle:
             connection = self.idle.pop()
-            if not job.once:
-                self.hand(connection, job)
-                return
-            # A record must not meet a connection that the peer has closed.
-            if connection.is_quiet():
+            # What runs once must not meet a connection that the peer closed.
+            sound = connection.usable(self.clock()) and (
+                not job.once or connection.is_quiet()
+            )
+            if sound:
                 self.hand(connection, job)
                 return
             connection.close()
@@ -185,7 +185,7 @@
         job.sent = True
         job.handed_at = now
         job.found_idle = now - connection.idle_since
-        connection.start(self.protocol.encode(job, now))
+        connection.start(self.protocol.encode(job, connection, now))
 
     def on_made(self, connection: Connection) -> None:
         """Takes a connection into use once it is made."""
@@ -263,6 +263,13 @@
         job.abandoned = True
         job.expires = min(job.expires, self.clock() + DRAIN_SECONDS)
 
+    def cut(self, job: Job) -> None:
+        """Closes the connection that carries a request, so that it stops."""
+        for connection, carried in self.busy.items():
+            if carried is job:
+                connection.close()
+                return
+
     def sweep(self, now: float) -> None:
         """Closes connections that are overdue and drops what is too late."""
         for connection, began in list(self.connecting.items()):
--- a/arbutusbridge/daemon/requestparser.py
+++ b/arbutusbridge/daemon/requestparser.py
@@ -193,13 +193,17 @@
         self.headers_done = True
         if self.parser.should_upgrade():
             self.refuse(NO_UPGRADE)
-        path = self.url.split(b"?")[0].decode("latin-1")
-        if PLAIN_PATH.fullmatch(path) is None:
-            self.refuse(NO_SUCH_PATH)
+        self.check_path()
         self.check_length()
         expected = self.headers.get("expect", "").lower() == "100-continue"
         self.wants_continue = expected and self.refusal is None
 
+    def check_path(self) -> None:
+        """Refuses paths that circuits.web would change."""
+        path = self.url.split(b"?")[0].decode("latin-1")
+        if PLAIN_PATH.fullmatch(path) is None:
+            self.refuse(NO_SUCH_PATH)
+
     def check_length(self) -> None:
         """Checks how the length of the body is given."""
         most = self.limits.body_bytes
@@ -234,15 +238,17 @@
             # circuits.web leaves its state behind after a HEAD.
             and method != "HEAD"
         )
-        self.queue.append(
-            WholeRequest(
-                method,
-                self.url.split(b"?")[0].decode("latin-1"),
-                self.headers,
-                b"".join(self.body),
-                persistent,
-            )
-        )
+        self.queue.append(self.make_request(method, persistent))
         self.reset()
         self.unfinished = False
         self.wants_continue = False
+
+    def make_request(self, method: str, persistent: bool) -> WholeRequest:
+        """Builds the request that has just ended."""
+        return WholeRequest(
+            method,
+            self.url.split(b"?")[0].decode("latin-1"),
+            self.headers,
+            b"".join(self.body),
+            persistent,
+        )
--- a/arbutusbridge/daemon/searchjobs.py
+++ b/arbutusbridge/daemon/searchjobs.py
@@ -45,7 +45,7 @@
     The purpose of a job is an attempt, a probe, or None for a cancellation.
     """
 
-    def encode(job: Job, now: float) -> bytes:
+    def encode(job: Job, _connection: Connection, now: float) -> bytes:
         attempt = job.purpose
         if type(attempt) is Attempt:
             return encode_attempt(attempt, job.data, now)
--- /dev/null
+++ b/arbutusbridge/daemon/storefeed.py
@@ -0,0 +1,130 @@
+"""Follow a prefix of the store and report its changes."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from circuits import BaseComponent, Event, handler
+
+from arbutusbridge.core.messages import StoreStatus
+from arbutusbridge.daemon.logs import get_logger
+from arbutusbridge.forwarding.feed import Call, CallKind, Feed
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from arbutusbridge.core.messages import StoreResult
+    from arbutusbridge.daemon.dialect import Dialect
+    from arbutusbridge.daemon.platform import PlatformClient
+    from arbutusbridge.daemon.timers import TimerService
+    from arbutusbridge.forwarding.feed import Item
+
+logger = get_logger(__name__)
+
+WATCH_S = 15.0
+"""Longest wait of one watch. Each return is a priced call; a connection that
+fell silent is found by its keep-alive probes."""
+
+CALL_S = 1.5
+"""Time that a call may take; the slowest store seen answers in 0.3 s."""
+
+RELEASE_S = 0.25
+"""Time between two looks at entries whose end is not believed yet."""
+
+
+class StoreFeed(BaseComponent):
+    """Keeps one feed going and fires an event with each batch of changes.
+
+    Attributes:
+      feed: What is known.
+      loaded: Whether all keys were read once.
+    """
+
+    def __init__(
+        self,
+        prefix: str,
+        store: PlatformClient,
+        dialect: Dialect,
+        timers: TimerService,
+        event: Callable[[list[Item]], Event],
+        target: str,
+    ) -> None:
+        super().__init__(channel=f"feed:{prefix}")
+        self.prefix = prefix
+        self.store = store
+        self.dialect = dialect
+        self.timers = timers
+        self.event = event
+        self.target = target
+        self.feed = Feed()
+        self.loaded = False
+        self.timers.after(0.0, self.channel, self.feed.first_call())
+        self.timers.after(RELEASE_S, self.channel, None)
+
+    @handler("due")
+    def on_due(self, tokens: list[Any]) -> None:
+        """Makes the calls that are due."""
+        for token in tokens:
+            if isinstance(token, Call):
+                self.make(token)
+            else:
+                self.report(self.feed.release(self.timers.clock()))
+                self.timers.after(RELEASE_S, self.channel, None)
+
+    def make(self, call: Call) -> None:
+        """Makes one call."""
+        token = (self.channel, call.kind.value)
+        if call.kind is CallKind.PAGE:
+            request = self.dialect.page(self.prefix, call.after_key)
+            seconds = CALL_S
+        else:
+            request = self.dialect.watch(self.prefix, call.revision, WATCH_S)
+            seconds = WATCH_S + CALL_S
+        self.store.ask(request, token, self.on_result, seconds)
+
+    def on_result(self, result: StoreResult) -> None:
+        """Takes a call's result and plans the next call."""
+        now = self.timers.clock()
+        feed = self.feed
+        changes: list[Item] = []
+        if result.status is StoreStatus.HISTORY_LOST:
+            logger.notice("store history lost", extra={"prefix": self.prefix})
+            call = feed.on_history_lost()
+        elif result.status is not StoreStatus.DONE or result.page is None:
+            call = self.on_failure()
+        else:
+            if feed.failures:
+                logger.notice(
+                    "store regained",
+                    extra={
+                        "prefix": self.prefix,
+                        "failures": feed.failures,
+                        "revision": feed.revision,
+                    },
+                )
+            if result.token[1] == CallKind.PAGE.value:
+                changes, call = feed.on_page(result.page, now)
+            else:
+                changes, call = feed.on_changes(result.page, now)
+        self.report(changes)
+        self.timers.after(call.delay_s, self.channel, call)
+
+    def on_failure(self) -> Call:
+        """Takes a call that failed; the first of an outage is logged."""
+        if not self.feed.failures:
+            logger.warning(
+                "store lost",
+                extra={
+                    "prefix": self.prefix,
+                    "revision": self.feed.revision,
+                    "remedy": "Serving goes on with what is known.",
+                },
+            )
+        return self.feed.on_failure()
+
+    def report(self, changes: list[Item]) -> None:
+        """Fires changes, and the end of the first load."""
+        first = not self.loaded and self.feed.reloads > 0
+        self.loaded = self.loaded or first
+        if changes or first:
+            self.fire(self.event(changes), self.target)
--- /dev/null
+++ b/arbutusbridge/forwarding/feed.py
@@ -0,0 +1,214 @@
+"""Follow the keys under one prefix of the store, through its failures."""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass, field
+
+PAUSE_S = 0.4
+"""Pause between two watches that returned changes. A watch that returns is a
+priced call; changes must be in force 3 s after the store took them."""
+
+FIRST_RETRY_S = 0.1
+"""Pause after a first call without a usable reply."""
+
+LONGEST_RETRY_S = 0.8
+"""Longest pause between calls while the store can't be reached; it bounds
+how soon after an outage changes are seen."""
+
+RETURN_GRACE_S = 2.2
+"""Time after an outage in which a missing entry may come back; the platform
+restores them within about 2 s."""
+
+MASS_LOSS_SHARE = 0.3
+"""Part of all entries whose end at once is taken for an outage that was not
+seen from here."""
+
+LEAST_MASS_LOSS = 4
+"""Entries that must end at once for it."""
+
+
+@dataclass(frozen=True, slots=True)
+class Item:
+    """A key of the store.
+
+    Attributes:
+      key: Its name.
+      value: Its value, None once it was deleted.
+      revision: The store's revision of its last change.
+    """
+
+    key: str
+    value: bytes | None
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class Page:
+    """Keys under a prefix, as of about one time.
+
+    Attributes:
+      items: The keys found.
+      more: Whether there are more behind the last one.
+      revision: The store's revision when it answered.
+    """
+
+    items: tuple[Item, ...]
+    more: bool
+    revision: int
+
+
+class CallKind(enum.Enum):
+    """What to ask the store for."""
+
+    PAGE = "page"
+    WATCH = "watch"
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """A call to make.
+
+    Attributes:
+      kind: What to ask for.
+      after_key: Key that the page starts behind.
+      revision: Revision that the watch starts behind.
+      delay_s: Time to wait before the call.
+    """
+
+    kind: CallKind
+    after_key: str = ""
+    revision: int = 0
+    delay_s: float = 0.0
+
+
+@dataclass(slots=True)
+class Feed:
+    """What is known of the keys under a prefix.
+
+    Attributes:
+      items: The keys in force.
+      revision: Revision up to which they are known, None before a first load.
+      loading: Keys found by the load in progress.
+      load_revision: Revision at which that load began.
+      failures: Calls without a usable reply since the last good one.
+      failed_at: When the last outage was last seen.
+      regained_at: When the store was last regained.
+      held: Keys whose end is not believed yet, with the time until then.
+      confirmed_at: When the store last confirmed the items.
+      reloads: Whole loads, the first one included.
+    """
+
+    items: dict[str, Item] = field(default_factory=dict)
+    revision: int | None = None
+    loading: dict[str, Item] = field(default_factory=dict)
+    load_revision: int | None = None
+    failures: int = 0
+    regained_at: float = -RETURN_GRACE_S
+    held: dict[str, float] = field(default_factory=dict)
+    confirmed_at: float = 0.0
+    reloads: int = 0
+
+    def first_call(self) -> Call:
+        """Returns the call to begin with."""
+        return Call(CallKind.PAGE)
+
+    def next_call(self, delay_s: float = 0.0) -> Call:
+        """Returns the call that goes on from what is known."""
+        if self.revision is None:
+            last = next(reversed(self.loading), "")
+            return Call(CallKind.PAGE, after_key=last, delay_s=delay_s)
+        return Call(CallKind.WATCH, revision=self.revision, delay_s=delay_s)
+
+    def on_failure(self) -> Call:
+        """Takes a call without a usable reply."""
+        self.failures += 1
+        delay = FIRST_RETRY_S * 2.0 ** min(self.failures - 1, 6)
+        return self.next_call(min(delay, LONGEST_RETRY_S))
+
+    def on_history_lost(self) -> Call:
+        """Takes the word that changes were forgotten; loads all again."""
+        self.revision = None
+        self.loading.clear()
+        self.load_revision = None
+        return self.next_call()
+
+    def on_page(self, page: Page, now: float) -> tuple[list[Item], Call]:
+        """Takes one page of a load; returns changes and the next call."""
+        self.note_contact(now)
+        if self.load_revision is None:
+            # Pages are no snapshot: watch from before the first one.
+            self.load_revision = page.revision
+        for item in page.items:
+            self.loading[item.key] = item
+        if page.more and page.items:
+            return [], self.next_call()
+        changes = [
+            item
+            for key, item in self.loading.items()
+            if self.items.get(key) != item
+        ]
+        changes += [
+            Item(key, None, page.revision)
+            for key in self.items
+            if key not in self.loading
+        ]
+        self.revision = self.load_revision
+        self.load_revision = None
+        self.loading = {}
+        self.reloads += 1
+        self.confirmed_at = now
+        return self.apply(changes, now), self.next_call()
+
+    def on_changes(self, page: Page, now: float) -> tuple[list[Item], Call]:
+        """Takes the changes that a watch returned."""
+        self.note_contact(now)
+        self.confirmed_at = now
+        if self.revision is not None:
+            self.revision = max(self.revision, page.revision)
+        delay = PAUSE_S if page.items else 0.0
+        return self.apply(list(page.items), now), self.next_call(delay)
+
+    def note_contact(self, now: float) -> None:
+        """Notes a good reply, which may be the first after an outage."""
+        if self.failures:
+            self.failures = 0
+            self.regained_at = now
+
+    def apply(self, changes: list[Item], now: float) -> list[Item]:
+        """Takes changes in; returns those to act on now."""
+        ends = [item for item in changes if item.value is None]
+        unsure = now - self.regained_at < RETURN_GRACE_S or (
+            len(ends) >= LEAST_MASS_LOSS
+            and len(ends) >= MASS_LOSS_SHARE * len(self.items)
+        )
+        acted = []
+        for item in changes:
+            known = self.items.get(item.key)
+            if item.value is not None:
+                if known is not None and known.revision > item.revision:
+                    continue
+                self.held.pop(item.key, None)
+                self.items[item.key] = item
+                acted.append(item)
+            elif known is not None:
+                if unsure:
+                    until = now + RETURN_GRACE_S
+                    self.held.setdefault(item.key, until)
+                else:
+                    self.end(item.key)
+                    acted.append(item)
+        return acted
+
+    def end(self, key: str) -> None:
+        """Forgets a key."""
+        self.items.pop(key, None)
+        self.held.pop(key, None)
+
+    def release(self, now: float) -> list[Item]:
+        """Returns the ends that are believed by now."""
+        due = [key for key, until in self.held.items() if until <= now]
+        ended = [Item(key, None, self.items[key].revision) for key in due]
+        for key in due:
+            self.end(key)
+        return ended
--- a/arbutusbridge/forwarding/forwarder.py
+++ b/arbutusbridge/forwarding/forwarder.py
@@ -88,6 +88,12 @@
             self.budgets[service] = budget
         return budget
 
+    def rebound(self, bounds: ExtraBounds) -> None:
+        """Takes another bound on extra arrivals."""
+        self.bounds = bounds
+        for budget in self.budgets.values():
+            budget.bounds = bounds
+
     def configure(self, configuration: RoutingConfiguration) -> bool:
         """Puts a configuration in force unless it is no newer.
 
--- /dev/null
+++ b/arbutusbridge/platform/documents.py
@@ -0,0 +1,186 @@
+"""The operators' configuration and the upstreams' announcements."""
+
+from __future__ import annotations
+
+from typing import Literal
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from result import Err, Ok, Result
+
+from arbutusbridge.forwarding.model import (
+    Announcement,
+    CallerBounds,
+    Route,
+    RoutingConfiguration,
+    WeightedService,
+)
+from arbutusbridge.settings.loader import field_path
+
+CONFIGURATION_KEY = "op/config"
+UPSTREAMS_PREFIX = "servers/"
+
+
+class Document(BaseModel):
+    """A document of the platform; fields not known here mean nothing."""
+
+    model_config = ConfigDict(extra="ignore", frozen=True, strict=True)
+
+
+class WeightedPart(Document):
+    """An entry of ``weighted_backends``."""
+
+    service: str
+    weight: float = Field(gt=0)
+
+
+class RouteDocument(Document):
+    """An entry of ``routes``.
+
+    Attributes:
+      priority: The smaller the more urgent.
+      max_attempts: Upstreams, not sends, that one request may reach.
+      target_latency_ms: Time within which an answer is of full use.
+      timeout_ms: Longest time that a caller is kept waiting.
+      fanout_services: Shards; each is a service of its own.
+      min_shard_ratio: Least share of the shards in an answer.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    kind: Literal["idempotent", "non_idempotent"]
+    timeout_ms: float = Field(gt=0)
+    target_latency_ms: float = Field(gt=0)
+    priority: int = 0
+    max_attempts: int = Field(default=1, ge=1)
+    service: str | None = None
+    weighted_backends: tuple[WeightedPart, ...] = ()
+    fanout_services: tuple[str, ...] = ()
+    top_k: int = Field(default=0, ge=0)
+    min_shard_ratio: float = Field(default=1.0, ge=0, le=1)
+
+    def to_route(self) -> Route:
+        """Returns the route that it describes."""
+        services = tuple(
+            WeightedService(part.service, part.weight)
+            for part in self.weighted_backends
+        )
+        if not services and self.service is not None:
+            services = (WeightedService(self.service),)
+        return Route(
+            name=self.name,
+            host=self.host.lower(),
+            prefix=self.prefix,
+            idempotent=self.kind == "idempotent",
+            timeout_s=self.timeout_ms / 1000,
+            target_s=self.target_latency_ms / 1000,
+            urgency=self.priority,
+            most_upstreams=self.max_attempts,
+            services=() if self.fanout_services else services,
+            shards=self.fanout_services,
+            most_records=self.top_k,
+            least_coverage=self.min_shard_ratio,
+        )
+
+
+class ServiceDocument(Document):
+    """An entry of ``services``.
+
+    Attributes:
+      max_conns: Connections that one upstream accepts from all callers.
+    """
+
+    name: str
+    max_conns: int = Field(default=64, ge=1)
+
+
+class LimitsDocument(Document):
+    """The field ``limits``: bounds on what callers send."""
+
+    max_header_bytes: int = Field(default=16_384, ge=1)
+    max_body_bytes: int = Field(default=262_144, ge=0)
+    header_timeout_ms: float = Field(default=10_000, gt=0)
+    idle_timeout_ms: float = Field(default=60_000, gt=0)
+
+    def to_bounds(self) -> CallerBounds:
+        """Returns the bounds that it describes."""
+        return CallerBounds(
+            self.max_header_bytes,
+            self.max_body_bytes,
+            self.header_timeout_ms / 1000,
+            self.idle_timeout_ms / 1000,
+        )
+
+
+class ConfigurationDocument(Document):
+    """The value of ``op/config``."""
+
+    version: int
+    routes: tuple[RouteDocument, ...]
+    services: tuple[ServiceDocument, ...] = ()
+    limits: LimitsDocument = LimitsDocument()
+
+
+class EntryDocument(Document):
+    """The value of a key under ``servers/``.
+
+    Attributes:
+      addr: IP number and port.
+      zone: Data centre.
+      warmup_left_ms: How much longer the upstream is slow after its start.
+      born: Wall time of its start in ms since 1970; 0 from older writers.
+    """
+
+    service: str
+    addr: str
+    zone: str
+    slots: int = Field(default=1, ge=1)
+    state: Literal["ready", "draining"]
+    warmup_left_ms: float = 0.0
+    born: int = 0
+
+
+def decode_configuration(value: bytes) -> Result[RoutingConfiguration, str]:
+    """Reads a whole configuration; the error says what is wrong and where."""
+    try:
+        document = ConfigurationDocument.model_validate_json(value)
+    except ValidationError as err:
+        return Err(first_mistake(err))
+    return Ok(
+        RoutingConfiguration(
+            document.version,
+            tuple(route.to_route() for route in document.routes),
+            {one.name: one.max_conns for one in document.services},
+            document.limits.to_bounds(),
+        )
+    )
+
+
+def decode_announcement(key: str, value: bytes) -> Result[Announcement, str]:
+    """Reads what an upstream says of itself; its id is in the key only."""
+    try:
+        document = EntryDocument.model_validate_json(value)
+        ip, _, port = document.addr.rpartition(":")
+        address = (ip, int(port))
+    except ValidationError as err:
+        return Err(first_mistake(err))
+    except ValueError:
+        return Err(f"addr: {document.addr!r} is no address and port")
+    return Ok(
+        Announcement(
+            upstream=key.removeprefix(UPSTREAMS_PREFIX),
+            service=document.service,
+            address=address,
+            data_centre=document.zone,
+            slots=document.slots,
+            leaving=document.state == "draining",
+            warm_up_s=document.warmup_left_ms / 1000,
+            started_ms=document.born,
+        )
+    )
+
+
+def first_mistake(err: ValidationError) -> str:
+    """Returns the place and kind of the first mistake."""
+    detail = err.errors()[0]
+    return f"{field_path(detail['loc']) or 'top level'}: {detail['msg']}"
--- /dev/null
+++ b/arbutusbridge/platform/http.py
@@ -0,0 +1,221 @@
+"""Headers and statuses between callers, instances and upstreams."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+from result import Err, Ok, Result
+
+from arbutusbridge.daemon.wire import PHRASES
+from arbutusbridge.forwarding.messages import (
+    AttemptEnd,
+    Load,
+    Merged,
+    Refusal,
+    Refused,
+    Relayed,
+    UpstreamReply,
+)
+from arbutusbridge.forwarding.model import CallerRequest
+
+if TYPE_CHECKING:
+    from arbutusbridge.forwarding.messages import Headers, Send
+
+REQUEST_ID = b"x-request-id"
+DEADLINE = b"x-deadline-ms"
+EXPECTED_UPSTREAM = b"x-expect-instance"
+SIGNATURE = b"x-server-stamp"
+NOT_RUN = b"x-not-executed"
+LOAD = b"x-server-load"
+ENCODING = b"content-encoding"
+
+MISDIRECTED_STATUS = 421
+
+OF_ONE_CONNECTION = frozenset(
+    {
+        b"connection",
+        b"content-length",
+        b"expect",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
+"""Headers that concern one connection only."""
+
+SET_HERE = frozenset({DEADLINE, EXPECTED_UPSTREAM})
+"""Headers of a request that are written anew for an upstream."""
+
+MOST_DEADLINE_MS = 600_000.0
+"""Longest time that a caller may say it waits."""
+
+STATUS_OF_REFUSAL = {
+    Refusal.NO_ROUTE: 404,
+    Refusal.NOT_READY: 503,
+    Refusal.UNSERVABLE: 503,
+    Refusal.LOST: 502,
+    Refusal.TIMED_OUT: 504,
+}
+"""HTTP status of each refusal; 503 promises that nothing ran."""
+
+
+def decode_request(
+    method: str, target: str, headers: Headers, body: bytes, arrived: float
+) -> Result[CallerRequest, str]:
+    """Reads a caller's request; the error says what is missing or wrong."""
+    named = set()
+    for name, value in headers:
+        if name.lower() == b"connection":
+            named |= {one.strip().lower() for one in value.split(b",")}
+    request_id = host = ""
+    deadline = math.inf
+    kept: Headers = []
+    for name, value in headers:
+        lower = name.lower()
+        if lower == REQUEST_ID:
+            request_id = value.decode("latin-1")
+        elif lower == b"host":
+            host = value.decode("latin-1")
+        elif lower == DEADLINE:
+            try:
+                left_ms = float(value)
+            except ValueError:
+                return Err("the deadline is no number of milliseconds")
+            if not 0 <= left_ms <= MOST_DEADLINE_MS:
+                return Err("the deadline is out of range")
+            deadline = arrived + left_ms / 1000
+        if lower in OF_ONE_CONNECTION or lower in SET_HERE or lower in named:
+            continue
+        kept.append((name, value))
+    if not request_id:
+        return Err("the request has no id")
+    return Ok(
+        CallerRequest(
+            request_id,
+            method,
+            target,
+            host.partition(":")[0].lower(),
+            kept,
+            body,
+            deadline,
+            arrived,
+        )
+    )
+
+
+def encode_attempt(send: Send, now: float) -> bytes:
+    """Writes a caller's request for the upstream that it is meant for."""
+    request = send.request
+    left_ms = max(1, int((min(send.deadline, request.deadline) - now) * 1000))
+    lines = [
+        f"{request.method} {request.target} HTTP/1.1".encode("latin-1"),
+        b"X-Deadline-Ms: %d" % left_ms,
+        b"X-Expect-Instance: " + send.upstream.upstream.encode("latin-1"),
+    ]
+    lines += [name + b": " + value for name, value in request.headers]
+    if request.body or request.method not in ("GET", "HEAD", "DELETE"):
+        lines.append(b"Content-Length: %d" % len(request.body))
+    return b"\r\n".join(lines) + b"\r\n\r\n" + request.body
+
+
+def is_for(request_id: str, headers: dict[bytes, bytes]) -> bool:
+    """Tells whether a response may belong to a request.
+
+    Args:
+      request_id: The request.
+      headers: The response's headers by name in lower case.
+    """
+    echoed = headers.get(REQUEST_ID)
+    return echoed is None or echoed.decode("latin-1") == request_id
+
+
+def decode_reply(
+    attempt_id: int, status: int, headers: Headers, body: bytes
+) -> UpstreamReply:
+    """Reads what an upstream's response says of an attempt."""
+    values = {name.lower(): value for name, value in headers}
+    stamp = values.get(SIGNATURE, b"").decode("latin-1")
+    load = decode_load(values.get(LOAD))
+    end, detail = classify(status, values, stamp)
+    kept: Headers = []
+    if end in (AttemptEnd.RESULT, AttemptEnd.FAILED):
+        kept = [
+            (name, value)
+            for name, value in headers
+            if name.lower() not in OF_ONE_CONNECTION
+        ]
+    return UpstreamReply(
+        attempt_id, end, status, kept, body, stamp, load, detail
+    )
+
+
+def classify(
+    status: int, values: dict[bytes, bytes], stamp: str
+) -> tuple[AttemptEnd, str]:
+    """Returns what became of an attempt, and what was wrong."""
+    if status == MISDIRECTED_STATUS:
+        return AttemptEnd.MISDIRECTED, "another upstream has the address"
+    if NOT_RUN in values:
+        return AttemptEnd.SHED, f"status {status}"
+    if not stamp or "," in stamp:
+        return AttemptEnd.LOST, f"status {status} without a signature"
+    if not 200 <= status < 300:
+        return AttemptEnd.FAILED, f"status {status}"
+    if values.get(ENCODING, b"identity").lower() != b"identity":
+        return AttemptEnd.LOST, "a body in an encoding that was not asked for"
+    return AttemptEnd.RESULT, ""
+
+
+def decode_load(value: bytes | None) -> Load | None:
+    """Reads a reported load, None where it can't be read."""
+    if value is None:
+        return None
+    try:
+        numbers = [int(part) for part in value.split(b",")]
+    except ValueError:
+        return None
+    if len(numbers) < 3 or min(numbers) < 0:
+        return None
+    # The fourth figure is in percent of the usual time.
+    pace = numbers[3] / 100 if len(numbers) > 3 and numbers[3] else 1.0
+    return Load(numbers[0], numbers[1], numbers[2], pace)
+
+
+def encode_answer(answer: object, keep_alive: bool) -> bytes:
+    """Writes the final answer to a caller."""
+    headers: Headers = []
+    if isinstance(answer, Relayed):
+        status, body = answer.reply.status, answer.reply.body
+        headers = list(answer.reply.headers)
+    elif isinstance(answer, Merged):
+        status, body = 200, answer.body
+        stamps = ", ".join(answer.stamps).encode("latin-1")
+        headers = [
+            (b"X-Shard-Stamps", stamps),
+            (b"X-Shards-Missing", b"%d" % answer.missing),
+            (b"Content-Type", b"application/octet-stream"),
+        ]
+    else:
+        assert isinstance(answer, Refused)
+        status, body = STATUS_OF_REFUSAL[answer.refusal], b""
+        if answer.retry_after_s is not None:
+            headers = [(b"Retry-After", b"%.3f" % answer.retry_after_s)]
+    if not isinstance(answer, Relayed):
+        request_id = answer.request.request_id.encode("latin-1")
+        headers.append((b"X-Request-Id", request_id))
+    phrase = PHRASES.get(status, "Status")
+    lines = [f"HTTP/1.1 {status} {phrase}".encode("latin-1")]
+    lines += [name + b": " + value for name, value in headers]
+    lines.append(b"Content-Length: %d" % len(body))
+    if not keep_alive:
+        lines.append(b"Connection: close")
+    head = b"\r\n".join(lines) + b"\r\n\r\n"
+    if answer.request.method == "HEAD":
+        return head
+    return head + body
