Count the instances, and ask watches anew after an outage of the store

Change: instances keep a key under a lease and share by the count; a reply after a failed call lets feeds ask their watches anew; watches last 8 s.

--- a/arbutusbridge/daemon/events.py
+++ b/arbutusbridge/daemon/events.py
@@ -95,3 +95,7 @@
 
 class routed(Event):  # noqa: N801
     """A routing configuration that the store holds: ``routed(items)``."""
+
+
+class store_regained(Event):  # noqa: N801
+    """The store replied again after a failed call: ``store_regained()``."""
--- a/arbutusbridge/daemon/forwarding.py
+++ b/arbutusbridge/daemon/forwarding.py
@@ -114,7 +114,7 @@
             taken = self.forwarder.configure(configuration)
             if taken:
                 self.ingress.bound(configuration.bounds)
-                self.share()
+                self.share(self.forwarder.instances)
                 self.metrics.version.set(configuration.version)
             logger.info(
                 "configuration" if taken else "configuration not newer",
@@ -160,7 +160,6 @@
                 },
             )
         self.knows_upstreams = True
-        self.forwarder.confirmed_at = now
 
     def withdraw(self, name: str, revision: int) -> None:
         """Takes the end of an upstream's announcement."""
@@ -172,10 +171,9 @@
             "upstream gone", extra={"upstream": name, "revision": revision}
         )
 
-    def share(self, instances: int | None = None) -> None:
-        """Shares connections and extra attempts with other instances."""
-        if instances is not None:
-            self.forwarder.instances = instances
+    def share(self, instances: int) -> None:
+        """Shares connections and extra attempts among so many instances."""
+        self.forwarder.instances = instances
         table = self.forwarder.table
         if table is not None:
             self.links.share(
--- a/arbutusbridge/daemon/forwardinstance.py
+++ b/arbutusbridge/daemon/forwardinstance.py
@@ -19,6 +19,7 @@
 from arbutusbridge.daemon.logs import get_logger
 from arbutusbridge.daemon.operators import Operators
 from arbutusbridge.daemon.platform import PlatformClient
+from arbutusbridge.daemon.presence import InstancePresence
 from arbutusbridge.daemon.storefeed import StoreFeed
 from arbutusbridge.daemon.timers import TimerService
 from arbutusbridge.forwarding import ExtraBounds, Place
@@ -80,6 +81,7 @@
         self.store = PlatformClient(
             self.hub, self.timers, [(settings.store.ip, settings.store.port)]
         ).register(self)
+        self.forwarding.forwarder.confirmed = lambda: self.store.heard_at
         self.feeds = [
             StoreFeed(
                 prefix, self.store, dialect, self.timers, event, "forwarding"
@@ -89,6 +91,13 @@
                 (wire.upstreams_prefix, announced),
             )
         ]
+        self.presence = InstancePresence(
+            settings.name,
+            self.store,
+            dialect,
+            self.timers,
+            self.forwarding.share,
+        ).register(self)
         self.lifecycle = Lifecycle(
             StopPlan(settings.balancer_lag_seconds, settings.stop_seconds),
             self.hub,
--- a/arbutusbridge/daemon/platform.py
+++ b/arbutusbridge/daemon/platform.py
@@ -17,6 +17,7 @@
 from arbutusbridge.core.messages import StoreResult, StoreStatus
 from arbutusbridge.core.spread import WATCH_SECONDS
 from arbutusbridge.daemon.connection import Connection
+from arbutusbridge.daemon.events import store_regained
 from arbutusbridge.daemon.listing import list_path
 from arbutusbridge.daemon.wire import encode_request
 
@@ -57,6 +58,8 @@
     Attributes:
       namespace: Prefix of all keys.
       calls_made: Calls so far, watches among them.
+      failing: Whether the last call that ended had no usable reply.
+      heard_at: When the last usable reply came.
     """
 
     channel = "platform"
@@ -78,6 +81,8 @@
         self.open: dict[int, tuple[Call, Connection]] = {}
         self.calls_made = 0
         self.next_address = 0
+        self.failing = False
+        self.heard_at = timers.clock()
 
     def get(
         self,
@@ -163,19 +168,27 @@
         on_done: Callable[[StoreResult], None],
         decode: Decoder,
         seconds: float = CALL_SECONDS,
-    ) -> None:
-        """Sends one request."""
+    ) -> int:
+        """Sends one request; returns its number."""
         self.calls_made += 1
         call = Call(token, on_done, self.calls_made, decode)
         try:
             connection = self.idle.pop() if self.idle else self.connect()
         except OSError:
             on_done(StoreResult(token, StoreStatus.UNAVAILABLE))
-            return
+            return call.number
         self.busy[connection] = call
         self.open[call.number] = (call, connection)
         self.timers.after(seconds, self.channel, call.number)
         connection.start(encode_request(method, path, body, "platform"))
+        return call.number
+
+    def forget(self, number: int) -> None:
+        """Drops an open call; no result of it is handed over."""
+        found = self.open.pop(number, None)
+        if found is not None:
+            self.busy.pop(found[1], None)
+            found[1].close()
 
     def ask(
         self,
@@ -183,9 +196,9 @@
         token: tuple[str, str],
         on_done: Callable[[StoreResult], None],
         seconds: float = CALL_SECONDS,
-    ) -> None:
-        """Sends a call that a dialect has written."""
-        self.call(
+    ) -> int:
+        """Sends a call that a dialect has written; returns its number."""
+        return self.call(
             request.method,
             request.path,
             request.body,
@@ -235,7 +248,18 @@
     def finish(self, call: Call, result: StoreResult) -> None:
         """Hands over a call's one result."""
         self.open.pop(call.number, None)
+        failed = result.status is StoreStatus.UNAVAILABLE
+        regained = self.failing and not failed
+        self.failing = failed
+        if failed:
+            # What fell silent with that call must not carry the next one.
+            while self.idle:
+                self.idle.pop().close()
+        else:
+            self.heard_at = self.timers.clock()
         call.on_done(result)
+        if regained:
+            self.fire(store_regained(), "*")
 
 
 def encode_cas(key: str, value: bytes, index: int) -> bytes:
--- /dev/null
+++ b/arbutusbridge/daemon/presence.py
@@ -0,0 +1,120 @@
+"""Keep this instance's key in the store and count those of the others."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from circuits import BaseComponent, handler
+
+from arbutusbridge.core.messages import StoreStatus
+from arbutusbridge.daemon.logs import get_logger
+from arbutusbridge.forwarding.presence import (
+    COUNT_S,
+    LEASE_S,
+    PREFIX,
+    RENEW_S,
+    Presence,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from arbutusbridge.core.messages import StoreResult
+    from arbutusbridge.daemon.dialect import Dialect
+    from arbutusbridge.daemon.platform import PlatformClient
+    from arbutusbridge.daemon.timers import TimerService
+
+logger = get_logger(__name__)
+
+CALL_S = 1.5
+"""Time that a call may take."""
+
+
+class InstancePresence(BaseComponent):
+    """Announces this instance and reports how many there are.
+
+    Attributes:
+      presence: What is known.
+      on_count: Called with each count to share by.
+    """
+
+    channel = "presence"
+
+    def __init__(
+        self,
+        name: str,
+        store: PlatformClient,
+        dialect: Dialect,
+        timers: TimerService,
+        on_count: Callable[[int], None],
+    ) -> None:
+        super().__init__()
+        self.key = f"{PREFIX}{name}"
+        self.store = store
+        self.dialect = dialect
+        self.timers = timers
+        self.on_count = on_count
+        self.presence = Presence()
+        on_count(self.presence.instances)
+        timers.after(0.0, self.channel, "renew")
+        timers.after(COUNT_S / 2, self.channel, "count")
+
+    @handler("due")
+    def on_due(self, tokens: list[Any]) -> None:
+        """Renews the lease or counts."""
+        for token in tokens:
+            if token == "renew":
+                self.renew()
+            else:
+                request = self.dialect.page(PREFIX, "", True)
+                self.ask(request, "count")
+
+    def renew(self) -> None:
+        """Takes the next step towards a key under a living lease."""
+        presence = self.presence
+        if not presence.lease:
+            self.ask(self.dialect.lease(LEASE_S), "lease")
+        elif not presence.written:
+            request = self.dialect.write(self.key, b"", presence.lease)
+            self.ask(request, "write")
+        else:
+            self.ask(self.dialect.renew(presence.lease), "renewed")
+
+    def ask(self, request: Any, purpose: str) -> None:
+        """Makes one call."""
+        token = (self.channel, purpose)
+        self.store.ask(request, token, self.on_result, CALL_S)
+
+    def on_result(self, result: StoreResult) -> None:
+        """Takes a call's result."""
+        purpose = result.token[1]
+        presence = self.presence
+        done = result.status is StoreStatus.DONE
+        if purpose == "count":
+            if done and result.page is not None:
+                self.take_count(len(result.page.items))
+            self.timers.after(COUNT_S, self.channel, "count")
+            return
+        if done and purpose == "lease":
+            presence.lease = result.index
+            self.renew()
+            return
+        if done and purpose == "write":
+            presence.written = True
+        elif result.status is StoreStatus.CONFLICT:
+            logger.notice("own lease ended", extra={"lease": presence.lease})
+            presence.forget()
+        self.timers.after(
+            RENEW_S if done else COUNT_S, self.channel, "renew"
+        )
+
+    def take_count(self, found: int) -> None:
+        """Takes the number of keys."""
+        before = self.presence.instances
+        after = self.presence.count(found, self.timers.clock())
+        if after != before:
+            logger.info(
+                "instances counted",
+                extra={"found": found, "shared_by": after, "before": before},
+            )
+        self.on_count(after)
--- a/arbutusbridge/daemon/storefeed.py
+++ b/arbutusbridge/daemon/storefeed.py
@@ -21,9 +21,9 @@
 
 logger = get_logger(__name__)
 
-WATCH_S = 15.0
-"""Longest wait of one watch. Each return is a priced call; a connection that
-fell silent is found by its keep-alive probes."""
+WATCH_S = 8.0
+"""Longest wait of one watch. Each return is a priced call; a watch that fell
+silent with the store is asked anew once another call has a reply."""
 
 CALL_S = 1.5
 """Time that a call may take; the slowest store seen answers in 0.3 s."""
@@ -38,6 +38,7 @@
     Attributes:
       feed: What is known.
       loaded: Whether all keys were read once.
+      watching: Number of the open watch, 0 if there is none.
     """
 
     def __init__(
@@ -58,6 +59,7 @@
         self.target = target
         self.feed = Feed()
         self.loaded = False
+        self.watching = 0
         self.timers.after(0.0, self.channel, self.feed.first_call())
         self.timers.after(RELEASE_S, self.channel, None)
 
@@ -75,17 +77,26 @@
         """Makes one call."""
         token = (self.channel, call.kind.value)
         if call.kind is CallKind.PAGE:
-            request = self.dialect.page(self.prefix, call.after_key)
-            seconds = CALL_S
-        else:
-            request = self.dialect.watch(self.prefix, call.revision, WATCH_S)
-            seconds = WATCH_S + CALL_S
-        self.store.ask(request, token, self.on_result, seconds)
+            request = self.dialect.page(self.prefix, call.after_key, False)
+            self.store.ask(request, token, self.on_result, CALL_S)
+            return
+        request = self.dialect.watch(self.prefix, call.revision, WATCH_S)
+        seconds = WATCH_S + CALL_S
+        self.watching = self.store.ask(request, token, self.on_result, seconds)
+
+    @handler("store_regained", channel="*")
+    def on_store_regained(self) -> None:
+        """Asks anew for what an outage may have swallowed."""
+        if self.watching:
+            self.store.forget(self.watching)
+            self.watching = 0
+            self.make(self.feed.next_call())
 
     def on_result(self, result: StoreResult) -> None:
         """Takes a call's result and plans the next call."""
         now = self.timers.clock()
         feed = self.feed
+        self.watching = 0
         changes: list[Item] = []
         if result.status is StoreStatus.HISTORY_LOST:
             logger.notice("store history lost", extra={"prefix": self.prefix})
--- a/arbutusbridge/forwarding/attempts.py
+++ b/arbutusbridge/forwarding/attempts.py
@@ -28,6 +28,9 @@
 RECHECK_S = 0.02
 """Time between two looks at a part that could not be helped."""
 
+LEAST_USEFUL_S = 0.02
+"""Time to the final answer in which another attempt can't reply."""
+
 HEDGE_RESERVE = 3.0
 """Extra arrivals that hedges leave to retries in the budget."""
 
@@ -155,7 +158,8 @@
         part.given_up = True
         return
     upstream = pick(exchange, part, forwarder, now)
-    if upstream is None or part.sends >= MOST_SENDS:
+    late = exchange.give_up_at - now < LEAST_USEFUL_S
+    if upstream is None or late or part.sends >= MOST_SENDS:
         part.given_up = True
         return
     again = upstream in part.asked and part.failure is not None
--- a/arbutusbridge/forwarding/forwarder.py
+++ b/arbutusbridge/forwarding/forwarder.py
@@ -21,6 +21,7 @@
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Callable
 
     from arbutusbridge.forwarding.choice import Place
     from arbutusbridge.forwarding.model import (
@@ -47,7 +48,7 @@
       exchanges: Requests without a final answer.
       instances: Instances that the extra arrivals are shared with.
       counts: Decisions by name, for the metrics.
-      confirmed_at: When the store last confirmed what is known.
+      confirmed: Returns when the store last confirmed what is known.
     """
 
     def __init__(
@@ -69,7 +70,7 @@
         self.exchanges: dict[CallerRequest, Exchange] = {}
         self.instances = 1
         self.counts: Counter[str] = Counter()
-        self.confirmed_at = started
+        self.confirmed: Callable[[], float] = lambda: started
         self.last_attempt = 0
 
     def count(self, what: str) -> None:
@@ -78,7 +79,7 @@
 
     def store_age_ms(self, now: float) -> int:
         """Returns the age of what the store last confirmed."""
-        return round((now - self.confirmed_at) * 1000)
+        return round((now - self.confirmed()) * 1000)
 
     def budget(self, service: str, now: float) -> ServiceBudget:
         """Returns the extra arrivals of a service."""
--- /dev/null
+++ b/arbutusbridge/forwarding/presence.py
@@ -0,0 +1,67 @@
+"""Count of the instances that share what upstreams give.
+
+Each instance keeps a key under a lease while it runs, and reads all such keys
+now and then. A count that shrinks is believed late: an instance that was lost
+for a moment must not be given away twice.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+PREFIX = "arbutusbridge/instances/"
+"""Start of the keys of running instances."""
+
+LEASE_S = 12.0
+"""Length of an instance's lease; its key ends so long after it was lost."""
+
+RENEW_S = 4.0
+"""Time between two renewals, three in a lease."""
+
+COUNT_S = 2.0
+"""Time between two readings of the keys. It bounds how long an outage of the
+store goes unseen, besides how soon a new instance takes part in the shares."""
+
+BELIEVED_S = 10.0
+"""Time for which the greatest count of late is kept, the length of the window
+of extra arrivals."""
+
+UNCOUNTED = 8
+"""Instances assumed before a first count, the size of the first users."""
+
+
+@dataclass(slots=True)
+class Presence:
+    """What one instance knows of the number of instances.
+
+    Attributes:
+      lease: Own lease, 0 while there is none.
+      written: Whether the own key stands under that lease.
+      counts: Counts of late with their times.
+    """
+
+    lease: int = 0
+    written: bool = False
+    counts: list[tuple[float, int]] = field(default_factory=list)
+
+    def count(self, found: int, now: float) -> int:
+        """Takes a reading of the keys; returns the count to share by."""
+        self.counts = [
+            (at, number)
+            for at, number in self.counts
+            if now - at < BELIEVED_S
+        ]
+        # The own key may not stand yet.
+        least = found if self.written else found + 1
+        self.counts.append((now, max(1, least)))
+        return self.instances
+
+    @property
+    def instances(self) -> int:
+        """The greatest count of late."""
+        return max((n for _, n in self.counts), default=UNCOUNTED)
+
+    def forget(self) -> None:
+        """Takes the end of the own lease."""
+        self.lease = 0
+        self.written = False
--- /dev/null
+++ b/tests/test_daemon/test_storefeed.py
@@ -0,0 +1,83 @@
+"""Tests of store feeds on loopback sockets."""
+
+from __future__ import annotations
+
+import json
+
+import testtools
+
+from arbutusbridge.daemon.events import announced
+from arbutusbridge.daemon.platform import PlatformClient
+from arbutusbridge.daemon.storefeed import StoreFeed
+from arbutusbridge.platform import DIALECT
+from arbutusbridge.standins.deployment import LOOPBACK
+from tests.test_daemon.fixtures import Bench, RawUpstream
+
+
+class SilentStoreTest(testtools.TestCase):
+    """A store that takes calls and answers none for a while."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.bench = Bench()
+        self.raw = RawUpstream()
+        self.store = PlatformClient(
+            self.bench.hub, self.bench.timers, [(LOOPBACK, self.raw.port)]
+        ).register(self.bench)
+        self.feed = StoreFeed(
+            "servers/",
+            self.store,
+            DIALECT,
+            self.bench.timers,
+            announced,
+            "forwarding",
+        ).register(self.bench)
+
+    def answer(self, sock, body, status="200 OK") -> None:
+        data = json.dumps(body).encode()
+        head = f"HTTP/1.1 {status}\r\nContent-Length: {len(data)}\r\n\r\n"
+        sock.sendall(head.encode() + data)
+        self.bench.turn()
+
+    def ask(self) -> None:
+        token = ("test", "count")
+        request = DIALECT.page("x/", "", True)
+        self.store.ask(request, token, lambda _result: None, 1.0)
+
+    def test_watch_is_asked_anew_once_another_call_is_answered(self) -> None:
+        page = {"items": [], "has_more": False, "current_rev": 7}
+        self.bench.turn()
+        sock = self.raw.accept()
+        self.bench.turn()
+        self.assertIn(b"/kv-range", sock.recv(4096))
+        self.answer(sock, page)
+        self.assertIn(b"/kv-watch", sock.recv(4096))
+        self.ask()
+        self.bench.turn()
+        unanswered = self.raw.accept()
+        self.bench.now += 1.1
+        self.bench.turn()
+        unanswered.close()
+        self.assertTrue(self.store.failing)
+        self.ask()
+        self.bench.turn()
+        other = self.raw.accept()
+        self.bench.turn()
+        other.recv(4096)
+        self.answer(other, page)
+        # The silent watch is cut, and one from the same revision is open.
+        self.assertEqual(b"", sock.recv(4096))
+        self.assertIn(b"after=7", other.recv(4096))
+
+    def test_history_lost_loads_all_again(self) -> None:
+        page = {"items": [], "has_more": False, "current_rev": 7}
+        self.bench.turn()
+        sock = self.raw.accept()
+        self.bench.turn()
+        sock.recv(4096)
+        self.answer(sock, page)
+        sock.recv(4096)
+        self.answer(sock, {}, "410 Gone")
+        self.assertIn(b"/kv-range", sock.recv(4096))
+        self.answer(sock, page)
+        self.assertEqual(2, self.feed.feed.reloads)
