Ask shards of another region through a peer that is near them

Change: one message to an instance of that region asks its shards and brings back signatures and merged records; a peer that does not acknowledge is given up and left out; replies within twice the usual time count as ordinary.

--- a/arbutusbridge/daemon/events.py
+++ b/arbutusbridge/daemon/events.py
@@ -99,3 +99,7 @@
 
 class store_regained(Event):  # noqa: N801
     """The store replied again after a failed call: ``store_regained()``."""
+
+
+class peer_message(Event):  # noqa: N801
+    """A message of another forwarding instance: ``peer_message(message)``."""
--- a/arbutusbridge/daemon/forwarding.py
+++ b/arbutusbridge/daemon/forwarding.py
@@ -18,14 +18,17 @@
     Send,
     WakeAt,
 )
+from arbutusbridge.forwarding.gather import Tell
 
 if TYPE_CHECKING:
     from arbutusbridge.daemon.forwardmetrics import ForwardMetrics
+    from arbutusbridge.daemon.gatherpeers import GatherPeers
     from arbutusbridge.daemon.ingress import Ingress
     from arbutusbridge.daemon.links import UpstreamLinks
     from arbutusbridge.daemon.timers import TimerService
     from arbutusbridge.forwarding import CallerRequest, UpstreamReply
     from arbutusbridge.forwarding.feed import Item
+    from arbutusbridge.forwarding.gather import GatherMessage
     from arbutusbridge.forwarding.wireformat import WireFormat
 
 logger = get_logger(__name__)
@@ -59,11 +62,15 @@
         self.knows_upstreams = False
         self.ingress: Ingress
         self.links: UpstreamLinks
+        self.peers: GatherPeers | None = None
 
-    def attach(self, ingress: Ingress, links: UpstreamLinks) -> None:
+    def attach(
+        self, ingress: Ingress, links: UpstreamLinks, peers: GatherPeers | None
+    ) -> None:
         """Names the tasks that carry its actions out."""
         self.ingress = ingress
         self.links = links
+        self.peers = peers
 
     @property
     def ready(self) -> bool:
@@ -87,6 +94,11 @@
             self.metrics.ends.labels(reply.end.value).inc()
         self.carry_out(self.forwarder.replies(replies, self.timers.clock()))
 
+    @handler("peer_message")
+    def on_peer_message(self, message: GatherMessage) -> None:
+        """Takes a message of another instance."""
+        self.carry_out(self.forwarder.hear(message, self.timers.clock()))
+
     @handler("due")
     def on_due(self, requests: list[Any]) -> None:
         """Takes due timers of requests."""
@@ -155,6 +167,7 @@
                 extra={
                     "upstream": name,
                     "service": announcement.service,
+                    "data_centre": announcement.data_centre,
                     "leaving": announcement.leaving,
                     "revision": item.revision,
                 },
@@ -193,6 +206,9 @@
                     self.links.send(action)
                 case Drop():
                     self.links.drop(action)
+                case Tell():
+                    assert self.peers is not None
+                    self.peers.send(action)
                 case WakeAt():
                     self.timers.at(action.at, self.channel, action.request)
                 case Decision():
@@ -205,4 +221,3 @@
         """Counts and logs a decision."""
         self.metrics.note(decision)
         log_decision(logger, decision)
-
--- a/arbutusbridge/daemon/forwardinstance.py
+++ b/arbutusbridge/daemon/forwardinstance.py
@@ -12,6 +12,7 @@
 from arbutusbridge.daemon.events import announced, routed
 from arbutusbridge.daemon.forwarding import Forwarding
 from arbutusbridge.daemon.forwardmetrics import ForwardMetrics
+from arbutusbridge.daemon.gatherpeers import GatherPeers
 from arbutusbridge.daemon.hub import SocketHub
 from arbutusbridge.daemon.ingress import Ingress
 from arbutusbridge.daemon.lifecycle import Door, Lifecycle
@@ -23,11 +24,13 @@
 from arbutusbridge.daemon.storefeed import StoreFeed
 from arbutusbridge.daemon.timers import TimerService
 from arbutusbridge.forwarding import ExtraBounds, Place
+from arbutusbridge.forwarding.gatherwire import PeerCard
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from arbutusbridge.daemon.dialect import Dialect
+    from arbutusbridge.forwarding.gather import Peer
     from arbutusbridge.forwarding.wireformat import WireFormat
     from arbutusbridge.settings.forwarding import ForwardSettings
 
@@ -77,7 +80,14 @@
         self.links = UpstreamLinks(
             self.hub, self.timers, wire, Forwarding.channel
         ).register(self)
-        self.forwarding.attach(self.ingress, self.links)
+        self.peers: GatherPeers | None = None
+        if settings.peers is not None:
+            own = (settings.peers.ip, settings.peers.port)
+            self.peers = GatherPeers(
+                own, self.hub, self.metrics, Forwarding.channel
+            ).register(self)
+            self.forwarding.forwarder.gather.own_address = own
+        self.forwarding.attach(self.ingress, self.links, self.peers)
         self.store = PlatformClient(
             self.hub, self.timers, [(settings.store.ip, settings.store.port)]
         ).register(self)
@@ -93,10 +103,11 @@
         ]
         self.presence = InstancePresence(
             settings.name,
+            card_of(settings),
             self.store,
             dialect,
             self.timers,
-            self.forwarding.share,
+            self.on_instances,
         ).register(self)
         self.lifecycle = Lifecycle(
             StopPlan(settings.balancer_lag_seconds, settings.stop_seconds),
@@ -135,6 +146,11 @@
         """Builds the instance that the settings describe."""
         return cls(settings, wire, dialect, reload)
 
+    def on_instances(self, count: int, peers: list[Peer]) -> None:
+        """Takes a reading of the running instances."""
+        self.forwarding.share(count)
+        self.forwarding.forwarder.gather.book.take(peers)
+
     def _signal_handler(self, number: int, _frame: Any) -> None:
         """Takes the place of circuits' handler, which cuts callers off."""
         if number == signal.SIGHUP:
@@ -146,12 +162,14 @@
         """Returns the callers' side as a planned stop sees it."""
         ingress = self.ingress
         exchanges = self.forwarding.forwarder.exchanges
+        gather = self.forwarding.forwarder.gather
 
         def close_after_answers() -> None:
             ingress.draining = True
+            gather.accepting = False
 
         return Door(
-            lambda: len(ingress.links),
+            lambda: len(ingress.links) + len(gather.taken),
             lambda: max((e.give_up_at for e in exchanges.values()), default=0),
             close_after_answers,
             ingress.stop_listening,
@@ -229,3 +247,12 @@
     """Returns the bound on extra arrivals that the settings name."""
     extras = settings.extras
     return ExtraBounds(extras.ratio, extras.slack, extras.window_s)
+
+
+def card_of(settings: ForwardSettings) -> PeerCard | None:
+    """Returns what the instance tells the others of itself."""
+    if settings.peers is None:
+        return None
+    return PeerCard(
+        settings.data_centre, settings.peers.ip, settings.peers.port
+    )
--- a/arbutusbridge/daemon/forwardmetrics.py
+++ b/arbutusbridge/daemon/forwardmetrics.py
@@ -57,6 +57,11 @@
             "Connections of callers told off and closed.",
             ["reason"],
         )
+        self.peer_bytes = self.counter(
+            "forward_peer_bytes",
+            "Bytes of messages between instances.",
+            ["way"],
+        )
         self.store_calls = self.counter(
             "forward_store_calls", "Calls to the store, watches among them."
         )
--- /dev/null
+++ b/arbutusbridge/daemon/gatherpeers.py
@@ -0,0 +1,80 @@
+"""Carry messages between forwarding instances."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from circuits import BaseComponent, handler
+
+from arbutusbridge.daemon.events import peer_message
+from arbutusbridge.daemon.logs import get_logger
+from arbutusbridge.daemon.peerlinks import PeerLinks, Sent
+from arbutusbridge.errors import ProtocolError
+from arbutusbridge.forwarding.gatherwire import (
+    MOST_MESSAGE_BYTES,
+    decode_message,
+    encode_message,
+)
+
+if TYPE_CHECKING:
+    import pynng
+
+    from arbutusbridge.daemon.forwardmetrics import ForwardMetrics
+    from arbutusbridge.daemon.hub import SocketHub
+    from arbutusbridge.forwarding.gather import Tell
+
+logger = get_logger(__name__)
+
+
+class GatherPeers(BaseComponent):
+    """Sends and takes messages of other instances.
+
+    A message can do no more than a caller can: it names a request that the
+    configuration in force here must know, so messages are not sealed.
+    """
+
+    channel = "gatherpeers"
+
+    def __init__(
+        self,
+        address: tuple[str, int],
+        hub: SocketHub,
+        metrics: ForwardMetrics,
+        target: str,
+    ) -> None:
+        super().__init__()
+        self.metrics = metrics
+        self.target = target
+        self.links = PeerLinks(address, MOST_MESSAGE_BYTES, hub, self.take)
+
+    def send(self, tell: Tell) -> None:
+        """Sends a message; one that is lost is made up for by a time-out."""
+        data = encode_message(tell.message)
+        outcome, error = self.links.send(tell.address, data)
+        self.metrics.peer_bytes.labels("sent").inc(len(data))
+        if outcome is not Sent.TAKEN:
+            logger.warning(
+                "peer not reached",
+                extra={
+                    "address": tell.address,
+                    "outcome": outcome.value,
+                    "error": error,
+                },
+            )
+
+    def take(self, raw: pynng.Message) -> None:
+        """Takes one message."""
+        data = raw.bytes
+        self.metrics.peer_bytes.labels("received").inc(len(data))
+        try:
+            message = decode_message(data)
+        except ProtocolError as err:
+            logger.warning("peer message refused", extra={"error": str(err)})
+            raw.pipe.close()
+            return
+        self.fire(peer_message(message), self.target)
+
+    @handler("stopped", channel="*")
+    def on_stopped(self, _manager: Any) -> None:
+        """Closes the sockets when the process ends."""
+        self.links.close()
--- a/arbutusbridge/daemon/peers.py
+++ b/arbutusbridge/daemon/peers.py
@@ -6,7 +6,6 @@
 import time
 from typing import TYPE_CHECKING, Any
 
-import pynng
 from circuits import BaseComponent, handler
 
 from arbutusbridge.core.gossip import Gossip
@@ -35,11 +34,13 @@
     heard,
     peer_said,
 )
-from arbutusbridge.daemon.hub import READABLE
 from arbutusbridge.daemon.logs import get_logger
+from arbutusbridge.daemon.peerlinks import PeerLinks, Sent
 from arbutusbridge.errors import ProtocolError
 
 if TYPE_CHECKING:
+    import pynng
+
     from arbutusbridge.core.members import Listed
     from arbutusbridge.core.messages import Notice
     from arbutusbridge.core.model import Configuration, Upstream
@@ -53,18 +54,6 @@
 
 logger = get_logger(__name__)
 
-MOST_LINKS = 32
-"""Connections to peers kept; the one used longest ago is closed first."""
-
-LINK_QUEUE = 16
-"""Messages queued for a peer that does not take them at once."""
-
-RECONNECT_MS = 200
-MOST_RECONNECT_MS = 5_000
-
-MOST_MESSAGES_A_TURN = 64
-"""Messages read before other sockets have their turn."""
-
 INCARNATION_RANDOM_BITS = 16
 """Random bits below the start time of an incarnation."""
 
@@ -82,7 +71,7 @@
     Attributes:
       gossip: What is told and taken.
       membership: The instances known.
-      links: Sending sockets by address, the last used last.
+      links: Sockets to and from the other instances.
     """
 
     channel = "peers"
@@ -98,7 +87,6 @@
         super().__init__()
         self.timers = timers
         self.metrics = metrics
-        self.hub = hub
         self.key = derive_key(settings.peer_secret, settings.namespace)
         me = Identity(
             settings.name,
@@ -111,12 +99,10 @@
         seeds = tuple((seed.ip, seed.port) for seed in settings.peer_seeds)
         self.gossip = Gossip(self.membership, rng, seeds)
         self.gossip.shares.followed = True
-        self.links: dict[tuple[str, int], pynng.Push0] = {}
         self.counted = 0
-        self.listener = pynng.Pull0(recv_max_size=MOST_MESSAGE_BYTES)
-        self.listener.listen(link_url((me.ip, me.port)))
-        self.descriptor = self.listener.recv_fd
-        hub.add(self.descriptor, READABLE, self.on_readable)
+        self.links = PeerLinks(
+            (me.ip, me.port), MOST_MESSAGE_BYTES, hub, self.take
+        )
 
     @classmethod
     def from_config(
@@ -226,44 +212,17 @@
         if len(data) > MOST_MESSAGE_BYTES:
             logger.error("peer message too large", extra={"bytes": len(data)})
             return
-        try:
-            self.link(address).send(data, block=False)
-        except pynng.TryAgain:
+        outcome, error = self.links.send(address, data)
+        if outcome is Sent.LINK_FULL:
             self.metrics.peer_refused.labels("link_full").inc()
             return
-        except pynng.NNGException as err:
+        if outcome is Sent.FAILED:
             logger.warning(
-                "peer not reached",
-                extra={"address": address, "error": str(err)},
+                "peer not reached", extra={"address": address, "error": error}
             )
             return
         self.metrics.peer_bytes.labels("sent").inc(len(data))
 
-    def link(self, address: tuple[str, int]) -> pynng.Push0:
-        """Returns the link to an address, a new one if there is none."""
-        found = self.links.pop(address, None)
-        if found is None:
-            found = pynng.Push0(
-                send_buffer_size=LINK_QUEUE,
-                reconnect_time_min=RECONNECT_MS,
-                reconnect_time_max=MOST_RECONNECT_MS,
-            )
-            found.dial(link_url(address), block=False)
-        self.links[address] = found
-        if len(self.links) > MOST_LINKS:
-            oldest = next(iter(self.links))
-            self.links.pop(oldest).close()
-        return found
-
-    def on_readable(self, _mask: int) -> None:
-        """Reads the messages that wait, within the bound of a turn."""
-        for _ in range(MOST_MESSAGES_A_TURN):
-            try:
-                message = self.listener.recv_msg(block=False)
-            except pynng.TryAgain:
-                return
-            self.take(message)
-
     def take(self, raw: pynng.Message) -> None:
         """Takes one message; a connection that forges one is closed."""
         data = raw.bytes
@@ -317,11 +276,7 @@
 
     def close(self) -> None:
         """Closes every socket."""
-        self.hub.remove(self.descriptor)
-        self.listener.close()
-        for link in self.links.values():
-            link.close()
-        self.links.clear()
+        self.links.close()
 
     @handler("stopped", channel="*")
     def on_stopped(self, _manager: Any) -> None:
@@ -332,10 +287,3 @@
 def age_of(at: float | None, now: float) -> float | None:
     """Returns the seconds since a time, None for never."""
     return None if at is None else round(now - at, 1)
-
-
-def link_url(address: tuple[str, int]) -> str:
-    """Returns the address in pynng's form."""
-    ip, port = address
-    host = f"[{ip}]" if ":" in ip else ip
-    return f"tcp://{host}:{port}"
--- a/arbutusbridge/daemon/presence.py
+++ b/arbutusbridge/daemon/presence.py
@@ -8,6 +8,12 @@
 
 from arbutusbridge.core.messages import StoreStatus
 from arbutusbridge.daemon.logs import get_logger
+from arbutusbridge.forwarding.gather import Peer
+from arbutusbridge.forwarding.gatherwire import (
+    PeerCard,
+    decode_card,
+    encode_card,
+)
 from arbutusbridge.forwarding.presence import (
     COUNT_S,
     LEASE_S,
@@ -23,6 +29,7 @@
     from arbutusbridge.daemon.dialect import Dialect
     from arbutusbridge.daemon.platform import PlatformClient
     from arbutusbridge.daemon.timers import TimerService
+    from arbutusbridge.forwarding.feed import Item
 
 logger = get_logger(__name__)
 
@@ -35,7 +42,7 @@
 
     Attributes:
       presence: What is known.
-      on_count: Called with each count to share by.
+      on_count: Called with each count to share by and the other instances.
     """
 
     channel = "presence"
@@ -43,19 +50,21 @@
     def __init__(
         self,
         name: str,
+        card: PeerCard | None,
         store: PlatformClient,
         dialect: Dialect,
         timers: TimerService,
-        on_count: Callable[[int], None],
+        on_count: Callable[[int, list[Peer]], None],
     ) -> None:
         super().__init__()
         self.key = f"{PREFIX}{name}"
+        self.value = encode_card(card) if card is not None else b""
         self.store = store
         self.dialect = dialect
         self.timers = timers
         self.on_count = on_count
         self.presence = Presence()
-        on_count(self.presence.instances)
+        on_count(self.presence.instances, [])
         timers.after(0.0, self.channel, "renew")
         timers.after(COUNT_S / 2, self.channel, "count")
 
@@ -75,7 +84,7 @@
         if not presence.lease:
             self.ask(self.dialect.lease(LEASE_S), "lease")
         elif not presence.written:
-            request = self.dialect.write(self.key, b"", presence.lease)
+            request = self.dialect.write(self.key, self.value, presence.lease)
             self.ask(request, "write")
         else:
             self.ask(self.dialect.renew(presence.lease), "renewed")
@@ -92,7 +101,7 @@
         done = result.status is StoreStatus.DONE
         if purpose == "count":
             if done and result.page is not None:
-                self.take_count(len(result.page.items))
+                self.take_count(result.page.items)
             self.timers.after(COUNT_S, self.channel, "count")
             return
         if done and purpose == "lease":
@@ -104,17 +113,29 @@
         elif result.status is StoreStatus.CONFLICT:
             logger.notice("own lease ended", extra={"lease": presence.lease})
             presence.forget()
-        self.timers.after(
-            RENEW_S if done else COUNT_S, self.channel, "renew"
-        )
+        self.timers.after(RENEW_S if done else COUNT_S, self.channel, "renew")
 
-    def take_count(self, found: int) -> None:
-        """Takes the number of keys."""
+    def take_count(self, items: tuple[Item, ...]) -> None:
+        """Takes a reading of the instances' keys."""
         before = self.presence.instances
-        after = self.presence.count(found, self.timers.clock())
+        after = self.presence.count(len(items), self.timers.clock())
         if after != before:
             logger.info(
                 "instances counted",
-                extra={"found": found, "shared_by": after, "before": before},
+                extra={
+                    "found": len(items),
+                    "shared_by": after,
+                    "before": before,
+                },
             )
-        self.on_count(after)
+        peers = [peer_of(item) for item in items if item.key != self.key]
+        self.on_count(after, [peer for peer in peers if peer is not None])
+
+
+def peer_of(item: Item) -> Peer | None:
+    """Returns the instance that a key stands for, if it takes messages."""
+    card = decode_card(item.value or b"")
+    if card is None:
+        return None
+    name = item.key.removeprefix(PREFIX)
+    return Peer(name, card.data_centre, (card.ip, card.port))
--- a/arbutusbridge/forwarding/attempts.py
+++ b/arbutusbridge/forwarding/attempts.py
@@ -207,7 +207,7 @@
 ) -> None:
     """Helps the parts that are due for a look."""
     for part in exchange.parts:
-        if not part.pending or part.look_at > now:
+        if not part.pending or part.look_at > now or part.group:
             continue
         if part.open:
             hedge(exchange, part, forwarder, now, out)
--- a/arbutusbridge/forwarding/choice.py
+++ b/arbutusbridge/forwarding/choice.py
@@ -20,7 +20,7 @@
 UNREACHABLE_COST_S = 2.0
 """Cost of an upstream that lately refused a connection."""
 
-OTHER_REGION_COST_S = 0.012
+OTHER_REGION_COST_S = 0.03
 """Cost of the bytes sent to another region, besides the time they take."""
 
 OTHER_DATA_CENTRE_COST_S = 0.001
@@ -42,12 +42,18 @@
         self.data_centre = data_centre
         self.regions = regions
 
+    def is_near(self, data_centre: str) -> bool:
+        """Tells whether a data centre is in the region of this one."""
+        if data_centre == self.data_centre:
+            return True
+        here = self.regions.get(self.data_centre)
+        return here is not None and self.regions.get(data_centre) == here
+
     def transfer_cost(self, data_centre: str) -> float:
         """Returns the cost of bytes to and from a data centre, in seconds."""
         if data_centre == self.data_centre:
             return 0.0
-        here = self.regions.get(self.data_centre)
-        if here is not None and self.regions.get(data_centre) == here:
+        if self.is_near(data_centre):
             return OTHER_DATA_CENTRE_COST_S
         return OTHER_REGION_COST_S
 
@@ -63,7 +69,7 @@
     data_centre = upstream.announcement.data_centre
     usual = times.usual(route, data_centre)
     upstream.fade(now)
-    factor = max(upstream.slowness, 0.7)
+    factor = upstream.slowness
     if upstream.warm_at > now:
         factor = max(factor, 1.0 + COLD_FACTOR)
     cost = usual * (factor + upstream.queue(now))
--- a/arbutusbridge/forwarding/conclusion.py
+++ b/arbutusbridge/forwarding/conclusion.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from arbutusbridge.core.messages import Decision
+from arbutusbridge.forwarding import regional
 from arbutusbridge.forwarding.attempts import drop_open
 from arbutusbridge.forwarding.merge import greatest
 from arbutusbridge.forwarding.messages import (
@@ -15,7 +16,7 @@
 )
 
 if TYPE_CHECKING:
-    from arbutusbridge.forwarding.exchange import Exchange
+    from arbutusbridge.forwarding.exchange import Exchange, Part
     from arbutusbridge.forwarding.forwarder import Forwarder
 
 UNSERVABLE_RETRY_S = 0.5
@@ -44,11 +45,10 @@
 ) -> None:
     """Answers a request to many shards when it can't get better in time."""
     answered = exchange.answered
-    enough = exchange.covers(answered)
+    # A peer that asked for these shards knows whether they are enough.
+    enough = exchange.covers(answered) or exchange.gather is not None
     overdue = now >= exchange.answer_by
-    if answered == exchange.attainable and enough:
-        merge(exchange, forwarder, now, out)
-    elif enough and overdue:
+    if (answered == exchange.attainable and enough) or (enough and overdue):
         merge(exchange, forwarder, now, out)
     elif not exchange.covers(exchange.attainable):
         refuse(exchange, forwarder, now, out)
@@ -62,10 +62,10 @@
     """Answers a request to one service with its upstream's response."""
     part = exchange.parts[0]
     reply = part.reply
-    if reply is None and part.given_up and part.failure is not None:
+    failure = part.failure
+    if reply is None and part.given_up and failure and failure.stamp:
         # A failure that the upstream answered itself is handed on as it is.
-        if part.failure.stamp:
-            reply = part.failure
+        reply = failure
     if reply is not None:
         finish(exchange, forwarder, now, out, "relayed", status=reply.status)
         out.append(Relayed(exchange.request, reply))
@@ -81,12 +81,14 @@
     """Answers with the records of the shards that replied."""
     replies = [part.reply for part in exchange.parts if part.reply is not None]
     missing = [part for part in exchange.parts if part.reply is None]
-    body = greatest(
-        (reply.body for reply in replies), exchange.route.most_records
-    )
+    bodies = [reply.body for reply in replies] + exchange.gathered
+    body = greatest(bodies, exchange.route.most_records)
     outcome = "partial" if missing else "complete"
     names = {part.service: last_end(part) for part in missing}
     finish(exchange, forwarder, now, out, outcome, missing=names)
+    if exchange.gather is not None:
+        regional.reply(exchange, out)
+        return
     out.append(
         Merged(
             exchange.request,
@@ -97,7 +99,7 @@
     )
 
 
-def last_end(part: object) -> str:
+def last_end(part: Part) -> str:
     """Returns what became of a part without a reply, for the log."""
     failure = part.failure
     if part.open:
@@ -125,6 +127,9 @@
         if part.reply is None
     }
     finish(exchange, forwarder, now, out, refusal.value, missing=missing)
+    if exchange.gather is not None:
+        regional.reply(exchange, out)
+        return
     out.append(Refused(exchange.request, refusal, retry))
 
 
@@ -143,9 +148,14 @@
         for part in exchange.parts
         if part.asked
     )
+    forwarder.let_go(exchange, out)
     for part in exchange.parts:
         drop_open(part, False, forwarder, out)
     del forwarder.exchanges[exchange.request]
+    if exchange.groups:
+        detail["peers"] = [group.describe() for group in exchange.groups]
+    if exchange.gather is not None:
+        detail["for_peer"] = "{}:{}".format(*exchange.gather.reply_to)
     out.append(
         Decision(
             exchange.request.request_id,
--- a/arbutusbridge/forwarding/exchange.py
+++ b/arbutusbridge/forwarding/exchange.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from arbutusbridge.forwarding.gather import GatherAsk, Group
     from arbutusbridge.forwarding.messages import UpstreamReply
     from arbutusbridge.forwarding.model import CallerRequest, Route
     from arbutusbridge.forwarding.upstreams import OpenAttempt, Upstream
@@ -34,6 +35,7 @@
       failure: The last reply that was none.
       given_up: Whether nothing more is tried.
       look_at: When to see whether it needs another attempt.
+      group: The group in which a peer asks it, None if it is asked from here.
     """
 
     service: str
@@ -46,6 +48,7 @@
     failure: UpstreamReply | None = None
     given_up: bool = False
     look_at: float = math.inf
+    group: Group | None = None
 
     @property
     def pending(self) -> bool:
@@ -68,6 +71,9 @@
       hedges: Attempts made because another was overdue.
       retries: Attempts made because another failed.
       finished: Whether the final answer went out.
+      gather: The peer's message that it comes from, None for a caller's.
+      groups: Shards that peers ask.
+      gathered: Merged records that came from peers.
     """
 
     request: CallerRequest
@@ -80,6 +86,9 @@
     hedges: int = 0
     retries: int = 0
     finished: bool = False
+    gather: GatherAsk | None = None
+    groups: list[Group] = field(default_factory=list)
+    gathered: list[bytes] = field(default_factory=list)
 
     @classmethod
     def begin(
@@ -104,7 +113,9 @@
     @property
     def may_have_run(self) -> bool:
         """Whether some upstream may have run it, or may run it yet."""
-        return any(part.may_have_run or part.open for part in self.parts)
+        return bool(self.groups) or any(
+            part.may_have_run or part.open for part in self.parts
+        )
 
     @property
     def answered(self) -> int:
--- a/arbutusbridge/forwarding/forwarder.py
+++ b/arbutusbridge/forwarding/forwarder.py
@@ -6,9 +6,16 @@
 from typing import TYPE_CHECKING
 
 from arbutusbridge.core.messages import Decision
-from arbutusbridge.forwarding import attempts, conclusion
+from arbutusbridge.forwarding import attempts, conclusion, regional
 from arbutusbridge.forwarding.budget import ExtraBounds, ServiceBudget
 from arbutusbridge.forwarding.exchange import Exchange, Part
+from arbutusbridge.forwarding.gather import (
+    GatherAsk,
+    GatherCancel,
+    GatherReply,
+    GatherState,
+    GatherTaken,
+)
 from arbutusbridge.forwarding.messages import (
     AttemptEnd,
     Refusal,
@@ -24,6 +31,7 @@
     from collections.abc import Callable
 
     from arbutusbridge.forwarding.choice import Place
+    from arbutusbridge.forwarding.gather import GatherMessage
     from arbutusbridge.forwarding.model import (
         Announcement,
         CallerRequest,
@@ -46,6 +54,7 @@
       budgets: Extra arrivals by service.
       attempts: Attempts without an end by id.
       exchanges: Requests without a final answer.
+      gather: What instances ask of each other.
       instances: Instances that the extra arrivals are shared with.
       counts: Decisions by name, for the metrics.
       confirmed: Returns when the store last confirmed what is known.
@@ -68,6 +77,7 @@
         self.budgets: dict[str, ServiceBudget] = {}
         self.attempts: dict[int, OpenAttempt] = {}
         self.exchanges: dict[CallerRequest, Exchange] = {}
+        self.gather = GatherState()
         self.instances = 1
         self.counts: Counter[str] = Counter()
         self.confirmed: Callable[[], float] = lambda: started
@@ -128,12 +138,19 @@
         services = route.shards or (table.next_service(route),)
         version = table.configuration.version
         exchange = Exchange.begin(request, route, version, services)
-        self.exchanges[request] = exchange
+        self.start(exchange, now, out)
+        return out
+
+    def start(self, exchange: Exchange, now: float, out: list[object]) -> None:
+        """Sends the first attempts of a request, if enough can be served."""
+        self.exchanges[exchange.request] = exchange
         if self.servable(exchange, now):
+            if exchange.route.shards:
+                regional.group_far_parts(exchange, self, now, out)
             for part in exchange.parts:
-                attempts.begin_part(exchange, part, self, now, out)
+                if part.group is None:
+                    attempts.begin_part(exchange, part, self, now, out)
         self.follow_up(exchange, now, out)
-        return out
 
     def servable(self, exchange: Exchange, now: float) -> bool:
         """Gives up parts without upstreams; tells whether enough are left."""
@@ -160,9 +177,7 @@
         out.append(Decision(request.request_id, "answer", detail))
         out.append(Refused(request, refusal, retry_after_s))
 
-    def replies(
-        self, batch: list[UpstreamReply], now: float
-    ) -> list[object]:
+    def replies(self, batch: list[UpstreamReply], now: float) -> list[object]:
         """Takes the ends of attempts; returns the actions that follow."""
         out: list[object] = []
         touched: dict[Exchange, None] = {}
@@ -214,6 +229,7 @@
         exchange = self.exchanges.get(request)
         if exchange is None or now < exchange.wake_at:
             return out
+        regional.look(exchange, self, now, out)
         attempts.look(exchange, self, now, out)
         exchange.wake_at = float("inf")
         self.follow_up(exchange, now, out)
@@ -230,6 +246,7 @@
         if exchange is None:
             return out
         exchange.finished = True
+        self.let_go(exchange, out)
         for part in exchange.parts:
             attempts.drop_open(part, exchange.route.idempotent, self, out)
         age_ms = round((now - request.arrived) * 1000)
@@ -245,6 +262,7 @@
         if exchange.finished:
             return
         times = [part.look_at for part in exchange.parts if part.pending]
+        times += [group.look_at for group in exchange.groups]
         times.append(exchange.give_up_at)
         if exchange.answer_by > now:
             times.append(exchange.answer_by)
@@ -253,6 +271,27 @@
             exchange.wake_at = earliest
             out.append(WakeAt(earliest, exchange.request))
 
+    def let_go(self, exchange: Exchange, out: list[object]) -> None:
+        """Takes a finished request out of what peers do for each other."""
+        regional.cancel(exchange, self, out)
+        ask = exchange.gather
+        if ask is not None:
+            self.gather.taken.pop((ask.reply_to, ask.gather_id), None)
+
+    def hear(self, message: GatherMessage, now: float) -> list[object]:
+        """Takes a message of another instance."""
+        out: list[object] = []
+        match message:
+            case GatherAsk():
+                regional.on_ask(message, self, now, out)
+            case GatherTaken():
+                regional.on_taken(message, self, now, out)
+            case GatherReply():
+                regional.on_reply(message, self, now, out)
+            case GatherCancel():
+                regional.on_cancel(message, self, now, out)
+        return out
+
     def finish_all(self, now: float) -> list[object]:
         """Gives every open request its final answer, for a planned stop."""
         out: list[object] = []
--- /dev/null
+++ b/arbutusbridge/forwarding/gather.py
@@ -0,0 +1,242 @@
+"""Scatter by an instance near the upstreams, for one that is far from them.
+
+Where a request's shards are held in another region, one message to an
+instance there takes the place of a sub-request a shard over the long link. It
+asks the shards as its own, and sends back their signatures with the greatest
+records of all of them.
+"""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+# Needed at run time, since messages are validated by these annotations.
+from arbutusbridge.forwarding.messages import Headers
+
+if TYPE_CHECKING:
+    import random
+
+    from arbutusbridge.forwarding.exchange import Exchange, Part
+
+LEAST_GROUP = 3
+"""Shards in another region from which one message is cheaper than several."""
+
+FIRST_ACK_S = 0.06
+"""Time in which a peer says that it has taken a request, while no such time
+is known; regions are 8 to 12 ms apart one way."""
+
+ACK_FACTOR = 2.0
+ACK_SLACK_S = 0.015
+"""Multiple of the usual time to an acknowledgement, and time on top of it,
+after which the shards are asked directly."""
+
+ACK_WEIGHT = 0.2
+"""Part of a new time in the smoothed time to an acknowledgement."""
+
+UNFIT_S = 3.0
+"""Time for which a peer that did not acknowledge is left out."""
+
+ALIKE_SHARE = 0.8
+"""Part of the most shards near one data centre from which another data centre
+does as well."""
+
+
+@dataclass(slots=True)
+class GatherAsk:
+    """Ask shards for another instance.
+
+    Attributes:
+      gather_id: Unique at the instance that asks.
+      reply_to: Where that instance takes messages.
+      request_id: The caller's request.
+      method: HTTP method.
+      target: Path and query.
+      host: Host that the caller named.
+      headers: Headers to pass on.
+      body: The whole body.
+      services: Shards to ask.
+      answer_in_s: Time after which a reply that covers enough is sent.
+      give_up_in_s: Time after which the reply is sent as it is.
+    """
+
+    gather_id: int
+    reply_to: tuple[str, int]
+    request_id: str
+    method: str
+    target: str
+    host: str
+    headers: Headers
+    body: bytes
+    services: list[str]
+    answer_in_s: float
+    give_up_in_s: float
+
+
+@dataclass(slots=True)
+class GatherTaken:
+    """Acknowledge a request, or decline it.
+
+    Attributes:
+      gather_id: The request.
+      declined: Whether the shards have to be asked by another.
+    """
+
+    gather_id: int
+    declined: bool
+
+
+@dataclass(slots=True)
+class GatherReply:
+    """Signatures and the merged records of the shards that replied.
+
+    Attributes:
+      gather_id: The request.
+      stamps: Signature of each reply by shard.
+      body: The greatest records of all these replies.
+    """
+
+    gather_id: int
+    stamps: dict[str, str]
+    body: bytes
+
+
+@dataclass(slots=True)
+class GatherCancel:
+    """Stop asking shards for another instance.
+
+    Attributes:
+      gather_id: The request.
+      reply_to: Where the instance that asked takes messages.
+    """
+
+    gather_id: int
+    reply_to: tuple[str, int]
+
+
+GatherMessage = GatherAsk | GatherTaken | GatherReply | GatherCancel
+
+
+@dataclass(slots=True)
+class Tell:
+    """Send a message to another instance, an action."""
+
+    address: tuple[str, int]
+    message: GatherMessage
+
+
+@dataclass(slots=True, eq=False)
+class Peer:
+    """Another instance as seen from here.
+
+    Attributes:
+      name: Unique over the deployment.
+      data_centre: Where it runs.
+      address: Where it takes messages.
+      ack_s: Smoothed time to its acknowledgements.
+      unfit_until: No request before this time.
+    """
+
+    name: str
+    data_centre: str
+    address: tuple[str, int]
+    ack_s: float = FIRST_ACK_S / ACK_FACTOR
+    unfit_until: float = 0.0
+
+    def ack_due(self, now: float) -> float:
+        """Returns when an acknowledgement is overdue."""
+        return now + self.ack_s * ACK_FACTOR + ACK_SLACK_S
+
+    def acknowledged(self, seconds: float) -> None:
+        """Takes the time that an acknowledgement took."""
+        self.ack_s += (seconds - self.ack_s) * ACK_WEIGHT
+        self.unfit_until = 0.0
+
+
+class PeerBook:
+    """The other instances by data centre.
+
+    Attributes:
+      peers: Every known peer by name.
+    """
+
+    def __init__(self) -> None:
+        self.peers: dict[str, Peer] = {}
+
+    def take(self, found: list[Peer]) -> None:
+        """Takes a reading of the running instances."""
+        known = self.peers
+        self.peers = {}
+        for peer in found:
+            old = known.get(peer.name)
+            same = old is not None and old.address == peer.address
+            self.peers[peer.name] = old if old and same else peer
+
+    def pick(
+        self, data_centre: str, now: float, rng: random.Random
+    ) -> Peer | None:
+        """Returns a fit peer of a data centre, if there is one."""
+        fit = [
+            peer
+            for peer in self.peers.values()
+            if peer.data_centre == data_centre and peer.unfit_until <= now
+        ]
+        return rng.choice(fit) if fit else None
+
+
+@dataclass(slots=True, eq=False)
+class Group:
+    """Shards of a request that a peer asks.
+
+    Attributes:
+      gather_id: Names the message.
+      exchange: The request.
+      peer: Who asks them.
+      parts: The shards.
+      sent_at: When the message was sent.
+      look_at: When to give the peer up.
+      acknowledged: Whether the peer has taken the request.
+      replied_at: When the reply came, infinite until then.
+    """
+
+    gather_id: int
+    exchange: Exchange
+    peer: Peer
+    parts: list[Part]
+    sent_at: float
+    look_at: float
+    acknowledged: bool = False
+    replied_at: float = math.inf
+
+    def describe(self) -> dict[str, object]:
+        """Returns what the log says of it."""
+        took = self.replied_at - self.sent_at
+        return {
+            "peer": self.peer.name,
+            "parts": len(self.parts),
+            "acknowledged": self.acknowledged,
+            "ms": None if math.isinf(took) else round(took * 1000, 1),
+        }
+
+
+@dataclass(slots=True)
+class GatherState:
+    """Requests of other instances, and of this one to others.
+
+    Attributes:
+      book: The other instances.
+      own_address: Where this instance takes messages, None if it does not.
+      groups: Own groups without a final reply, by id.
+      taken: Requests taken for others, by their address and id.
+      accepting: Whether requests of others are taken.
+    """
+
+    book: PeerBook = field(default_factory=PeerBook)
+    own_address: tuple[str, int] | None = None
+    groups: dict[int, Group] = field(default_factory=dict)
+    taken: dict[tuple[tuple[str, int], int], Exchange] = field(
+        default_factory=dict
+    )
+    accepting: bool = True
+    last_id: int = 0
--- a/arbutusbridge/forwarding/presence.py
+++ b/arbutusbridge/forwarding/presence.py
@@ -47,9 +47,7 @@
     def count(self, found: int, now: float) -> int:
         """Takes a reading of the keys; returns the count to share by."""
         self.counts = [
-            (at, number)
-            for at, number in self.counts
-            if now - at < BELIEVED_S
+            (at, number) for at, number in self.counts if now - at < BELIEVED_S
         ]
         # The own key may not stand yet.
         least = found if self.written else found + 1
--- /dev/null
+++ b/arbutusbridge/forwarding/regional.py
@@ -0,0 +1,267 @@
+"""Use peers near the upstreams, and ask shards for peers that are far."""
+
+from __future__ import annotations
+
+import math
+from collections import Counter
+from typing import TYPE_CHECKING
+
+from arbutusbridge.core.messages import Decision
+from arbutusbridge.forwarding import attempts
+from arbutusbridge.forwarding.exchange import Exchange, Part
+from arbutusbridge.forwarding.gather import (
+    ALIKE_SHARE,
+    LEAST_GROUP,
+    UNFIT_S,
+    GatherAsk,
+    GatherCancel,
+    GatherReply,
+    GatherTaken,
+    Group,
+    Tell,
+)
+from arbutusbridge.forwarding.merge import greatest
+from arbutusbridge.forwarding.messages import AttemptEnd, UpstreamReply
+from arbutusbridge.forwarding.model import CallerRequest
+
+if TYPE_CHECKING:
+    from arbutusbridge.forwarding.forwarder import Forwarder
+
+REPLY_MARGIN_S = 0.006
+"""Time before an answer is due at which a peer's reply must be sent, besides
+its way."""
+
+
+def group_far_parts(
+    exchange: Exchange, forwarder: Forwarder, now: float, out: list[object]
+) -> None:
+    """Hands the shards that are held in another region to a peer there."""
+    gather = forwarder.gather
+    if gather.own_address is None or exchange.gather is not None:
+        return
+    far = far_parts(exchange, forwarder, now)
+    data_centre = choose_data_centre(far, forwarder)
+    if data_centre is None:
+        return
+    parts = [part for part, places in far if data_centre in places]
+    peer = gather.book.pick(data_centre, now, forwarder.rng)
+    if peer is None or len(parts) < LEAST_GROUP:
+        return
+    gather.last_id += 1
+    group = Group(gather.last_id, exchange, peer, parts, now, peer.ack_due(now))
+    gather.groups[group.gather_id] = group
+    exchange.groups.append(group)
+    for part in parts:
+        part.group = group
+    # An acknowledgement takes the way there and back.
+    way = peer.ack_s / 2 + REPLY_MARGIN_S
+    request = exchange.request
+    out.append(
+        Tell(
+            peer.address,
+            GatherAsk(
+                group.gather_id,
+                gather.own_address,
+                request.request_id,
+                request.method,
+                request.target,
+                request.host,
+                request.headers,
+                request.body,
+                [part.service for part in parts],
+                max(0.0, exchange.answer_by - now - 2 * way),
+                max(0.0, exchange.give_up_at - now - 2 * way),
+            ),
+        )
+    )
+
+
+def far_parts(
+    exchange: Exchange, forwarder: Forwarder, now: float
+) -> list[tuple[Part, set[str]]]:
+    """Returns shards without a fit upstream in this region.
+
+    Each comes with the data centres that hold it.
+    """
+    place = forwarder.place
+    found = []
+    for part in exchange.parts:
+        if part.given_up:
+            continue
+        places = {
+            upstream.announcement.data_centre
+            for upstream in forwarder.directory.usable(part.service, now)
+            if upstream.fit(now)
+        }
+        if places and not any(place.is_near(one) for one in places):
+            found.append((part, places))
+    return found
+
+
+def choose_data_centre(
+    far: list[tuple[Part, set[str]]], forwarder: Forwarder
+) -> str | None:
+    """Returns a data centre that holds most of the far shards."""
+    counts = Counter(one for _, places in far for one in places)
+    if not counts:
+        return None
+    most = max(counts.values())
+    alike = [one for one, n in counts.items() if n >= ALIKE_SHARE * most]
+    return forwarder.rng.choice(sorted(alike))
+
+
+def on_taken(
+    message: GatherTaken, forwarder: Forwarder, now: float, out: list[object]
+) -> None:
+    """Takes a peer's word that it asks the shards, or does not."""
+    group = forwarder.gather.groups.get(message.gather_id)
+    if group is None or group.acknowledged:
+        return
+    if message.declined:
+        give_up(group, "declined", forwarder, now, out)
+        forwarder.follow_up(group.exchange, now, out)
+        return
+    group.acknowledged = True
+    group.peer.acknowledged(now - group.sent_at)
+    group.look_at = math.inf
+
+
+def on_reply(
+    message: GatherReply, forwarder: Forwarder, now: float, out: list[object]
+) -> None:
+    """Takes the shards that a peer has asked.
+
+    Its records are those of all these shards together, so that replies that
+    came directly meanwhile give way to it.
+    """
+    group = forwarder.gather.groups.pop(message.gather_id, None)
+    if group is None:
+        return
+    exchange = group.exchange
+    group.replied_at = now
+    exchange.gathered.append(message.body)
+    for part in group.parts:
+        part.group = None
+        stamp = message.stamps.get(part.service)
+        if stamp is not None:
+            attempts.drop_open(part, False, forwarder, out)
+            part.given_up = False
+            part.look_at = math.inf
+            part.reply = UpstreamReply(0, AttemptEnd.RESULT, 200, stamp=stamp)
+        elif part.pending and not part.open:
+            ask_directly(exchange, part, forwarder, now, out)
+    forwarder.follow_up(exchange, now, out)
+
+
+def ask_directly(
+    exchange: Exchange,
+    part: Part,
+    forwarder: Forwarder,
+    now: float,
+    out: list[object],
+) -> None:
+    """Asks a shard that a peer was to ask; it may have done so."""
+    part.group = None
+    part.arrivals += 1
+    part.may_have_run = True
+    attempts.retry(exchange, part, forwarder, now, out)
+
+
+def look(
+    exchange: Exchange, forwarder: Forwarder, now: float, out: list[object]
+) -> None:
+    """Gives up peers that have not acknowledged in time."""
+    for group in exchange.groups:
+        if group.look_at <= now:
+            group.peer.unfit_until = now + UNFIT_S
+            give_up(group, "silent", forwarder, now, out)
+
+
+def give_up(
+    group: Group,
+    why: str,
+    forwarder: Forwarder,
+    now: float,
+    out: list[object],
+) -> None:
+    """Asks a group's shards directly; a late reply is still taken."""
+    group.look_at = math.inf
+    exchange = group.exchange
+    detail = {"why": why, **group.describe()}
+    detail["age_ms"] = round((now - exchange.request.arrived) * 1000)
+    out.append(Decision(exchange.request.request_id, "peer_given_up", detail))
+    for part in group.parts:
+        if part.pending and not part.open:
+            ask_directly(exchange, part, forwarder, now, out)
+
+
+def cancel(exchange: Exchange, forwarder: Forwarder, out: list[object]) -> None:
+    """Tells peers that nobody waits for their replies any more."""
+    gather = forwarder.gather
+    for group in exchange.groups:
+        if gather.groups.pop(group.gather_id, None) is not None:
+            assert gather.own_address is not None
+            message = GatherCancel(group.gather_id, gather.own_address)
+            out.append(Tell(group.peer.address, message))
+
+
+def on_ask(
+    message: GatherAsk, forwarder: Forwarder, now: float, out: list[object]
+) -> None:
+    """Asks shards for a peer, if the configuration here knows them."""
+    gather = forwarder.gather
+    table = forwarder.table
+    route = table.find(message.host, message.target) if table else None
+    known = route is not None and set(message.services) <= set(route.shards)
+    taken = GatherTaken(message.gather_id, not (known and gather.accepting))
+    out.append(Tell(message.reply_to, taken))
+    if taken.declined or route is None or table is None:
+        return
+    give_up_at = now + message.give_up_in_s
+    request = CallerRequest(
+        message.request_id,
+        message.method,
+        message.target,
+        message.host,
+        message.headers,
+        message.body,
+        give_up_at,
+        now,
+    )
+    exchange = Exchange(
+        request,
+        route,
+        table.configuration.version,
+        [Part(service) for service in message.services],
+        now + message.answer_in_s,
+        give_up_at,
+        gather=message,
+    )
+    gather.taken[message.reply_to, message.gather_id] = exchange
+    forwarder.start(exchange, now, out)
+
+
+def on_cancel(
+    message: GatherCancel, forwarder: Forwarder, now: float, out: list[object]
+) -> None:
+    """Stops asking shards for a peer."""
+    key = (message.reply_to, message.gather_id)
+    exchange = forwarder.gather.taken.get(key)
+    if exchange is not None:
+        out += forwarder.abandon(exchange.request, now)
+
+
+def reply(exchange: Exchange, out: list[object]) -> None:
+    """Sends a peer what its shards have replied."""
+    ask = exchange.gather
+    assert ask is not None
+    replies = {
+        part.service: part.reply
+        for part in exchange.parts
+        if part.reply is not None
+    }
+    body = greatest(
+        (one.body for one in replies.values()), exchange.route.most_records
+    )
+    stamps = {service: one.stamp for service, one in replies.items()}
+    out.append(Tell(ask.reply_to, GatherReply(ask.gather_id, stamps, body)))
--- a/arbutusbridge/forwarding/upstreams.py
+++ b/arbutusbridge/forwarding/upstreams.py
@@ -16,6 +16,10 @@
 SLOWNESS_WEIGHT = 0.4
 """Part of a new reply time in the smoothed slowness of an upstream."""
 
+ORDINARY_FACTOR = 2.0
+"""Multiple of the usual reply time up to which a reply is an ordinary one;
+the work of requests differs by about as much."""
+
 TROUBLE_WEIGHT = 0.35
 """Part of a new outcome in the smoothed share of failed attempts."""
 
@@ -120,11 +124,15 @@
         self.trouble *= keep
         self.observed_at = now
 
-    def observe(self, attempt: OpenAttempt, end: AttemptEnd, now: float) -> None:
+    def observe(
+        self, attempt: OpenAttempt, end: AttemptEnd, now: float
+    ) -> None:
         """Takes the end of an attempt."""
         self.fade(now)
         if end is AttemptEnd.RESULT:
             factor = (now - attempt.sent_at) / max(attempt.usual_s, 1e-4)
+            if factor < ORDINARY_FACTOR:
+                factor = 1.0
             factor = min(factor, MOST_SLOWNESS)
             self.slowness += (factor - self.slowness) * SLOWNESS_WEIGHT
             self.trouble -= self.trouble * TROUBLE_WEIGHT
--- a/arbutusbridge/settings/forwarding.py
+++ b/arbutusbridge/settings/forwarding.py
@@ -47,6 +47,8 @@
       callers: Address of the callers' HTTP.
       operators: Address of ``/ready`` and the other operators' paths.
       metrics: Second address of the same, at a port known to monitoring.
+      peers: Address that other instances reach it at, None to ask all
+        upstreams from here.
       store: Address of the store.
       stop_seconds: Time that a planned stop may take at most.
       balancer_lag_seconds: How long the balancer may go on sending requests
@@ -61,6 +63,7 @@
     callers: AddressText
     operators: AddressText
     metrics: AddressText | None = None
+    peers: AddressText | None = None
     store: AddressText
     stop_seconds: float = Field(default=6.0, gt=0, le=600)
     balancer_lag_seconds: float = Field(default=2.5, ge=0, le=60)
--- a/tests/test_daemon/test_peers.py
+++ b/tests/test_daemon/test_peers.py
@@ -15,7 +15,8 @@
 from arbutusbridge.core.messages import Notice, NoticeKind
 from arbutusbridge.daemon.hub import SocketHub
 from arbutusbridge.daemon.metrics import Metrics
-from arbutusbridge.daemon.peers import Peers, link_url
+from arbutusbridge.daemon.peerlinks import link_url
+from arbutusbridge.daemon.peers import Peers
 from arbutusbridge.daemon.timers import TimerService
 from arbutusbridge.standins.demonstration import instance_settings
 from arbutusbridge.standins.deployment import LOOPBACK, free_ports
--- /dev/null
+++ b/tests/test_forwarding/test_regional.py
@@ -0,0 +1,146 @@
+"""Load pattern: shards held in another region, asked through a peer there."""
+
+from __future__ import annotations
+
+import testtools
+
+from arbutusbridge.forwarding import Merged
+from arbutusbridge.forwarding.gather import (
+    GatherAsk,
+    GatherCancel,
+    GatherReply,
+    GatherTaken,
+    Peer,
+    Tell,
+)
+from tests.test_forwarding.fixtures import (
+    make_forwarder,
+    only,
+    records,
+    request,
+    result,
+    sends_of,
+    shard_upstreams,
+    sharded,
+)
+
+SHARDS = 4
+OWN = ("10.0.0.1", 7380)
+NEAR = ("10.0.0.2", 7380)
+NOW = 100.0
+
+
+class Pair:
+    """An instance without near upstreams and a peer that has them."""
+
+    def __init__(self) -> None:
+        upstreams = shard_upstreams(SHARDS)
+        route = sharded(SHARDS, least_coverage=0.5)
+        self.far = make_forwarder([route], upstreams, "south")
+        self.near = make_forwarder([route], upstreams, "north")
+        self.far.gather.own_address = OWN
+        self.near.gather.own_address = NEAR
+        self.far.gather.book.take(
+            [Peer(f"{place}-1", place, NEAR) for place in ("north", "central")]
+        )
+
+    def ask(self):
+        """Lets a request arrive; returns it and the message to the peer."""
+        arrived = request(at=NOW)
+        out = self.far.arrive(arrived, NOW)
+        self.first = out
+        return arrived, only(out, Tell).message
+
+
+class RegionalScatterTest(testtools.TestCase):
+    """One message takes the place of a sub-request a shard."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.pair = Pair()
+
+    def test_peer_asks_near_upstreams_and_merges(self) -> None:
+        arrived, ask = self.pair.ask()
+        self.assertIsInstance(ask, GatherAsk)
+        self.assertEqual([], sends_of(self.pair.first))
+        out = self.pair.near.hear(ask, NOW + 0.01)
+        taken = out[0].message
+        self.assertEqual(GatherTaken(ask.gather_id, False), taken)
+        sends = sends_of(out)
+        places = {send.upstream.data_centre for send in sends}
+        self.assertEqual({"north"}, places)
+        self.assertEqual([], self.pair.far.hear(taken, NOW + 0.02))
+        replies = [
+            result(send, number, number + 10)
+            for number, send in enumerate(sends)
+        ]
+        out = self.pair.near.replies(replies, NOW + 0.05)
+        reply = only(out, Tell).message
+        out = self.pair.far.hear(reply, NOW + 0.06)
+        answer = only(out, Merged)
+        self.assertIs(arrived, answer.request)
+        self.assertEqual(0, answer.missing)
+        self.assertEqual([13, 12, 11], records(answer.body))
+        self.assertEqual(SHARDS, len(answer.stamps))
+
+    def test_silent_peer_is_given_up_and_left_out(self) -> None:
+        arrived, _ = self.pair.ask()
+        exchange = self.pair.far.exchanges[arrived]
+        out = self.pair.far.wake(arrived, exchange.wake_at)
+        self.assertEqual(SHARDS, len(sends_of(out)))
+        peer = exchange.groups[0].peer
+        self.assertGreater(peer.unfit_until, exchange.wake_at)
+
+    def test_late_reply_takes_the_place_of_direct_ones(self) -> None:
+        arrived, ask = self.pair.ask()
+        exchange = self.pair.far.exchanges[arrived]
+        sends = sends_of(self.pair.far.wake(arrived, exchange.wake_at))
+        self.pair.far.replies([result(sends[0], 99)], NOW + 0.1)
+        stamps = {f"s{number}": f"by-peer-{number}" for number in range(3)}
+        reply = GatherReply(ask.gather_id, stamps, result(sends[0], 5).body)
+        self.pair.far.hear(reply, NOW + 0.11)
+        last = [send for send in sends if send.upstream.service == "s3"]
+        out = self.pair.far.replies([result(last[0], 7)], NOW + 0.12)
+        answer = only(out, Merged)
+        # The direct reply of s0 may not count beside the peer's of s0.
+        self.assertEqual([7, 5], records(answer.body))
+        self.assertEqual(
+            [
+                "by-peer-0",
+                "by-peer-1",
+                "by-peer-2",
+                "stamp-" + last[0].upstream.upstream,
+            ],
+            answer.stamps,
+        )
+
+    def test_peer_replies_in_time_with_what_it_has(self) -> None:
+        _, ask = self.pair.ask()
+        out = self.pair.near.hear(ask, NOW + 0.01)
+        sends = sends_of(out)
+        self.pair.near.replies([result(sends[0], 1)], NOW + 0.02)
+        (asked,) = self.pair.near.exchanges.values()
+        out = self.pair.near.wake(asked.request, asked.answer_by)
+        while not any(isinstance(action, Tell) for action in out):
+            out = self.pair.near.wake(asked.request, asked.wake_at)
+        reply = only(out, Tell).message
+        self.assertEqual(["s0"], list(reply.stamps))
+        target = NOW + sharded().target_s
+        self.assertLess(asked.answer_by, target)
+
+    def test_caller_that_left_stops_the_peer(self) -> None:
+        arrived, ask = self.pair.ask()
+        self.pair.near.hear(ask, NOW + 0.01)
+        out = self.pair.far.abandon(arrived, NOW + 0.02)
+        cancel = only(out, Tell).message
+        self.assertEqual(GatherCancel(ask.gather_id, OWN), cancel)
+        self.pair.near.hear(cancel, NOW + 0.03)
+        self.assertEqual({}, self.pair.near.exchanges)
+
+    def test_peer_that_stops_declines(self) -> None:
+        arrived, ask = self.pair.ask()
+        self.pair.near.gather.accepting = False
+        (tell,) = self.pair.near.hear(ask, NOW + 0.01)
+        out = self.pair.far.hear(tell.message, NOW + 0.02)
+        self.assertEqual(SHARDS, len(sends_of(out)))
+        self.assertIn(arrived, self.pair.far.exchanges)
--- /dev/null
+++ b/tests/test_platform/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the adapter to the users' platform."""
+
+from __future__ import annotations
