--- a/arbutusbridge/bench/capacity.py
+++ b/arbutusbridge/bench/capacity.py
@@ -14,7 +14,8 @@
 from arbutusbridge.bench.report import Report
 from arbutusbridge.core.findings import PROBERS, REMOTE_PROBE_SECONDS
 from arbutusbridge.core.membership import WATCHERS
-from arbutusbridge.core.spread import LIST_SECONDS, WATCH_SECONDS
+from arbutusbridge.core.messages import WATCH_SECONDS
+from arbutusbridge.core.spread import LIST_SECONDS
 from arbutusbridge.daemon.upstreams import PROBE_SECONDS
 
 MIB = 1024 * 1024
--- a/arbutusbridge/core/messages.py
+++ b/arbutusbridge/core/messages.py
@@ -17,6 +17,10 @@
 """A (layout epoch, snapshot id) pair; greater is newer."""
 
 
+WATCH_SECONDS = 4
+"""Time that a watch of the head waits at the store."""
+
+
 class Outcome(enum.StrEnum):
     """How a caller's request ended."""
 
--- a/arbutusbridge/core/spread.py
+++ b/arbutusbridge/core/spread.py
@@ -15,7 +15,11 @@
     decode_standing,
     digest_of,
 )
-from arbutusbridge.core.messages import StoreResult, StoreStatus
+from arbutusbridge.core.messages import (
+    WATCH_SECONDS,
+    StoreResult,
+    StoreStatus,
+)
 from arbutusbridge.core.openreads import OpenReads
 from arbutusbridge.core.peeractions import SeeHead, SeePiece, SeeWanted
 from arbutusbridge.core.pieces import Ask, window_of
@@ -57,9 +61,6 @@
 OVERDUE_SECONDS = 2.0
 """Time after which a read is made beside one that may be lost."""
 
-WATCH_SECONDS = 4
-"""Time that a watch of the head waits at the store."""
-
 LIST_SECONDS = 5.0
 """Time between two readings of the instance list."""
 
--- a/arbutusbridge/daemon/forwardinstance.py
+++ b/arbutusbridge/daemon/forwardinstance.py
@@ -148,8 +148,13 @@
 
     def on_instances(self, count: int, peers: list[Peer]) -> None:
         """Takes a reading of the running instances."""
+        place = self.forwarding.forwarder.place
         self.forwarding.share(count)
         self.forwarding.forwarder.gather.book.take(peers)
+        if self.peers is not None:
+            self.peers.meet(
+                [one for one in peers if not place.is_near(one.data_centre)]
+            )
 
     def _signal_handler(self, number: int, _frame: Any) -> None:
         """Takes the place of circuits' handler, which cuts callers off."""
--- a/arbutusbridge/daemon/gatherpeers.py
+++ b/arbutusbridge/daemon/gatherpeers.py
@@ -21,7 +21,7 @@
 
     from arbutusbridge.daemon.forwardmetrics import ForwardMetrics
     from arbutusbridge.daemon.hub import SocketHub
-    from arbutusbridge.forwarding.gather import Tell
+    from arbutusbridge.forwarding.gather import Peer, Tell
 
 logger = get_logger(__name__)
 
@@ -62,6 +62,12 @@
                 },
             )
 
+    def meet(self, peers: list[Peer]) -> None:
+        """Connects to peers, so that a first message does not wait for it."""
+        for peer in peers:
+            if peer.address not in self.links.links:
+                self.links.link(peer.address)
+
     def take(self, raw: pynng.Message) -> None:
         """Takes one message."""
         data = raw.bytes
--- a/arbutusbridge/daemon/platform.py
+++ b/arbutusbridge/daemon/platform.py
@@ -14,8 +14,11 @@
 import orjson
 from circuits import BaseComponent, handler
 
-from arbutusbridge.core.messages import StoreResult, StoreStatus
-from arbutusbridge.core.spread import WATCH_SECONDS
+from arbutusbridge.core.messages import (
+    WATCH_SECONDS,
+    StoreResult,
+    StoreStatus,
+)
 from arbutusbridge.daemon.connection import Connection
 from arbutusbridge.daemon.events import store_regained
 from arbutusbridge.daemon.listing import list_path
--- a/arbutusbridge/daemon/presence.py
+++ b/arbutusbridge/daemon/presence.py
@@ -42,6 +42,7 @@
 
     Attributes:
       presence: What is known.
+      stopping: Whether this instance is about to end.
       on_count: Called with each count to share by and the other instances.
     """
 
@@ -64,6 +65,7 @@
         self.timers = timers
         self.on_count = on_count
         self.presence = Presence()
+        self.stopping = False
         on_count(self.presence.instances, [])
         timers.after(0.0, self.channel, "renew")
         timers.after(COUNT_S / 2, self.channel, "count")
@@ -73,11 +75,23 @@
         """Renews the lease or counts."""
         for token in tokens:
             if token == "renew":
-                self.renew()
+                if not self.stopping:
+                    self.renew()
             else:
                 request = self.dialect.page(PREFIX, "", True)
                 self.ask(request, "count")
 
+    @handler("stopping", channel="*")
+    def on_stopping(self) -> None:
+        """Ends the own lease, so that peers ask this instance no more."""
+        lease = self.presence.lease
+        self.stopping = True
+        if lease:
+            self.presence.forget()
+            token = (self.channel, "end")
+            request = self.dialect.end(lease)
+            self.store.ask(request, token, lambda _result: None, CALL_S)
+
     def renew(self) -> None:
         """Takes the next step towards a key under a living lease."""
         presence = self.presence
@@ -104,6 +118,8 @@
                 self.take_count(result.page.items)
             self.timers.after(COUNT_S, self.channel, "count")
             return
+        if self.stopping:
+            return
         if done and purpose == "lease":
             presence.lease = result.index
             self.renew()
--- a/arbutusbridge/forwarding/budget.py
+++ b/arbutusbridge/forwarding/budget.py
@@ -30,6 +30,9 @@
 """Part of the bound that is spent; the rest covers instances that started
 lately and arrivals counted in another window than here."""
 
+FRESH_SHARE = 0.2
+"""Part of its fixed allowance that an instance has when it starts."""
+
 SLOT_S = 0.5
 """Resolution of the window."""
 
@@ -82,7 +85,7 @@
         """
         self.advance(now)
         bounds = self.bounds
-        age = min(1.0, (now - self.started) / bounds.window_s)
-        allowance = bounds.slack / max(1, instances) * age
+        age = FRESH_SHARE + (now - self.started) / bounds.window_s
+        allowance = bounds.slack / max(1, instances) * min(1.0, age)
         most = bounds.ratio * self.requests + allowance
         return most * SAFETY - self.extras
--- a/arbutusbridge/forwarding/gather.py
+++ b/arbutusbridge/forwarding/gather.py
@@ -38,6 +38,10 @@
 UNFIT_S = 3.0
 """Time for which a peer that did not acknowledge is left out."""
 
+DECLINED_S = 10.0
+"""Time for which a peer that declined is left out; it is about to end, and
+its key in the store is gone after that time."""
+
 ALIKE_SHARE = 0.8
 """Part of the most shards near one data centre from which another data centre
 does as well."""
@@ -197,6 +201,7 @@
       sent_at: When the message was sent.
       look_at: When to give the peer up.
       acknowledged: Whether the peer has taken the request.
+      given_up: Whether the shards are asked directly meanwhile.
       replied_at: When the reply came, infinite until then.
     """
 
@@ -207,6 +212,7 @@
     sent_at: float
     look_at: float
     acknowledged: bool = False
+    given_up: bool = False
     replied_at: float = math.inf
 
     def describe(self) -> dict[str, object]:
--- a/arbutusbridge/forwarding/regional.py
+++ b/arbutusbridge/forwarding/regional.py
@@ -11,6 +11,7 @@
 from arbutusbridge.forwarding.exchange import Exchange, Part
 from arbutusbridge.forwarding.gather import (
     ALIKE_SHARE,
+    DECLINED_S,
     LEAST_GROUP,
     UNFIT_S,
     GatherAsk,
@@ -118,12 +119,20 @@
     if group is None or group.acknowledged:
         return
     if message.declined:
-        give_up(group, "declined", forwarder, now, out)
-        forwarder.follow_up(group.exchange, now, out)
+        # It said so at once, and nothing was sent for this request.
+        group.peer.unfit_until = now + DECLINED_S
+        if not group.given_up:
+            give_up(group, "declined", forwarder, now, out)
+            forwarder.follow_up(group.exchange, now, out)
         return
     group.acknowledged = True
     group.peer.acknowledged(now - group.sent_at)
     group.look_at = math.inf
+    if group.given_up:
+        # Both ask the shards now, which was not known before.
+        forwarder.count("peer_late")
+        for part in group.parts:
+            forwarder.budget(part.service, now).note_extra(now)
 
 
 def on_reply(
@@ -149,22 +158,35 @@
             part.look_at = math.inf
             part.reply = UpstreamReply(0, AttemptEnd.RESULT, 200, stamp=stamp)
         elif part.pending and not part.open:
-            ask_directly(exchange, part, forwarder, now, out)
+            ask_directly(exchange, part, True, forwarder, now, out)
     forwarder.follow_up(exchange, now, out)
 
 
 def ask_directly(
     exchange: Exchange,
     part: Part,
+    arrived: bool,
     forwarder: Forwarder,
     now: float,
     out: list[object],
 ) -> None:
-    """Asks a shard that a peer was to ask; it may have done so."""
+    """Asks a shard that a peer was to ask.
+
+    Args:
+      exchange: The request.
+      part: The shard.
+      arrived: Whether the peer has asked it, so that this is an extra.
+      forwarder: What requests share.
+      now: The time.
+      out: Actions that follow.
+    """
     part.group = None
-    part.arrivals += 1
-    part.may_have_run = True
-    attempts.retry(exchange, part, forwarder, now, out)
+    if arrived:
+        part.arrivals += 1
+        part.may_have_run = True
+        attempts.retry(exchange, part, forwarder, now, out)
+    else:
+        attempts.begin_part(exchange, part, forwarder, now, out)
 
 
 def look(
@@ -184,15 +206,19 @@
     now: float,
     out: list[object],
 ) -> None:
-    """Asks a group's shards directly; a late reply is still taken."""
+    """Asks a group's shards directly; a late reply is still taken.
+
+    A peer that is silent has most likely ended, and has asked none of them.
+    """
     group.look_at = math.inf
+    group.given_up = True
     exchange = group.exchange
     detail = {"why": why, **group.describe()}
     detail["age_ms"] = round((now - exchange.request.arrived) * 1000)
     out.append(Decision(exchange.request.request_id, "peer_given_up", detail))
     for part in group.parts:
         if part.pending and not part.open:
-            ask_directly(exchange, part, forwarder, now, out)
+            ask_directly(exchange, part, False, forwarder, now, out)
 
 
 def cancel(exchange: Exchange, forwarder: Forwarder, out: list[object]) -> None:
--- a/arbutusbridge/replay/platform.py
+++ b/arbutusbridge/replay/platform.py
@@ -9,12 +9,12 @@
 
 from arbutusbridge.core.configuration import HEAD_KEY, StoreKeys
 from arbutusbridge.core.messages import (
+    WATCH_SECONDS,
     StoreCas,
     StoreGet,
     StoreResult,
     StoreStatus,
 )
-from arbutusbridge.core.spread import WATCH_SECONDS
 from arbutusbridge.daemon.listing import decode_list
 from arbutusbridge.standins.platform import InstanceList, Store
 
--- a/arbutusbridge/settings/__init__.py
+++ b/arbutusbridge/settings/__init__.py
@@ -1,13 +1,42 @@
-"""Validated models at the border: settings, register export and rules."""
+"""Validated models at the border: settings, register export and rules.
+
+The public names are loaded when they are first used, so that a program that
+reads one kind of file does not build the models of all.
+"""
 
 from __future__ import annotations
 
-from arbutusbridge.settings.compiler import compile_configuration
-from arbutusbridge.settings.instance import Address, InstanceSettings
-from arbutusbridge.settings.loader import load_model, parse_model
-from arbutusbridge.settings.register import Register
-from arbutusbridge.settings.rules import RulesFile
-from arbutusbridge.settings.versions import compile_version
+import importlib
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from arbutusbridge.settings.compiler import compile_configuration
+    from arbutusbridge.settings.instance import Address, InstanceSettings
+    from arbutusbridge.settings.loader import load_model, parse_model
+    from arbutusbridge.settings.register import Register
+    from arbutusbridge.settings.rules import RulesFile
+    from arbutusbridge.settings.versions import compile_version
+
+MODULES = {
+    "Address": "instance",
+    "InstanceSettings": "instance",
+    "Register": "register",
+    "RulesFile": "rules",
+    "compile_configuration": "compiler",
+    "compile_version": "versions",
+    "load_model": "loader",
+    "parse_model": "loader",
+}
+"""Module of each public name."""
+
+
+def __getattr__(name: str) -> Any:
+    """Loads a public name."""
+    module = MODULES.get(name)
+    if module is None:
+        raise AttributeError(f"module {__name__!r} has no {name!r}")
+    return getattr(importlib.import_module(f"{__name__}.{module}"), name)
+
 
 __all__ = [
     "Address",
--- a/tests/test_forwarding/test_regional.py
+++ b/tests/test_forwarding/test_regional.py
@@ -91,6 +91,35 @@
         peer = exchange.groups[0].peer
         self.assertGreater(peer.unfit_until, exchange.wake_at)
 
+    def test_silent_peer_costs_no_extra_arrivals(self) -> None:
+        # An instance that has just started may cause hardly any.
+        self.pair.far.started = NOW
+        arrived, _ = self.pair.ask()
+        exchange = self.pair.far.exchanges[arrived]
+        self.pair.far.wake(arrived, exchange.wake_at)
+        extras = [budget.extras for budget in self.pair.far.budgets.values()]
+        self.assertEqual([0] * SHARDS, extras)
+
+    def test_peer_that_was_late_is_counted(self) -> None:
+        arrived, ask = self.pair.ask()
+        exchange = self.pair.far.exchanges[arrived]
+        self.pair.far.wake(arrived, exchange.wake_at)
+        self.pair.far.hear(GatherTaken(ask.gather_id, False), NOW + 0.2)
+        extras = [budget.extras for budget in self.pair.far.budgets.values()]
+        self.assertEqual([1] * SHARDS, extras)
+
+    def test_declined_request_is_no_extra_arrival(self) -> None:
+        self.pair.far.started = NOW
+        _, ask = self.pair.ask()
+        taken = GatherTaken(ask.gather_id, True)
+        out = self.pair.far.hear(taken, NOW + 0.02)
+        self.assertEqual(SHARDS, len(sends_of(out)))
+        self.assertGreater(
+            self.pair.far.gather.book.peers["north-1"].unfit_until
+            + self.pair.far.gather.book.peers["central-1"].unfit_until,
+            NOW,
+        )
+
     def test_late_reply_takes_the_place_of_direct_ones(self) -> None:
         arrived, ask = self.pair.ask()
         exchange = self.pair.far.exchanges[arrived]
