Test the adapter, upstream links and callers' connections

Tests of the platform's headers and documents, of responses that are late, doubled, cut or without length, and of callers' bounds and order. A mistake that an upstream found in a request is not sent again elsewhere; that test failed first.

--- a/arbutusbridge/forwarding/attempts.py
+++ b/arbutusbridge/forwarding/attempts.py
@@ -31,6 +31,9 @@
 LEAST_USEFUL_S = 0.02
 """Time to the final answer in which another attempt can't reply."""
 
+FIRST_SERVER_ERROR = 500
+"""Lowest status that says that the upstream failed, not the request."""
+
 HEDGE_RESERVE = 3.0
 """Extra arrivals that hedges leave to retries in the budget."""
 
@@ -138,7 +141,11 @@
         drop_open(part, False, forwarder, out)
         return
     part.failure = reply
-    if not part.open:
+    if reply.end is AttemptEnd.FAILED and reply.status < FIRST_SERVER_ERROR:
+        # Every upstream would find the same mistake in the request.
+        part.given_up = True
+        drop_open(part, False, forwarder, out)
+    elif not part.open:
         retry(exchange, part, forwarder, now, out)
 
 
--- /dev/null
+++ b/tests/test_daemon/test_links.py
@@ -0,0 +1,214 @@
+"""Tests of connections to announced upstreams, on loopback sockets."""
+
+from __future__ import annotations
+
+import socket
+import struct
+
+import testtools
+from circuits import BaseComponent, handler
+
+from arbutusbridge.daemon.links import UpstreamLinks
+from arbutusbridge.forwarding import (
+    Announcement,
+    AttemptEnd,
+    CallerRequest,
+    Drop,
+    Send,
+)
+from arbutusbridge.platform import WIRE
+from arbutusbridge.standins.deployment import LOOPBACK
+from tests.test_daemon.fixtures import Bench, RawUpstream
+
+OK = b"HTTP/1.1 200 OK\r\nX-Server-Stamp: a.1\r\n"
+
+
+def response(request_id: str, body: bytes = b"ok") -> bytes:
+    """A whole response to a request."""
+    return (
+        OK
+        + f"X-Request-Id: {request_id}\r\n".encode()
+        + f"Content-Length: {len(body)}\r\n\r\n".encode()
+        + body
+    )
+
+
+class Sink(BaseComponent):
+    """Collects how attempts ended."""
+
+    channel = "forwarding"
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.replies = []
+
+    @handler("ended_attempts")
+    def on_ended(self, replies) -> None:
+        self.replies.extend(replies)
+
+
+class LinksTest(testtools.TestCase):
+    """One upstream, whose bytes the test writes itself."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.bench = Bench()
+        self.sink = Sink().register(self.bench)
+        self.links = UpstreamLinks(
+            self.bench.hub, self.bench.timers, WIRE, "forwarding"
+        ).register(self.bench)
+        self.raw = RawUpstream()
+        self.upstream = Announcement(
+            "i-1", "records", (LOOPBACK, self.raw.port), "north"
+        )
+
+    def send(self, number: int, repeatable=True, method="GET") -> None:
+        now = self.bench.now
+        request = CallerRequest(
+            f"r{number}",
+            method,
+            "/x",
+            "desk.example",
+            [(b"X-Request-Id", f"r{number}".encode())],
+            b"",
+            now + 5.0,
+            now,
+        )
+        self.links.send(
+            Send(number, self.upstream, request, now + 2.0, repeatable)
+        )
+        self.bench.turn()
+
+    def accept(self) -> socket.socket:
+        sock = self.raw.accept()
+        self.bench.turn()
+        sock.recv(4096)
+        return sock
+
+    def reply(self):
+        """The next end of an attempt."""
+        self.bench.turn_until(lambda: self.sink.replies)
+        return self.sink.replies.pop(0)
+
+    def test_connection_is_used_again(self) -> None:
+        self.send(1)
+        sock = self.accept()
+        sock.sendall(response("r1"))
+        self.assertIs(AttemptEnd.RESULT, self.reply().end)
+        self.send(2)
+        self.assertIn(b"r2", sock.recv(4096))
+        sock.sendall(response("r2", b"two"))
+        self.assertEqual(b"two", self.reply().body)
+
+    def test_late_duplicate_is_skipped_for_the_right_response(self) -> None:
+        self.send(1)
+        sock = self.accept()
+        sock.sendall(response("r1"))
+        self.reply()
+        self.send(2)
+        sock.recv(4096)
+        sock.sendall(response("r1", b"old"))
+        self.bench.turn()
+        self.assertEqual([], self.sink.replies)
+        sock.sendall(response("r2", b"new"))
+        self.assertEqual(b"new", self.reply().body)
+        # What a connection carries after that can't be trusted.
+        self.assertEqual(b"", sock.recv(4096))
+
+    def test_bytes_after_a_response_close_the_connection(self) -> None:
+        self.send(1)
+        sock = self.accept()
+        sock.sendall(response("r1") + b"garbage")
+        self.assertIs(AttemptEnd.RESULT, self.reply().end)
+        self.assertEqual(b"", sock.recv(4096))
+
+    def test_broken_off_body_is_lost(self) -> None:
+        self.send(1)
+        sock = self.accept()
+        sock.sendall(response("r1", b"whole")[:-2])
+        sock.close()
+        self.assertIs(AttemptEnd.LOST, self.reply().end)
+
+    def test_body_without_length_lasts_to_the_end(self) -> None:
+        self.send(1)
+        sock = self.accept()
+        sock.sendall(OK + b"\r\nall of it")
+        self.bench.turn()
+        self.assertEqual([], self.sink.replies)
+        sock.close()
+        reply = self.reply()
+        self.assertEqual(
+            (AttemptEnd.RESULT, b"all of it"), (reply.end, reply.body)
+        )
+
+    def test_reset_body_without_length_is_lost(self) -> None:
+        self.send(1)
+        sock = self.accept()
+        sock.sendall(OK + b"\r\nhalf")
+        self.bench.turn()
+        linger = struct.pack("ii", 1, 0)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        sock.close()
+        self.assertIs(AttemptEnd.LOST, self.reply().end)
+
+    def test_no_http_is_lost(self) -> None:
+        self.send(1)
+        sock = self.accept()
+        sock.sendall(b"\0\1\2 nothing of the kind\r\n\r\n")
+        self.assertIs(AttemptEnd.LOST, self.reply().end)
+
+    def test_refused_connection_was_not_sent(self) -> None:
+        self.raw.listener.close()
+        self.send(1)
+        self.assertIs(AttemptEnd.NOT_SENT, self.reply().end)
+
+    def test_head_ends_with_its_headers(self) -> None:
+        self.send(1, method="HEAD")
+        sock = self.accept()
+        sock.sendall(response("r1", b"four")[:-4])
+        reply = self.reply()
+        self.assertEqual((AttemptEnd.RESULT, b""), (reply.end, reply.body))
+
+    def test_drop_at_once_closes_the_connection(self) -> None:
+        self.send(1)
+        sock = self.accept()
+        self.links.drop(Drop(1, "i-1", True))
+        self.links.flush()
+        self.assertEqual(b"", sock.recv(4096))
+        self.assertIs(AttemptEnd.LOST, self.reply().end)
+
+    def test_dropped_attempt_still_tells_of_its_upstream(self) -> None:
+        self.send(1)
+        sock = self.accept()
+        self.links.drop(Drop(1, "i-1", False))
+        sock.sendall(response("r1"))
+        self.assertIs(AttemptEnd.RESULT, self.reply().end)
+
+    def test_connection_near_its_idle_timeout_is_not_used(self) -> None:
+        self.send(1)
+        sock = self.accept()
+        sock.sendall(
+            response("r1").replace(
+                b"\r\n\r\n", b"\r\nKeep-Alive: timeout=2\r\n\r\n", 1
+            )
+        )
+        self.reply()
+        self.bench.now += 1.8
+        self.send(2)
+        self.assertEqual(b"", sock.recv(4096))
+        other = self.accept()
+        other.sendall(response("r2"))
+        self.assertIs(AttemptEnd.RESULT, self.reply().end)
+
+    def test_silent_upstream_is_given_up_after_its_deadline(self) -> None:
+        self.send(1)
+        self.accept()
+        self.bench.now += 2.5
+        self.assertIs(AttemptEnd.LOST, self.reply().end)
+
+    def test_share_bounds_the_connections(self) -> None:
+        self.links.share({"records": 26}, 8)
+        for number in range(1, 6):
+            self.send(number)
+        self.bench.turn()
+        self.assertEqual(2, self.links.pools["i-1"].size)
--- /dev/null
+++ b/tests/test_forwarding/test_plain.py
@@ -0,0 +1,189 @@
+"""Requests to one service: routes, weights, failures, what runs once."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+import testtools
+
+from arbutusbridge.forwarding import (
+    AttemptEnd,
+    Drop,
+    Refusal,
+    Refused,
+    Relayed,
+    RoutingConfiguration,
+    WeightedService,
+)
+from arbutusbridge.forwarding.upstreams import LAST_RESORT_S
+from tests.test_forwarding.fixtures import (
+    HOST,
+    ended,
+    make_forwarder,
+    only,
+    plain,
+    request,
+    result,
+    sends_of,
+    upstream,
+)
+
+NOW = 100.0
+TWO = [upstream("u1", "records"), upstream("u2", "records")]
+
+
+def arrive(forwarder, number: int = 1, target: str = "/fetch/x"):
+    """Lets a request arrive."""
+    return forwarder.arrive(request(number, target, NOW), NOW)
+
+
+class RouteTest(testtools.TestCase):
+    """Which route a request belongs to."""
+
+    def find(self, target: str, host: str = HOST):
+        routes = [
+            plain(name="short", prefix="/a/"),
+            plain(name="long", prefix="/a/b/"),
+            plain(name="root", prefix="/", host="other.example"),
+        ]
+        table = make_forwarder(routes, []).table
+        route = table.find(host, target)
+        return route.name if route else None
+
+    def test_longest_prefix_wins(self) -> None:
+        self.assertEqual("short", self.find("/a/x"))
+        self.assertEqual("long", self.find("/a/b/"))
+        self.assertEqual("long", self.find("/a/b/c?d=/e/"))
+        self.assertEqual("root", self.find("/x?/a/", "other.example"))
+
+    def test_no_prefix_is_no_route(self) -> None:
+        for target in ("/a", "/ab/", "/b/", "/?/a/"):
+            self.assertIsNone(self.find(target))
+        self.assertIsNone(self.find("/a/", "unknown.example"))
+
+    def test_unknown_route_is_refused_and_no_configuration_is_not(self):
+        forwarder = make_forwarder([plain()], TWO)
+        out = arrive(forwarder, target="/none/")
+        self.assertIs(Refusal.NO_ROUTE, only(out, Refused).refusal)
+        forwarder.table = None
+        out = arrive(forwarder, target="/none/")
+        self.assertIs(Refusal.NOT_READY, only(out, Refused).refusal)
+
+    def test_older_version_is_never_taken(self) -> None:
+        forwarder = make_forwarder([plain()], TWO)
+        self.assertFalse(forwarder.configure(RoutingConfiguration(1, ())))
+        self.assertTrue(forwarder.configure(RoutingConfiguration(5, ())))
+        self.assertFalse(forwarder.configure(RoutingConfiguration(4, ())))
+
+    def test_weights_hold_over_any_few_requests(self) -> None:
+        services = (WeightedService("records", 3), WeightedService("other", 1))
+        forwarder = make_forwarder(
+            [plain(services=services)], [*TWO, upstream("o", "other")]
+        )
+        taken = Counter(
+            sends_of(arrive(forwarder, number))[0].upstream.service
+            for number in range(40)
+        )
+        self.assertEqual({"records": 30, "other": 10}, taken)
+
+
+class FailureTest(testtools.TestCase):
+    """What a caller gets when an upstream fails."""
+
+    def play(self, end: AttemptEnd, idempotent: bool, **fields):
+        """Lets the first attempt of a request end."""
+        forwarder = make_forwarder([plain(idempotent=idempotent)], TWO)
+        (send,) = sends_of(arrive(forwarder))
+        reply = ended(send, end, **fields)
+        return forwarder, forwarder.replies([reply], NOW + 0.01)
+
+    def test_what_runs_once_is_not_sent_again_once_it_may_have_run(self):
+        for end in (AttemptEnd.LOST, AttemptEnd.FAILED):
+            _, out = self.play(end, idempotent=False)
+            self.assertEqual([], sends_of(out))
+            self.assertIs(Refusal.LOST, only(out, Refused).refusal)
+
+    def test_what_surely_did_not_run_is_sent_elsewhere(self) -> None:
+        for end in (
+            AttemptEnd.SHED,
+            AttemptEnd.MISDIRECTED,
+            AttemptEnd.NOT_SENT,
+        ):
+            _, out = self.play(end, idempotent=False)
+            self.assertEqual(1, len(sends_of(out)))
+
+    def test_refusal_says_not_run_only_if_nothing_ran(self) -> None:
+        forwarder, out = self.play(AttemptEnd.SHED, idempotent=False)
+        (again,) = sends_of(out)
+        forwarder.budget("records", NOW).note_extra(NOW, 1000)
+        out = forwarder.replies([ended(again, AttemptEnd.LOST)], NOW + 0.02)
+        self.assertIs(Refusal.LOST, only(out, Refused).refusal)
+
+    def test_failure_of_the_upstream_is_handed_on_as_it_is(self) -> None:
+        forwarder, out = self.play(
+            AttemptEnd.FAILED, True, status=500, stamp="s1", body=b"no"
+        )
+        (again,) = sends_of(out)
+        reply = ended(
+            again, AttemptEnd.FAILED, status=500, stamp="s2", body=b"no"
+        )
+        forwarder.budget("records", NOW).note_extra(NOW, 1000)
+        request_ = next(iter(forwarder.exchanges))
+        out = forwarder.replies([reply], NOW + 0.02)
+        end = NOW + 5.0
+        while not any(isinstance(action, Relayed) for action in out):
+            exchange = forwarder.exchanges[request_]
+            self.assertLess(exchange.wake_at, end)
+            out = forwarder.wake(request_, exchange.wake_at)
+        self.assertEqual("s2", only(out, Relayed).reply.stamp)
+
+    def test_mistake_that_the_upstream_found_is_not_sent_again(self) -> None:
+        _, out = self.play(AttemptEnd.FAILED, True, status=400, stamp="s")
+        self.assertEqual([], sends_of(out))
+        self.assertEqual(400, only(out, Relayed).reply.status)
+
+    def test_caller_that_left_stops_only_what_may_be_repeated(self) -> None:
+        for idempotent in (True, False):
+            forwarder = make_forwarder([plain(idempotent=idempotent)], TWO)
+            arrive(forwarder)
+            (gone,) = forwarder.exchanges
+            out = forwarder.abandon(gone, NOW + 0.01)
+            self.assertEqual(idempotent, only(out, Drop).at_once)
+
+
+class LeavingTest(testtools.TestCase):
+    """Upstreams that are taken away."""
+
+    def test_leaving_upstream_gets_nothing_while_another_stays(self) -> None:
+        forwarder = make_forwarder([plain()], TWO)
+        leaving = upstream("u1", "records", leaving=True)
+        forwarder.announce(leaving, NOW)
+        names = {
+            sends_of(arrive(forwarder, number))[0].upstream.upstream
+            for number in range(10)
+        }
+        self.assertEqual({"u2"}, names)
+
+    def test_last_upstream_is_used_for_a_short_time_only(self) -> None:
+        forwarder = make_forwarder([plain()], TWO[:1])
+        forwarder.announce(upstream("u1", "records", leaving=True), NOW)
+        self.assertEqual(1, len(sends_of(arrive(forwarder))))
+        late = NOW + LAST_RESORT_S + 0.01
+        out = forwarder.arrive(request(2, "/fetch/x", late), late)
+        self.assertIs(Refusal.UNSERVABLE, only(out, Refused).refusal)
+
+    def test_another_start_under_the_same_id_begins_afresh(self) -> None:
+        forwarder = make_forwarder([plain()], TWO[:1])
+        before = forwarder.directory.by_name["u1"]
+        again = upstream("u1", "records", started_ms=5)
+        self.assertTrue(forwarder.announce(again, NOW))
+        after = forwarder.directory.by_name["u1"]
+        self.assertIsNot(before, after)
+        self.assertTrue(before.gone)
+
+    def test_reply_goes_to_the_caller_as_it_is(self) -> None:
+        forwarder = make_forwarder([plain()], TWO)
+        (send,) = sends_of(arrive(forwarder))
+        reply = result(send, 1)
+        out = forwarder.replies([reply], NOW + 0.01)
+        self.assertIs(reply, only(out, Relayed).reply)
--- /dev/null
+++ b/tests/test_forwarding/test_scatter.py
@@ -0,0 +1,165 @@
+"""Load pattern: stragglers, lost replies and missing shards of a scatter."""
+
+from __future__ import annotations
+
+import testtools
+
+from arbutusbridge.forwarding import (
+    AttemptEnd,
+    Drop,
+    Merged,
+    Refusal,
+    Refused,
+)
+from arbutusbridge.forwarding.attempts import MOST_SENDS
+from arbutusbridge.forwarding.exchange import CALLER_WAY_S
+from tests.test_forwarding.fixtures import (
+    TARGET_S,
+    ended,
+    make_forwarder,
+    only,
+    records,
+    request,
+    result,
+    sends_of,
+    shard_upstreams,
+    sharded,
+)
+
+SHARDS = 4
+NOW = 100.0
+
+
+class ScatterTest(testtools.TestCase):
+    """One request to four shards, each on two upstreams."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.forwarder = make_forwarder(
+            [sharded(SHARDS)], shard_upstreams(SHARDS)
+        )
+        self.request = request(at=NOW)
+        self.sends = sends_of(self.forwarder.arrive(self.request, NOW))
+
+    def exchange(self):
+        return self.forwarder.exchanges[self.request]
+
+    def wake(self):
+        """Turns to the next timer of the request."""
+        at = self.exchange().wake_at
+        return at, self.forwarder.wake(self.request, at)
+
+    def test_whole_answer_is_the_greatest_of_all(self) -> None:
+        replies = [
+            result(send, number, 10 * number)
+            for number, send in enumerate(self.sends)
+        ]
+        answer = only(self.forwarder.replies(replies, NOW + 0.03), Merged)
+        self.assertEqual([30, 20, 10], records(answer.body))
+        self.assertEqual(0, answer.missing)
+        self.assertEqual({}, self.forwarder.exchanges)
+
+    def test_straggler_is_asked_elsewhere_and_the_first_reply_counts(self):
+        replies = [result(send, 1) for send in self.sends[:3]]
+        self.forwarder.replies(replies, NOW + 0.03)
+        at, out = self.wake()
+        (hedge,) = sends_of(out)
+        slow = self.sends[3]
+        self.assertEqual(slow.upstream.service, hedge.upstream.service)
+        self.assertNotEqual(slow.upstream, hedge.upstream)
+        out = self.forwarder.replies([result(hedge, 2)], at + 0.01)
+        self.assertEqual(0, only(out, Merged).missing)
+        dropped = only(out, Drop)
+        self.assertEqual(slow.attempt_id, dropped.attempt_id)
+        # The loser's reply says that its upstream is slow, and no more.
+        self.assertEqual(
+            [], self.forwarder.replies([result(slow, 9)], at + 0.3)
+        )
+
+    def test_overdue_upstream_is_avoided_by_the_next_request(self) -> None:
+        at, _ = self.wake()
+        at += 0.005
+        sends = sends_of(self.forwarder.arrive(request(2, at=at), at))
+        first = {send.upstream.upstream for send in self.sends}
+        self.assertTrue(
+            first.isdisjoint(send.upstream.upstream for send in sends)
+        )
+
+    def test_enough_shards_are_answered_at_the_target(self) -> None:
+        replies = [result(send, 1) for send in self.sends[:3]]
+        self.forwarder.replies(replies, NOW + 0.03)
+        at, out = NOW, []
+        while not any(isinstance(action, Merged) for action in out):
+            at, out = self.wake()
+        self.assertEqual(1, only(out, Merged).missing)
+        self.assertAlmostEqual(NOW + TARGET_S - CALLER_WAY_S, at)
+
+    def test_too_few_shards_are_waited_for_beyond_the_target(self) -> None:
+        replies = [result(send, 1) for send in self.sends[:2]]
+        self.forwarder.replies(replies, NOW + 0.03)
+        late = NOW + 2 * TARGET_S
+        self.forwarder.wake(self.request, late)
+        out = self.forwarder.replies([result(self.sends[2], 5)], late)
+        self.assertEqual(1, only(out, Merged).missing)
+
+    def test_deadline_ends_it_as_unknown(self) -> None:
+        end = self.exchange().give_up_at
+        out = self.forwarder.wake(self.request, end)
+        refused = only(out, Refused)
+        self.assertIs(Refusal.TIMED_OUT, refused.refusal)
+        self.assertLess(end, NOW + 2.0)
+
+    def test_lost_reply_is_asked_again_until_sends_run_out(self) -> None:
+        send = self.sends[0]
+        now = NOW
+        for _ in range(MOST_SENDS - 1):
+            now += 0.03
+            out = self.forwarder.replies([ended(send, AttemptEnd.LOST)], now)
+            while not sends_of(out):
+                now, out = self.wake()
+            (send,) = sends_of(out)[:1]
+        part = self.exchange().parts[0]
+        self.assertEqual(MOST_SENDS, part.sends)
+        self.assertEqual(2, len(part.asked))
+
+    def test_misdirected_upstream_gets_nothing_more(self) -> None:
+        send = self.sends[0]
+        out = self.forwarder.replies(
+            [ended(send, AttemptEnd.MISDIRECTED)], NOW + 0.01
+        )
+        (again,) = sends_of(out)
+        self.assertNotEqual(send.upstream, again.upstream)
+        known = self.forwarder.directory.by_name[send.upstream.upstream]
+        self.assertTrue(known.gone)
+
+    def test_empty_budget_sends_nothing_extra(self) -> None:
+        for number in range(SHARDS):
+            budget = self.forwarder.budget(f"s{number}", NOW)
+            budget.note_extra(NOW, 1000)
+        out = self.forwarder.replies(
+            [ended(self.sends[0], AttemptEnd.LOST)], NOW + 0.03
+        )
+        self.assertEqual([], sends_of(out))
+        _, out = self.wake()
+        self.assertEqual([], sends_of(out))
+
+
+class UnservableTest(testtools.TestCase):
+    """Shards without any upstream."""
+
+    def test_request_is_refused_at_once_and_nothing_is_sent(self) -> None:
+        upstreams = shard_upstreams(2)
+        forwarder = make_forwarder([sharded(SHARDS)], upstreams)
+        out = forwarder.arrive(request(at=NOW), NOW)
+        self.assertEqual([], sends_of(out))
+        refused = only(out, Refused)
+        self.assertIs(Refusal.UNSERVABLE, refused.refusal)
+        self.assertIsNotNone(refused.retry_after_s)
+
+    def test_missing_shard_does_not_hold_the_answer(self) -> None:
+        upstreams = shard_upstreams(SHARDS - 1)
+        forwarder = make_forwarder([sharded(SHARDS)], upstreams)
+        sends = sends_of(forwarder.arrive(request(at=NOW), NOW))
+        replies = [result(send, 1) for send in sends]
+        out = forwarder.replies(replies, NOW + 0.02)
+        self.assertEqual(1, only(out, Merged).missing)
--- /dev/null
+++ b/tests/test_platform/test_documents.py
@@ -0,0 +1,103 @@
+"""Tests of the platform's documents."""
+
+from __future__ import annotations
+
+import json
+
+import testtools
+from hypothesis import given
+from hypothesis import strategies as st
+from result import Err
+
+from arbutusbridge.platform.documents import (
+    decode_announcement,
+    decode_configuration,
+)
+
+ROUTE = {
+    "name": "search",
+    "host": "Desk.example",
+    "prefix": "/a/",
+    "kind": "idempotent",
+    "timeout_ms": 2000,
+    "target_latency_ms": 233,
+    "priority": 1,
+    "max_attempts": 2,
+    "fanout_services": ["s0", "s1"],
+    "top_k": 50,
+    "min_shard_ratio": 0.89,
+}
+CONFIGURATION = {
+    "version": 7,
+    "routes": [ROUTE],
+    "services": [{"name": "s0", "max_conns": 26, "tls": False}],
+    "limits": {"idle_timeout_ms": 5000, "new_field": 1},
+}
+ENTRY = {
+    "service": "s0",
+    "addr": "10.0.0.9:8080",
+    "zone": "north",
+    "version": "v1",
+    "slots": 2,
+    "state": "ready",
+    "warmup_left_ms": 1500,
+    "seq": 4,
+    "born": 1700000000000,
+}
+
+
+class ConfigurationTest(testtools.TestCase):
+    """The operators' configuration."""
+
+    def decode(self, **changes):
+        return decode_configuration(json.dumps(CONFIGURATION | changes))
+
+    def test_fields_become_own_names_and_seconds(self) -> None:
+        configuration = self.decode().ok_value
+        (route,) = configuration.routes
+        self.assertEqual(("desk.example", 2.0), (route.host, route.timeout_s))
+        self.assertEqual(("s0", "s1"), route.shards)
+        self.assertEqual((), route.services)
+        self.assertEqual({"s0": 26}, configuration.connections)
+        self.assertEqual(5.0, configuration.bounds.idle_s)
+
+    def test_weighted_route(self) -> None:
+        parts = [{"service": "a", "weight": 3}, {"service": "b", "weight": 1}]
+        route = {**ROUTE, "fanout_services": [], "weighted_backends": parts}
+        (found,) = self.decode(routes=[route]).ok_value.routes
+        self.assertEqual([3, 1], [one.weight for one in found.services])
+
+    def test_mistake_is_named_with_its_place(self) -> None:
+        error = self.decode(routes=[ROUTE, {**ROUTE, "kind": "odd"}])
+        self.assertIn("routes[1].kind", error.err_value)
+
+    @given(st.binary(max_size=60))
+    def test_damage_is_an_error_fuzz(self, value: bytes) -> None:
+        self.assertIsInstance(decode_configuration(value), Err)
+        self.assertIsInstance(decode_announcement("servers/i", value), Err)
+
+
+class AnnouncementTest(testtools.TestCase):
+    """What upstreams say of themselves."""
+
+    def decode(self, **changes):
+        value = json.dumps(ENTRY | changes).encode()
+        return decode_announcement("servers/i-1", value)
+
+    def test_id_comes_from_the_key(self) -> None:
+        found = self.decode().ok_value
+        self.assertEqual("i-1", found.upstream)
+        self.assertEqual(("10.0.0.9", 8080), found.address)
+        self.assertEqual(1.5, found.warm_up_s)
+        self.assertFalse(found.leaving)
+        self.assertTrue(self.decode(state="draining").ok_value.leaving)
+
+    def test_entries_of_other_writers_name_no_upstream(self) -> None:
+        for changes in (
+            {"state": "odd"},
+            {"addr": "nowhere"},
+            {"addr": 5},
+            {"slots": "2"},
+            {"service": None},
+        ):
+            self.assertIsInstance(self.decode(**changes), Err)
--- /dev/null
+++ b/tests/test_platform/test_http.py
@@ -0,0 +1,161 @@
+"""Tests of the platform's headers and statuses."""
+
+from __future__ import annotations
+
+import math
+
+import testtools
+from hypothesis import given
+from hypothesis import strategies as st
+from result import Err
+
+from arbutusbridge.forwarding import (
+    Announcement,
+    AttemptEnd,
+    Load,
+    Merged,
+    Refusal,
+    Refused,
+    Relayed,
+    Send,
+    UpstreamReply,
+)
+from arbutusbridge.platform import http
+
+HEADERS = [
+    (b"Host", b"Desk.example:80"),
+    (b"X-Request-Id", b"r1"),
+    (b"X-Deadline-Ms", b"500"),
+    (b"Accept", b"*/*"),
+    (b"Connection", b"keep-alive, X-Hop"),
+    (b"X-Hop", b"1"),
+    (b"Transfer-Encoding", b"chunked"),
+]
+STAMP = (b"X-Server-Stamp", b"a.1")
+UPSTREAM = Announcement("i-1", "records", ("10.0.0.9", 80), "north")
+
+
+def decode(headers=HEADERS, method="POST", body=b"ab"):
+    """A caller's request."""
+    return http.decode_request(method, "/a/b?c", headers, body, 10.0)
+
+
+def text_of(answer, keep_alive=True) -> str:
+    """An answer as its caller reads it."""
+    return http.encode_answer(answer, keep_alive).decode("latin-1")
+
+
+class RequestTest(testtools.TestCase):
+    """What callers send, and what upstreams get of it."""
+
+    def test_fields_are_read_and_hop_headers_left_out(self) -> None:
+        request = decode().ok_value
+        self.assertEqual("desk.example", request.host)
+        self.assertEqual(10.5, request.deadline)
+        names = [name.lower() for name, _ in request.headers]
+        self.assertEqual([b"host", b"x-request-id", b"accept"], names)
+
+    def test_upstream_gets_what_is_left_and_its_own_id(self) -> None:
+        request = decode().ok_value
+        send = Send(1, UPSTREAM, request, 10.4, True)
+        head, body = http.encode_attempt(send, 10.1).split(b"\r\n\r\n")
+        lines = head.split(b"\r\n")
+        self.assertEqual(b"POST /a/b?c HTTP/1.1", lines[0])
+        for line in (
+            b"X-Deadline-Ms: 300",
+            b"X-Expect-Instance: i-1",
+            b"X-Request-Id: r1",
+            b"Host: Desk.example:80",
+            b"Content-Length: 2",
+        ):
+            self.assertIn(line, lines)
+        self.assertEqual(b"ab", body)
+
+    def test_no_deadline_leaves_it_to_the_route(self) -> None:
+        headers = [pair for pair in HEADERS if pair[0] != b"X-Deadline-Ms"]
+        self.assertEqual(math.inf, decode(headers).ok_value.deadline)
+
+    def test_wrong_requests_are_named(self) -> None:
+        without_id = [pair for pair in HEADERS if pair[0] != b"X-Request-Id"]
+        self.assertIsInstance(decode(without_id), Err)
+        for value in (b"soon", b"-1", b"nan", b"1e99"):
+            headers = [*HEADERS, (b"X-Deadline-Ms", value)]
+            self.assertIsInstance(decode(headers), Err)
+
+
+class ReplyTest(testtools.TestCase):
+    """What upstreams answer."""
+
+    def end(self, status, *headers):
+        return http.decode_reply(1, status, list(headers), b"x").end
+
+    def test_ends(self) -> None:
+        for expected, status, headers in (
+            (AttemptEnd.RESULT, 200, [STAMP]),
+            (AttemptEnd.LOST, 200, []),
+            (AttemptEnd.LOST, 200, [STAMP, (b"Content-Encoding", b"gzip")]),
+            (AttemptEnd.FAILED, 500, [STAMP]),
+            (AttemptEnd.FAILED, 504, [STAMP]),
+            (AttemptEnd.LOST, 500, []),
+            (AttemptEnd.SHED, 503, [(b"X-Not-Executed", b"1")]),
+            (AttemptEnd.MISDIRECTED, 421, []),
+        ):
+            self.assertIs(expected, self.end(status, *headers))
+
+    def test_signature_that_would_be_two_is_none(self) -> None:
+        forged = (b"X-Server-Stamp", b"a.1, b.2")
+        self.assertIs(AttemptEnd.LOST, self.end(200, forged))
+
+    def test_load(self) -> None:
+        self.assertEqual(Load(3, 0, 8), http.decode_load(b"3,0,8"))
+        self.assertEqual(Load(3, 0, 8, 2.5), http.decode_load(b"3,0,8,250"))
+        for value in (None, b"", b"1,2", b"a,b,c", b"-1,0,2"):
+            self.assertIsNone(http.decode_load(value))
+
+    @given(st.binary(max_size=40), st.integers(200, 599))
+    def test_any_header_is_read_fuzz(self, value: bytes, status: int) -> None:
+        for name in (b"X-Server-Stamp", b"X-Server-Load", b"Keep-Alive"):
+            http.decode_reply(1, status, [(name, value)], b"")
+
+    def test_response_of_another_request_is_told(self) -> None:
+        self.assertTrue(http.is_for("r1", {}))
+        self.assertTrue(http.is_for("r1", {b"x-request-id": b"r1"}))
+        self.assertFalse(http.is_for("r1", {b"x-request-id": b"r2"}))
+
+
+class AnswerTest(testtools.TestCase):
+    """What callers get."""
+
+    def test_upstream_response_goes_on_unchanged(self) -> None:
+        headers = [STAMP, (b"Keep-Alive", b"timeout=5"), (b"X-Other", b"o")]
+        reply = http.decode_reply(1, 200, headers, b"body")
+        text = text_of(Relayed(decode().ok_value, reply))
+        self.assertIn("X-Server-Stamp: a.1\r\n", text)
+        self.assertIn("X-Other: o\r\n", text)
+        self.assertNotIn("Keep-Alive", text)
+        self.assertTrue(text.endswith("Content-Length: 4\r\n\r\nbody"))
+
+    def test_merged_answer_names_its_shards(self) -> None:
+        answer = Merged(decode().ok_value, ["a.1", "b.2"], 1, b"r" * 16)
+        text = text_of(answer, keep_alive=False)
+        self.assertIn("X-Shard-Stamps: a.1, b.2\r\n", text)
+        self.assertIn("X-Shards-Missing: 1\r\n", text)
+        self.assertIn("Connection: close\r\n", text)
+
+    def test_only_what_did_not_run_is_503(self) -> None:
+        for refusal, status in (
+            (Refusal.NOT_READY, 503),
+            (Refusal.UNSERVABLE, 503),
+            (Refusal.NO_ROUTE, 404),
+            (Refusal.LOST, 502),
+            (Refusal.TIMED_OUT, 504),
+        ):
+            text = text_of(Refused(decode().ok_value, refusal, 0.25))
+            self.assertTrue(text.startswith(f"HTTP/1.1 {status} "))
+            self.assertIn("Retry-After: 0.250\r\n", text)
+
+    def test_answer_to_head_has_no_body(self) -> None:
+        request = decode(method="HEAD", body=b"").ok_value
+        reply = UpstreamReply(1, AttemptEnd.RESULT, 200, [STAMP], b"abc")
+        text = text_of(Relayed(request, reply))
+        self.assertTrue(text.endswith("\r\n\r\n"))
