Ask no third upstream of a shard after a peer asked two

Change: replies name the upstreams asked in vain, a silent peer is told to stop and counts as one upstream asked.

--- a/arbutusbridge/forwarding/attempts.py
+++ b/arbutusbridge/forwarding/attempts.py
@@ -66,7 +66,8 @@
     waiting = [attempt.upstream for attempt in part.open]
     options = [one for one in usable if one not in waiting]
     fresh = [one for one in options if one not in part.asked]
-    if len(part.asked) >= exchange.route.most_upstreams:
+    asked = len(part.asked) + part.asked_elsewhere
+    if part.asked and asked >= exchange.route.most_upstreams:
         fresh = []
     return cheapest(
         fresh or [one for one in options if one in part.asked],
--- a/arbutusbridge/forwarding/exchange.py
+++ b/arbutusbridge/forwarding/exchange.py
@@ -28,6 +28,7 @@
       service: The service that runs it.
       open: Attempts that are waited for, the oldest first.
       asked: Upstreams that it was sent to.
+      asked_elsewhere: Upstreams that a peer may have sent it to, unknown here.
       sends: Attempts so far.
       arrivals: Attempts that may have reached an upstream.
       may_have_run: Whether some attempt that ended may have run.
@@ -41,6 +42,7 @@
     service: str
     open: list[OpenAttempt] = field(default_factory=list)
     asked: list[Upstream] = field(default_factory=list)
+    asked_elsewhere: int = 0
     sends: int = 0
     arrivals: int = 0
     may_have_run: bool = False
--- a/arbutusbridge/forwarding/gather.py
+++ b/arbutusbridge/forwarding/gather.py
@@ -99,11 +99,13 @@
       gather_id: The request.
       stamps: Signature of each reply by shard.
       body: The greatest records of all these replies.
+      asked: Upstreams that were asked in vain, by shard.
     """
 
     gather_id: int
     stamps: dict[str, str]
     body: bytes
+    asked: dict[str, list[str]] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
--- a/arbutusbridge/forwarding/regional.py
+++ b/arbutusbridge/forwarding/regional.py
@@ -28,6 +28,10 @@
 if TYPE_CHECKING:
     from arbutusbridge.forwarding.forwarder import Forwarder
 
+SILENT = "silent"
+DECLINED = "declined"
+"""Why a peer is given up."""
+
 REPLY_MARGIN_S = 0.006
 """Time before an answer is due at which a peer's reply must be sent, besides
 its way."""
@@ -122,7 +126,7 @@
         # It said so at once, and nothing was sent for this request.
         group.peer.unfit_until = now + DECLINED_S
         if not group.given_up:
-            give_up(group, "declined", forwarder, now, out)
+            give_up(group, DECLINED, forwarder, now, out)
             forwarder.follow_up(group.exchange, now, out)
         return
     group.acknowledged = True
@@ -158,10 +162,21 @@
             part.look_at = math.inf
             part.reply = UpstreamReply(0, AttemptEnd.RESULT, 200, stamp=stamp)
         elif part.pending and not part.open:
+            note_asked(part, message.asked.get(part.service, []), forwarder)
             ask_directly(exchange, part, True, forwarder, now, out)
     forwarder.follow_up(exchange, now, out)
 
 
+def note_asked(part: Part, names: list[str], forwarder: Forwarder) -> None:
+    """Notes where a peer sent a shard, since a route bounds the upstreams."""
+    for name in names:
+        upstream = forwarder.directory.by_name.get(name)
+        if upstream is None:
+            part.asked_elsewhere += 1
+        elif upstream not in part.asked:
+            part.asked.append(upstream)
+
+
 def ask_directly(
     exchange: Exchange,
     part: Part,
@@ -196,7 +211,7 @@
     for group in exchange.groups:
         if group.look_at <= now:
             group.peer.unfit_until = now + UNFIT_S
-            give_up(group, "silent", forwarder, now, out)
+            give_up(group, SILENT, forwarder, now, out)
 
 
 def give_up(
@@ -206,18 +221,27 @@
     now: float,
     out: list[object],
 ) -> None:
-    """Asks a group's shards directly; a late reply is still taken.
+    """Asks a group's shards directly.
 
     A peer that is silent has most likely ended, and has asked none of them.
+    One that is only late is told to stop; it may have asked one upstream of
+    each shard by then. A reply that crosses this is still taken.
     """
     group.look_at = math.inf
     group.given_up = True
     exchange = group.exchange
+    silent = why == SILENT
+    if silent:
+        own = forwarder.gather.own_address
+        assert own is not None
+        stop = GatherCancel(group.gather_id, own)
+        out.append(Tell(group.peer.address, stop))
     detail = {"why": why, **group.describe()}
     detail["age_ms"] = round((now - exchange.request.arrived) * 1000)
     out.append(Decision(exchange.request.request_id, "peer_given_up", detail))
     for part in group.parts:
         if part.pending and not part.open:
+            part.asked_elsewhere += silent
             ask_directly(exchange, part, False, forwarder, now, out)
 
 
@@ -290,4 +314,10 @@
         (one.body for one in replies.values()), exchange.route.most_records
     )
     stamps = {service: one.stamp for service, one in replies.items()}
-    out.append(Tell(ask.reply_to, GatherReply(ask.gather_id, stamps, body)))
+    asked = {
+        part.service: [upstream.name for upstream in part.asked]
+        for part in exchange.parts
+        if part.reply is None and part.asked
+    }
+    message = GatherReply(ask.gather_id, stamps, body, asked)
+    out.append(Tell(ask.reply_to, message))
--- a/tests/test_forwarding/test_regional.py
+++ b/tests/test_forwarding/test_regional.py
@@ -22,6 +22,7 @@
     sends_of,
     shard_upstreams,
     sharded,
+    upstream,
 )
 
 SHARDS = 4
@@ -157,6 +158,37 @@
         target = NOW + sharded().target_s
         self.assertLess(asked.answer_by, target)
 
+    def test_no_third_upstream_is_asked_after_a_peer_asked_two(self) -> None:
+        for number in range(SHARDS):
+            third = upstream(f"s{number}-more", f"s{number}", "central")
+            self.pair.far.announce(third, 0.0)
+        arrived, ask = self.pair.ask()
+        asked = {
+            f"s{number}": [f"s{number}-north", f"s{number}-central"]
+            for number in range(SHARDS)
+        }
+        reply = GatherReply(ask.gather_id, {}, b"", asked)
+        sends = sends_of(self.pair.far.hear(reply, NOW + 0.1))
+        for _ in range(20):
+            exchange = self.pair.far.exchanges[arrived]
+            out = self.pair.far.wake(arrived, exchange.wake_at)
+            sends += sends_of(out)
+        names = {send.upstream.upstream for send in sends}
+        self.assertTrue(names)
+        self.assertEqual(set(), {n for n in names if n.endswith("-more")})
+
+    def test_silent_peer_is_told_to_stop_and_one_upstream_asked(self) -> None:
+        arrived, _ = self.pair.ask()
+        exchange = self.pair.far.exchanges[arrived]
+        out = self.pair.far.wake(arrived, exchange.wake_at)
+        self.assertIsInstance(only(out, Tell).message, GatherCancel)
+        sends = sends_of(out)
+        for _ in range(20):
+            out = self.pair.far.wake(arrived, exchange.wake_at)
+            sends += sends_of(out)
+        for part in exchange.parts:
+            self.assertEqual(1, len(part.asked))
+
     def test_caller_that_left_stops_the_peer(self) -> None:
         arrived, ask = self.pair.ask()
         self.pair.near.hear(ask, NOW + 0.01)
