Answer by the caller's own way, and let late shards go

Change: the way is the round trip that the kernel measured, twice for the first request of a connection; no attempt that can't reply in time; a reply is overdue at 1.7 times the usual; sub-requests end at 1.5 times the target.

--- a/arbutusbridge/daemon/ingress.py
+++ b/arbutusbridge/daemon/ingress.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import socket
+import struct
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
@@ -56,6 +57,16 @@
 MOST_HEADERS = 128
 """Headers of one request at most."""
 
+TCP_INFO_BYTES = 104
+RTT_OFFSET = 68
+"""Size read of the kernel's tcp_info, and the place of tcpi_rtt in it."""
+
+USUAL_ROUND_TRIP_S = 0.006
+"""Round trip to callers where it can't be measured; they are 3 ms away."""
+
+LONGEST_ROUND_TRIP_S = 0.1
+"""Longest round trip that is believed; a lost packet makes it look longer."""
+
 MOST_CALLERS = 2000
 """Callers' connections at once, half of the descriptors of an instance."""
 
@@ -107,6 +118,9 @@
       parser: Its bytes on the way to whole requests.
       request: The request that is being answered, None between two.
       keeps: Whether the caller keeps the connection after that request.
+      served: Whether it has carried a request before.
+      round_trip_s: Time to the caller and back, which is longer for callers
+        whose own data centre has no instance left.
       pending: Bytes of answers that the caller has not taken yet.
       started: When the request that is being read began, None between two.
       last_used: When the connection last carried something.
@@ -120,6 +134,8 @@
         self.parser = RawRequestParser(limits)
         self.request: CallerRequest | None = None
         self.keeps = True
+        self.served = False
+        self.round_trip_s = round_trip(sock)
         self.pending = b""
         self.started: float | None = None
         self.last_used = now
@@ -250,6 +266,9 @@
             self.turn_away(link, Refusal(400, "malformed_request", remedy))
             return
         link.request = decoded.ok_value
+        # The first request has waited for its connection as well.
+        link.request.way_s = link.round_trip_s * (1 if link.served else 2)
+        link.served = True
         link.keeps = raw.keep_alive
         self.waiting[link.request] = link
         self.fire(arrived(link.request), self.target)
@@ -375,6 +394,22 @@
                 self.close(link)
 
 
+def round_trip(sock: socket.socket) -> float:
+    """Returns the round-trip time that the kernel measured, in seconds."""
+    try:
+        info = sock.getsockopt(
+            socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES
+        )
+        (microseconds,) = struct.unpack_from("<I", info, RTT_OFFSET)
+    except (OSError, struct.error) as err:
+        logger.warning(
+            "round trip not known",
+            extra={"error": str(err), "assumed_s": USUAL_ROUND_TRIP_S},
+        )
+        return USUAL_ROUND_TRIP_S
+    return min(microseconds / 1e6, LONGEST_ROUND_TRIP_S)
+
+
 def listen(address: tuple[str, int]) -> socket.socket:
     """Returns a listening socket that does not block."""
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
--- a/arbutusbridge/forwarding/attempts.py
+++ b/arbutusbridge/forwarding/attempts.py
@@ -117,7 +117,7 @@
             attempt_id,
             upstream.announcement,
             exchange.request,
-            exchange.give_up_at,
+            exchange.attempt_deadline(now),
             route.idempotent,
         )
     )
--- a/arbutusbridge/forwarding/conclusion.py
+++ b/arbutusbridge/forwarding/conclusion.py
@@ -16,7 +16,7 @@
 )
 
 if TYPE_CHECKING:
-    from arbutusbridge.forwarding.exchange import Exchange, Part
+    from arbutusbridge.forwarding.exchange import Exchange
     from arbutusbridge.forwarding.forwarder import Forwarder
 
 UNSERVABLE_RETRY_S = 0.5
@@ -80,12 +80,11 @@
 ) -> None:
     """Answers with the records of the shards that replied."""
     replies = [part.reply for part in exchange.parts if part.reply is not None]
-    missing = [part for part in exchange.parts if part.reply is None]
+    missing = describe_missing(exchange, forwarder)
     bodies = [reply.body for reply in replies] + exchange.gathered
     body = greatest(bodies, exchange.route.most_records)
     outcome = "partial" if missing else "complete"
-    names = {part.service: last_end(part) for part in missing}
-    finish(exchange, forwarder, now, out, outcome, missing=names)
+    finish(exchange, forwarder, now, out, outcome, missing=missing)
     if exchange.gather is not None:
         regional.reply(exchange, out)
         return
@@ -99,12 +98,33 @@
     )
 
 
-def last_end(part: Part) -> str:
-    """Returns what became of a part without a reply, for the log."""
-    failure = part.failure
-    if part.open:
-        return "open"
-    return failure.end.value if failure is not None else "no_upstream"
+def describe_missing(
+    exchange: Exchange, forwarder: Forwarder
+) -> dict[str, str]:
+    """Returns what became of each part without a reply, for the log.
+
+    Open attempts come with the milliseconds since the request arrived.
+    """
+    missing = {}
+    for part in exchange.parts:
+        if part.reply is not None:
+            continue
+        arrived = exchange.request.arrived
+        attempts = [
+            f"{one.upstream.name}@{round((one.sent_at - arrived) * 1000)}"
+            for one in part.open
+        ]
+        if part.group is not None:
+            missing[part.service] = f"peer {part.group.peer.name}"
+        elif attempts:
+            missing[part.service] = "open " + " ".join(attempts)
+        elif part.failure is not None:
+            missing[part.service] = part.failure.end.value
+        elif forwarder.directory.services.get(part.service):
+            missing[part.service] = "not_sent"
+        else:
+            missing[part.service] = "no_upstream"
+    return missing
 
 
 def refuse(
@@ -121,11 +141,7 @@
         refusal, retry = Refusal.TIMED_OUT, FAILED_RETRY_S
     else:
         refusal, retry = Refusal.LOST, FAILED_RETRY_S
-    missing = {
-        part.service: last_end(part)
-        for part in exchange.parts
-        if part.reply is None
-    }
+    missing = describe_missing(exchange, forwarder)
     finish(exchange, forwarder, now, out, refusal.value, missing=missing)
     if exchange.gather is not None:
         regional.reply(exchange, out)
--- a/arbutusbridge/forwarding/exchange.py
+++ b/arbutusbridge/forwarding/exchange.py
@@ -12,9 +12,12 @@
     from arbutusbridge.forwarding.model import CallerRequest, Route
     from arbutusbridge.forwarding.upstreams import OpenAttempt, Upstream
 
-CALLER_WAY_S = 0.018
-"""Time that an answer and the connection before it take on the way; callers
-are 3 ms away, and a new connection needs three of these ways."""
+ANSWER_MARGIN_S = 0.009
+"""Time before the target at which an answer goes out, besides its way; it
+covers a late timer and other requests that are served just then."""
+
+PATIENCE = 1.5
+"""Multiple of a route's target after which a shard's reply is not awaited."""
 
 DEADLINE_MARGIN_S = 0.03
 """Time before a deadline at which the final answer goes out."""
@@ -103,15 +106,28 @@
         """Builds the state of a request that has just arrived."""
         arrived = request.arrived
         limit = min(arrived + route.timeout_s, request.deadline)
+        limit -= request.way_s
         return cls(
             request,
             route,
             version,
             [Part(service) for service in services],
-            arrived + route.target_s - CALLER_WAY_S,
+            arrived + route.target_s - request.way_s - ANSWER_MARGIN_S,
             max(limit - DEADLINE_MARGIN_S, arrived),
         )
 
+    def attempt_deadline(self, now: float) -> float:
+        """Returns when the reply to an attempt stops being of use.
+
+        A shard that is late for the answer is left out of it, and its
+        upstream is better off without the work. Once the target has passed,
+        too few shards have replied, and every reply counts.
+        """
+        if not self.route.shards or now >= self.answer_by:
+            return self.give_up_at
+        wanted = self.request.arrived + PATIENCE * self.route.target_s
+        return min(wanted, self.give_up_at)
+
     @property
     def may_have_run(self) -> bool:
         """Whether some upstream may have run it, or may run it yet."""
--- a/arbutusbridge/forwarding/model.py
+++ b/arbutusbridge/forwarding/model.py
@@ -129,6 +129,8 @@
       body: The whole body.
       deadline: When the caller stops waiting.
       arrived: When its first byte was read.
+      way_s: Time that the request, its answer and a connection opened for
+        them spend on the way, 0 when unknown.
     """
 
     request_id: str
@@ -139,3 +141,4 @@
     body: bytes
     deadline: float
     arrived: float
+    way_s: float = 0.0
--- a/arbutusbridge/forwarding/regional.py
+++ b/arbutusbridge/forwarding/regional.py
@@ -32,6 +32,9 @@
 DECLINED = "declined"
 """Why a peer is given up."""
 
+FAR_REPLY_S = 0.025
+"""Shortest time in which an upstream of another region replies."""
+
 REPLY_MARGIN_S = 0.006
 """Time before an answer is due at which a peer's reply must be sent, besides
 its way."""
@@ -163,7 +166,10 @@
             part.reply = UpstreamReply(0, AttemptEnd.RESULT, 200, stamp=stamp)
         elif part.pending and not part.open:
             note_asked(part, message.asked.get(part.service, []), forwarder)
-            ask_directly(exchange, part, True, forwarder, now, out)
+            part.arrivals += 1
+            part.may_have_run = True
+            part.look_at = now
+    look_again(exchange, forwarder, now, out)
     forwarder.follow_up(exchange, now, out)
 
 
@@ -177,31 +183,14 @@
             part.asked.append(upstream)
 
 
-def ask_directly(
-    exchange: Exchange,
-    part: Part,
-    arrived: bool,
-    forwarder: Forwarder,
-    now: float,
-    out: list[object],
+def look_again(
+    exchange: Exchange, forwarder: Forwarder, now: float, out: list[object]
 ) -> None:
-    """Asks a shard that a peer was to ask.
-
-    Args:
-      exchange: The request.
-      part: The shard.
-      arrived: Whether the peer has asked it, so that this is an extra.
-      forwarder: What requests share.
-      now: The time.
-      out: Actions that follow.
-    """
-    part.group = None
-    if arrived:
-        part.arrivals += 1
-        part.may_have_run = True
-        attempts.retry(exchange, part, forwarder, now, out)
-    else:
-        attempts.begin_part(exchange, part, forwarder, now, out)
+    """Asks what a peer left open, unless the answer goes out before that."""
+    nearly = now >= exchange.answer_by - REPLY_MARGIN_S - FAR_REPLY_S
+    if nearly and exchange.covers(exchange.answered):
+        return
+    attempts.look(exchange, forwarder, now, out)
 
 
 def look(
@@ -242,7 +231,8 @@
     for part in group.parts:
         if part.pending and not part.open:
             part.asked_elsewhere += silent
-            ask_directly(exchange, part, False, forwarder, now, out)
+            part.group = None
+            attempts.begin_part(exchange, part, forwarder, now, out)
 
 
 def cancel(exchange: Exchange, forwarder: Forwarder, out: list[object]) -> None:
--- a/arbutusbridge/forwarding/upstreams.py
+++ b/arbutusbridge/forwarding/upstreams.py
@@ -45,10 +45,10 @@
 UNKNOWN_SHARE_OF_TARGET = 0.15
 """Part of a route's target that stands for a reply time not yet known."""
 
-OVERDUE_FACTOR = 2.2
+OVERDUE_FACTOR = 1.7
 """Multiple of the usual reply time after which a reply is overdue."""
 
-OVERDUE_SLACK_S = 0.012
+OVERDUE_SLACK_S = 0.008
 """Time on top of it, which covers short queues and timer delays."""
 
 
--- a/tests/test_forwarding/test_scatter.py
+++ b/tests/test_forwarding/test_scatter.py
@@ -12,7 +12,7 @@
     Refused,
 )
 from arbutusbridge.forwarding.attempts import MOST_SENDS
-from arbutusbridge.forwarding.exchange import CALLER_WAY_S
+from arbutusbridge.forwarding.exchange import ANSWER_MARGIN_S
 from tests.test_forwarding.fixtures import (
     TARGET_S,
     ended,
@@ -92,7 +92,18 @@
         while not any(isinstance(action, Merged) for action in out):
             at, out = self.wake()
         self.assertEqual(1, only(out, Merged).missing)
-        self.assertAlmostEqual(NOW + TARGET_S - CALLER_WAY_S, at)
+        self.assertAlmostEqual(NOW + TARGET_S - ANSWER_MARGIN_S, at)
+
+    def test_answer_to_a_far_caller_goes_out_sooner(self) -> None:
+        far = request(2, at=NOW)
+        far.way_s = 0.06
+        sends = sends_of(self.forwarder.arrive(far, NOW))
+        self.forwarder.replies([result(send, 1) for send in sends[:3]], NOW)
+        at, out = NOW, []
+        while not any(isinstance(action, Merged) for action in out):
+            at = self.forwarder.exchanges[far].wake_at
+            out = self.forwarder.wake(far, at)
+        self.assertAlmostEqual(NOW + TARGET_S - 0.06 - ANSWER_MARGIN_S, at)
 
     def test_too_few_shards_are_waited_for_beyond_the_target(self) -> None:
         replies = [result(send, 1) for send in self.sends[:2]]
