Take closed idle connections as evidence of an outage

Ruled out: retries; both upstreams crashed within 0.1 ms, before any. Change: upstreams that close connections in use a moment ago are weighed as crashes of their own; many losses at one moment of an outage are put down to it.

--- a/arbutusbridge/core/quarantine.py
+++ b/arbutusbridge/core/quarantine.py
@@ -55,6 +55,10 @@
 MOST_LOSSES = 4
 """Losses without any result that quarantine even in an outage."""
 
+SUDDEN_SECONDS = 0.05
+"""Time in which even many losses in an outage are put down to it; a request
+that crashes upstreams takes longer, since it is sent on one by one."""
+
 UNFAMILIAR_CANARIES = 2
 """Shards asked first for a request that is no suspect."""
 
@@ -103,6 +107,12 @@
         sole = any(len(crash.fingerprints) == 1 for crash in self.crashes)
         return sole or self.told > 0
 
+    @property
+    def span(self) -> float:
+        """Time from the first crash to the last, in seconds."""
+        times = [crash.at for crash in self.crashes]
+        return max(times) - min(times) if times else 0.0
+
     @property
     def evidence(self) -> float:
         """Sum of the crashes, each divided by those who were there."""
@@ -183,6 +193,18 @@
                 return
         self.crashes.append(Crash(upstream, now, {fingerprint}))
 
+    def note_closed(self, upstream: str, now: float) -> None:
+        """Notes that an upstream closed the connections it kept idle.
+
+        It is evidence of an outage: no request of this instance was there.
+        """
+        for crash in reversed(self.crashes):
+            if now - crash.at > SAME_LOSS_SECONDS:
+                break
+            if crash.upstream == upstream:
+                return
+        self.crashes.append(Crash(upstream, now))
+
     def charge(
         self,
         fingerprint: str,
@@ -212,7 +234,8 @@
             return Verdict.NOTHING
         losses = len(entry.crashes) + entry.told
         if not entry.alone or self.looks_like_outage(fingerprint, now):
-            if proven or losses < MOST_LOSSES:
+            sudden = entry.span < SUDDEN_SECONDS and not entry.told
+            if proven or losses < MOST_LOSSES or sudden:
                 return Verdict.NOTHING
             self.condemn(fingerprint, entry, now + AMBIGUOUS_SECONDS)
             return Verdict.QUARANTINE
--- a/arbutusbridge/core/tier.py
+++ b/arbutusbridge/core/tier.py
@@ -227,6 +227,11 @@
                         reply.upstream, flight.owner.fingerprint, now
                     )
 
+    def closed(self, upstreams: list[str], now: float) -> None:
+        """Takes that upstreams closed the connections they kept idle."""
+        for name in upstreams:
+            self.intake.quarantine.note_closed(name, now)
+
     def wake(self, token: tuple[str, str], now: float) -> list[Action]:
         """Takes a due timer; returns the actions that follow."""
         out: list[Action] = []
--- a/arbutusbridge/daemon/events.py
+++ b/arbutusbridge/daemon/events.py
@@ -17,6 +17,10 @@
     """Replies of upstreams, batched per turn: ``settled(replies)``."""
 
 
+class closed_idle(Event):  # noqa: N801
+    """Upstreams that closed idle connections: ``closed_idle(names)``."""
+
+
 class statuses(Event):  # noqa: N801
     """Status reports of upstreams: ``statuses(reports)``."""
 
--- a/arbutusbridge/daemon/links.py
+++ b/arbutusbridge/daemon/links.py
@@ -70,7 +70,9 @@
         self.bounds: dict[str, int] = {}
         self.instances = 1
         connect = functools.partial(RelayConnection, is_for=wire.is_for)
-        self.protocol = JobProtocol(self.encode, self.take, self.fail, connect)
+        self.protocol = JobProtocol(
+            self.encode, self.take, self.fail, connect=connect
+        )
         hub.after_turn.append(self.flush)
         timers.after(SWEEP_SECONDS, self.channel, SWEEP)
 
--- a/arbutusbridge/daemon/pool.py
+++ b/arbutusbridge/daemon/pool.py
@@ -74,6 +74,8 @@
       take: Takes a job, its connection, status and body; returns whether the
         response fits the request.
       fail: Takes a job without a response and what became of it.
+      closed: Takes the upstream that closed all connections it kept idle,
+        though they were in use a moment ago.
       connect: Opens a connection.
       connects: Connections begun, ever.
     """
@@ -81,6 +83,7 @@
     encode: Callable[[Job, Connection, float], bytes]
     take: Callable[[Job, Connection, int, bytes], bool]
     fail: Callable[[Job, ReplyKind], None]
+    closed: Callable[[Any], None] = lambda _upstream: None
     connect: Callable[..., Connection] = Connection
     connects: int = 0
 
@@ -234,6 +237,9 @@
             self.on_lost(connection, job)
         elif connection in self.idle:
             self.idle.remove(connection)
+            idle_for = self.clock() - connection.idle_since
+            if idle_for < STALE_IDLE_SECONDS and not (self.idle or self.busy):
+                self.protocol.closed(self.upstream)
         self.connect_for_waiting()
 
     def on_lost(self, connection: Connection, job: Job) -> None:
--- a/arbutusbridge/daemon/queries.py
+++ b/arbutusbridge/daemon/queries.py
@@ -95,6 +95,11 @@
         self.carry_out(self.tier.replies(replies, self.timers.clock()))
         self.metrics.late_replies.inc(self.tier.late_replies - late)
 
+    @handler("closed_idle")
+    def on_closed_idle(self, names: list[str]) -> None:
+        """Takes that upstreams closed the connections they kept idle."""
+        self.tier.closed(names, self.timers.clock())
+
     @handler("statuses")
     def on_statuses(self, reports: list[StatusReport]) -> None:
         """Takes status reports of upstreams."""
--- a/arbutusbridge/daemon/searchjobs.py
+++ b/arbutusbridge/daemon/searchjobs.py
@@ -15,6 +15,7 @@
 )
 
 if TYPE_CHECKING:
+    from arbutusbridge.core.model import Upstream
     from arbutusbridge.daemon.connection import Connection
     from arbutusbridge.daemon.pool import Job
 
@@ -33,10 +34,12 @@
     Attributes:
       replies: Replies to attempts.
       reports: Status reports.
+      closed: Upstreams that closed the connections they kept idle.
     """
 
     replies: list[Reply] = field(default_factory=list)
     reports: list[StatusReport] = field(default_factory=list)
+    closed: list[str] = field(default_factory=list)
 
 
 def search_protocol(inbox: Inbox) -> JobProtocol:
@@ -76,4 +79,7 @@
             reply = Reply(attempt.attempt_id, attempt.upstream, kind)
             inbox.replies.append(reply)
 
-    return JobProtocol(encode, take, fail)
+    def closed(upstream: Upstream) -> None:
+        inbox.closed.append(upstream.name)
+
+    return JobProtocol(encode, take, fail, closed)
--- a/arbutusbridge/daemon/upstreams.py
+++ b/arbutusbridge/daemon/upstreams.py
@@ -8,7 +8,7 @@
 from circuits import BaseComponent, handler
 
 from arbutusbridge.core.messages import Reply, ReplyKind
-from arbutusbridge.daemon.events import settled, statuses, within
+from arbutusbridge.daemon.events import closed_idle, settled, statuses, within
 from arbutusbridge.daemon.pool import (
     DEFAULT_CONNECTIONS,
     REPLY_GRACE_SECONDS,
@@ -210,6 +210,10 @@
     def flush(self) -> None:
         """Reports what upstreams said, in one event of each kind."""
         inbox = self.inbox
+        if inbox.closed:
+            # Before the replies, which are weighed by it.
+            names, inbox.closed = inbox.closed, []
+            self.fire(closed_idle(names), self.target)
         if inbox.replies:
             replies, inbox.replies = inbox.replies, []
             for reply in replies:
--- a/arbutusbridge/forwarding/attempts.py
+++ b/arbutusbridge/forwarding/attempts.py
@@ -34,6 +34,9 @@
 FIRST_SERVER_ERROR = 500
 """Lowest status that says that the upstream failed, not the request."""
 
+HEDGE_MOST_SLOWNESS = 3.0
+"""Multiple of the usual reply time from which an upstream gets no hedges."""
+
 HEDGE_RESERVE = 3.0
 """Extra arrivals that hedges leave to retries in the budget."""
 
@@ -201,6 +204,9 @@
     upstream = pick(exchange, part, forwarder, now)
     if upstream is None or not upstream.fit(now):
         return
+    if upstream.slowness >= HEDGE_MOST_SLOWNESS:
+        # Two slow upstreams get slower still by work done twice.
+        return
     left = forwarder.budget(part.service, now).left(forwarder.instances, now)
     if left < HEDGE_RESERVE:
         forwarder.count("hedge_refused")
--- a/arbutusbridge/forwarding/feed.py
+++ b/arbutusbridge/forwarding/feed.py
@@ -5,7 +5,7 @@
 import enum
 from dataclasses import dataclass, field
 
-PAUSE_S = 0.4
+PAUSE_S = 0.8
 """Pause between two watches that returned changes. A watch that returns is a
 priced call; changes must be in force 3 s after the store took them."""
 
--- a/arbutusbridge/replay/upstream.py
+++ b/arbutusbridge/replay/upstream.py
@@ -56,6 +56,7 @@
       runs: What really ran: time, attempt, for searches and records.
       arrivals: Times at which an attempt of any kind arrived.
       crashes: Times at which it crashed.
+      on_crash: Called at each crash, before the attempts are lost.
     """
 
     def __init__(
@@ -81,6 +82,7 @@
         self.runs: list[tuple[float, Attempt]] = []
         self.arrivals: list[float] = []
         self.crashes: list[float] = []
+        self.on_crash: Callable[[], None] = lambda: None
 
     @property
     def load(self) -> float:
@@ -151,6 +153,7 @@
         """Loses every connection and comes back after a while."""
         self.crashes.append(self.schedule.now)
         self.mode = Mode.DEAD
+        self.on_crash()
         lost = [*self.running.values(), *self.waiting]
         self.running.clear()
         self.waiting.clear()
--- a/arbutusbridge/replay/world.py
+++ b/arbutusbridge/replay/world.py
@@ -22,6 +22,7 @@
     Wake,
 )
 from arbutusbridge.core.tier import Tier
+from arbutusbridge.daemon.pool import STALE_IDLE_SECONDS
 from arbutusbridge.replay.schedule import Schedule
 from arbutusbridge.replay.upstream import FakeUpstream, Mode
 from arbutusbridge.standins.platform import Store
@@ -86,6 +87,7 @@
         self.cut_off = False
         self.stopped = False
         self.sent: dict[int, Attempt] = {}
+        self.used: dict[str, float] = {}
         self.open: dict[str, tuple[SearchRequest | RecordRequest, float]] = {}
         self.decisions: list[Decision] = []
 
@@ -139,6 +141,7 @@
         self.sent[attempt.attempt_id] = attempt
         world = self.world
         world.attempts.append(attempt)
+        self.used[attempt.upstream] = world.now
         delay = world.one_way(self, attempt.upstream)
         upstream = world.upstreams[attempt.upstream]
 
@@ -152,6 +155,19 @@
         self.sent.pop(reply.attempt_id, None)
         self.enter(self.tier.replies, [reply])
 
+    def take_close(self, upstream: str) -> None:
+        """Takes the close of idle connections that were used lately."""
+        used = self.used.get(upstream)
+        if used is None or self.world.now - used > STALE_IDLE_SECONDS:
+            return
+
+        def closed(now: float) -> list[Action]:
+            self.tier.closed([upstream], now)
+            return []
+
+        delay = self.world.one_way(self, upstream)
+        self.world.schedule.after(delay, self.enter, closed)
+
     def cancel(self, action: Cancel) -> None:
         """Puts a cancellation on the wire."""
         attempt = self.sent.pop(action.attempt_id, None)
@@ -234,6 +250,7 @@
                 listed.slots,
                 functools.partial(service_time, name, rng),
             )
+            upstream.on_crash = functools.partial(self.tell_closed, name)
             self.upstreams[name] = upstream
         for service, layouts in self.configuration.layouts.items():
             for layout in layouts:
@@ -241,6 +258,11 @@
                     for name in shard.replicas:
                         self.hold(name, service, (layout.epoch, snapshot))
 
+    def tell_closed(self, name: str) -> None:
+        """Closes an upstream's idle connections at every instance."""
+        for instance in self.instances.values():
+            instance.take_close(name)
+
     def hold(self, name: str, service: str, version: tuple[int, int]) -> None:
         """Lets an upstream serve one more version of a service."""
         held = self.upstreams[name].held
--- a/tests/test_core/test_quarantine.py
+++ b/tests/test_core/test_quarantine.py
@@ -79,6 +79,23 @@
         self.assertEqual(Verdict.QUARANTINE, lose(quarantine, "u9", 0.1))
         self.assertFalse(quarantine.quarantined("f", AMBIGUOUS_SECONDS + 1))
 
+    def test_close_of_idle_connections_is_a_sign_of_an_outage(self) -> None:
+        quarantine = Quarantine()
+        for number in range(10):
+            quarantine.note_closed(f"v{number}", 0.0)
+        for number in range(5):
+            verdict = lose(quarantine, f"u{number}", 0.01)
+            self.assertEqual(Verdict.NOTHING, verdict)
+        self.assertFalse(quarantine.quarantined("f", 0.01))
+
+    def test_close_at_its_own_upstreams_excuses_no_request(self) -> None:
+        quarantine = Quarantine()
+        verdicts = []
+        for number, at in enumerate((0.0, 0.1)):
+            quarantine.note_closed(f"u{number}", at)
+            verdicts.append(lose(quarantine, f"u{number}", at))
+        self.assertEqual([Verdict.SUSPECT, Verdict.QUARANTINE], verdicts)
+
     def test_same_shard_twice_counts_in_spite_of_results(self) -> None:
         quarantine = Quarantine()
         for upstream in ("u1", "u2"):
