Follow the store by one watch, and let small shares hedge

One watch over all keys serves configuration, announcements and instances; renewals of the lease, each 3 s, show an outage. Cause 2: on the grown sites an instance's part of the allowance is under the three arrivals that hedges left to retries, so that none was ever sent. Hedges leave a quarter of the allowance now.

--- a/arbutusbridge/daemon/dialect.py
+++ b/arbutusbridge/daemon/dialect.py
@@ -33,8 +33,7 @@
     """How a store with prefixes, watches and leases is asked.
 
     Attributes:
-      page: Takes a prefix, the key to start behind, and whether an answer
-        that is seconds old will do.
+      page: Takes a prefix and the key to start behind.
       watch: Takes a prefix, the revision to start behind and a wait in
         seconds.
       write: Takes a key, its value and the lease that it ends with.
@@ -43,7 +42,7 @@
       end: Takes a lease.
     """
 
-    page: Callable[[str, str, bool], Request]
+    page: Callable[[str, str], Request]
     watch: Callable[[str, int, float], Request]
     write: Callable[[str, bytes, int], Request]
     lease: Callable[[float], Request]
--- a/arbutusbridge/daemon/events.py
+++ b/arbutusbridge/daemon/events.py
@@ -105,5 +105,9 @@
     """The store replied again after a failed call: ``store_regained()``."""
 
 
+class present(Event):  # noqa: N801
+    """Changed keys of running instances: ``present(items)``."""
+
+
 class peer_message(Event):  # noqa: N801
     """A message of another forwarding instance: ``peer_message(message)``."""
--- a/arbutusbridge/daemon/forwarding.py
+++ b/arbutusbridge/daemon/forwarding.py
@@ -105,7 +105,7 @@
         for request in requests:
             self.carry_out(self.forwarder.wake(request, self.timers.clock()))
 
-    @handler("routed")
+    @handler("routed", channel="*")
     def on_routed(self, items: list[Item]) -> None:
         """Puts a new configuration in force."""
         for item in items:
@@ -137,7 +137,7 @@
                 },
             )
 
-    @handler("announced")
+    @handler("announced", channel="*")
     def on_announced(self, items: list[Item]) -> None:
         """Takes changes of upstreams' announcements."""
         now = self.timers.clock()
--- a/arbutusbridge/daemon/forwardinstance.py
+++ b/arbutusbridge/daemon/forwardinstance.py
@@ -9,7 +9,7 @@
 from circuits.core.pollers import EPoll
 
 from arbutusbridge.core.stop import StopPlan
-from arbutusbridge.daemon.events import announced, routed
+from arbutusbridge.daemon.events import announced, present, routed
 from arbutusbridge.daemon.forwarding import Forwarding
 from arbutusbridge.daemon.forwardmetrics import ForwardMetrics
 from arbutusbridge.daemon.gatherpeers import GatherPeers
@@ -25,6 +25,7 @@
 from arbutusbridge.daemon.timers import TimerService
 from arbutusbridge.forwarding import ExtraBounds, Place
 from arbutusbridge.forwarding.gatherwire import PeerCard
+from arbutusbridge.forwarding.presence import PREFIX
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -92,15 +93,16 @@
             self.hub, self.timers, [(settings.store.ip, settings.store.port)]
         ).register(self)
         self.forwarding.forwarder.confirmed = lambda: self.store.heard_at
-        self.feeds = [
-            StoreFeed(
-                prefix, self.store, dialect, self.timers, event, "forwarding"
-            ).register(self)
-            for prefix, event in (
+        self.feed = StoreFeed(
+            [
                 (wire.configuration_key, routed),
                 (wire.upstreams_prefix, announced),
-            )
-        ]
+                (PREFIX, present),
+            ],
+            self.store,
+            dialect,
+            self.timers,
+        ).register(self)
         self.presence = InstancePresence(
             settings.name,
             card_of(settings),
@@ -196,6 +198,7 @@
         """Returns what operators see of this instance."""
         forwarder = self.forwarding.forwarder
         table = forwarder.table
+        feed = self.feed.feed
         return {
             "name": self.settings.name,
             "data_centre": self.settings.data_centre,
@@ -207,15 +210,11 @@
             "requests_open": len(forwarder.exchanges),
             "attempts_open": len(forwarder.attempts),
             "store": {
-                feed.prefix: {
-                    "revision": feed.feed.revision,
-                    "failures": feed.feed.failures,
-                    "reloads": feed.feed.reloads,
-                    "age_s": round(
-                        self.timers.clock() - feed.feed.confirmed_at, 1
-                    ),
-                }
-                for feed in self.feeds
+                "revision": feed.revision,
+                "failures": feed.failures,
+                "reloads": feed.reloads,
+                "keys": len(feed.items),
+                "age_s": round(self.timers.clock() - feed.confirmed_at, 1),
             },
         }
 
@@ -230,8 +229,7 @@
         for what, count in forwarder.counts.items():
             metrics.raise_to(metrics.silent.labels(what), count)
         metrics.upstreams.set(len(forwarder.directory.by_name))
-        confirmed = max(feed.feed.confirmed_at for feed in self.feeds)
-        metrics.store_age.set(self.timers.clock() - confirmed)
+        metrics.store_age.set(self.timers.clock() - self.store.heard_at)
 
     @handler("exception", channel="*")
     def on_exception(
--- a/arbutusbridge/daemon/presence.py
+++ b/arbutusbridge/daemon/presence.py
@@ -15,10 +15,10 @@
     encode_card,
 )
 from arbutusbridge.forwarding.presence import (
-    COUNT_S,
     LEASE_S,
     PREFIX,
     RENEW_S,
+    RETRY_S,
     Presence,
 )
 
@@ -43,6 +43,8 @@
     Attributes:
       presence: What is known.
       stopping: Whether this instance is about to end.
+      items: Keys of the running instances.
+      known: Whether they were read once.
       on_count: Called with each count to share by and the other instances.
     """
 
@@ -66,20 +68,17 @@
         self.on_count = on_count
         self.presence = Presence()
         self.stopping = False
+        self.items: dict[str, Item] = {}
+        self.known = False
         on_count(self.presence.instances, [])
         timers.after(0.0, self.channel, "renew")
-        timers.after(COUNT_S / 2, self.channel, "count")
 
     @handler("due")
-    def on_due(self, tokens: list[Any]) -> None:
-        """Renews the lease or counts."""
-        for token in tokens:
-            if token == "renew":
-                if not self.stopping:
-                    self.renew()
-            else:
-                request = self.dialect.page(PREFIX, "", True)
-                self.ask(request, "count")
+    def on_due(self, _tokens: list[Any]) -> None:
+        """Renews the lease, and counts anew what was believed so far."""
+        self.count()
+        if not self.stopping:
+            self.renew()
 
     @handler("stopping", channel="*")
     def on_stopping(self) -> None:
@@ -113,11 +112,6 @@
         purpose = result.token[1]
         presence = self.presence
         done = result.status is StoreStatus.DONE
-        if purpose == "count":
-            if done and result.page is not None:
-                self.take_count(result.page.items)
-            self.timers.after(COUNT_S, self.channel, "count")
-            return
         if self.stopping:
             return
         if done and purpose == "lease":
@@ -129,10 +123,24 @@
         elif result.status is StoreStatus.CONFLICT:
             logger.notice("own lease ended", extra={"lease": presence.lease})
             presence.forget()
-        self.timers.after(RENEW_S if done else COUNT_S, self.channel, "renew")
+        self.timers.after(RENEW_S if done else RETRY_S, self.channel, "renew")
+
+    @handler("present", channel="*")
+    def on_present(self, items: list[Item]) -> None:
+        """Takes changes of the instances' keys."""
+        for item in items:
+            if item.value is None:
+                self.items.pop(item.key, None)
+            else:
+                self.items[item.key] = item
+        self.known = True
+        self.count()
 
-    def take_count(self, items: tuple[Item, ...]) -> None:
-        """Takes a reading of the instances' keys."""
+    def count(self) -> None:
+        """Counts the running instances, once their keys are known."""
+        if not self.known:
+            return
+        items = self.items.values()
         before = self.presence.instances
         after = self.presence.count(len(items), self.timers.clock())
         if after != before:
--- a/arbutusbridge/daemon/storefeed.py
+++ b/arbutusbridge/daemon/storefeed.py
@@ -1,26 +1,27 @@
-"""Follow a prefix of the store and report its changes."""
+"""Follow the store's keys and report their changes by prefix."""
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
 from circuits import BaseComponent, Event, handler
 
 from arbutusbridge.core.messages import StoreStatus
 from arbutusbridge.daemon.logs import get_logger
-from arbutusbridge.forwarding.feed import Call, CallKind, Feed
+from arbutusbridge.forwarding.feed import Call, CallKind, Feed, Item
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from arbutusbridge.core.messages import StoreResult
     from arbutusbridge.daemon.dialect import Dialect
     from arbutusbridge.daemon.platform import PlatformClient
     from arbutusbridge.daemon.timers import TimerService
-    from arbutusbridge.forwarding.feed import Item
 
 logger = get_logger(__name__)
 
+ALL_KEYS = ""
+"""Prefix of every key."""
+
 WATCH_S = 8.0
 """Longest wait of one watch. Each return is a priced call; a watch that fell
 silent with the store is asked anew once another call has a reply."""
@@ -32,8 +33,14 @@
 """Time between two looks at entries whose end is not believed yet."""
 
 
+Topic = tuple[str, Callable[[list[Item]], Event]]
+"""A prefix of keys, and the event that takes their changes."""
+
+
 class StoreFeed(BaseComponent):
-    """Keeps one feed going and fires an event with each batch of changes.
+    """Keeps one feed going and fires events with each batch of changes.
+
+    One watch serves all topics, since each watch that returns is priced.
 
     Attributes:
       feed: What is known.
@@ -41,22 +48,20 @@
       watching: Number of the open watch, 0 if there is none.
     """
 
+    channel = "storefeed"
+
     def __init__(
         self,
-        prefix: str,
+        topics: list[Topic],
         store: PlatformClient,
         dialect: Dialect,
         timers: TimerService,
-        event: Callable[[list[Item]], Event],
-        target: str,
     ) -> None:
-        super().__init__(channel=f"feed:{prefix}")
-        self.prefix = prefix
+        super().__init__()
+        self.topics = topics
         self.store = store
         self.dialect = dialect
         self.timers = timers
-        self.event = event
-        self.target = target
         self.feed = Feed()
         self.loaded = False
         self.watching = 0
@@ -77,10 +82,10 @@
         """Makes one call."""
         token = (self.channel, call.kind.value)
         if call.kind is CallKind.PAGE:
-            request = self.dialect.page(self.prefix, call.after_key, False)
+            request = self.dialect.page(ALL_KEYS, call.after_key)
             self.store.ask(request, token, self.on_result, CALL_S)
             return
-        request = self.dialect.watch(self.prefix, call.revision, WATCH_S)
+        request = self.dialect.watch(ALL_KEYS, call.revision, WATCH_S)
         seconds = WATCH_S + CALL_S
         self.watching = self.store.ask(request, token, self.on_result, seconds)
 
@@ -99,7 +104,9 @@
         self.watching = 0
         changes: list[Item] = []
         if result.status is StoreStatus.HISTORY_LOST:
-            logger.notice("store history lost", extra={"prefix": self.prefix})
+            logger.notice(
+                "store history lost", extra={"revision": feed.revision}
+            )
             call = feed.on_history_lost()
         elif result.status is not StoreStatus.DONE or result.page is None:
             call = self.on_failure()
@@ -108,7 +115,6 @@
                 logger.notice(
                     "store regained",
                     extra={
-                        "prefix": self.prefix,
                         "failures": feed.failures,
                         "revision": feed.revision,
                     },
@@ -126,7 +132,6 @@
             logger.warning(
                 "store lost",
                 extra={
-                    "prefix": self.prefix,
                     "revision": self.feed.revision,
                     "remedy": "Serving goes on with what is known.",
                 },
@@ -137,5 +142,7 @@
         """Fires changes, and the end of the first load."""
         first = not self.loaded and self.feed.reloads > 0
         self.loaded = self.loaded or first
-        if changes or first:
-            self.fire(self.event(changes), self.target)
+        for prefix, event in self.topics:
+            found = [one for one in changes if one.key.startswith(prefix)]
+            if found or first:
+                self.fire(event(found), "*")
--- a/arbutusbridge/forwarding/attempts.py
+++ b/arbutusbridge/forwarding/attempts.py
@@ -37,9 +37,6 @@
 HEDGE_MOST_SLOWNESS = 3.0
 """Multiple of the usual reply time from which an upstream gets no hedges."""
 
-HEDGE_RESERVE = 3.0
-"""Extra arrivals that hedges leave to retries in the budget."""
-
 
 def begin_part(
     exchange: Exchange,
@@ -207,8 +204,8 @@
     if upstream.slowness >= HEDGE_MOST_SLOWNESS:
         # Two slow upstreams get slower still by work done twice.
         return
-    left = forwarder.budget(part.service, now).left(forwarder.instances, now)
-    if left < HEDGE_RESERVE:
+    budget = forwarder.budget(part.service, now)
+    if not budget.allows_hedge(forwarder.instances, now):
         forwarder.count("hedge_refused")
         return
     exchange.hedges += 1
--- a/arbutusbridge/forwarding/budget.py
+++ b/arbutusbridge/forwarding/budget.py
@@ -30,6 +30,9 @@
 """Part of the bound that is spent; the rest covers instances that started
 lately and arrivals counted in another window than here."""
 
+RETRY_SHARE = 0.25
+"""Part of the extra arrivals that hedges leave to retries."""
+
 FRESH_SHARE = 0.2
 """Part of its fixed allowance that an instance has when it starts."""
 
@@ -78,7 +81,17 @@
         self.extras += arrivals
 
     def left(self, instances: int, now: float) -> float:
-        """Returns the extra arrivals that this instance may still cause.
+        """Returns the extra arrivals that this instance may still cause."""
+        return self.most(instances, now) - self.extras
+
+    def allows_hedge(self, instances: int, now: float) -> bool:
+        """Tells whether a hedge leaves enough for retries, which help more."""
+        most = self.most(instances, now)
+        left = most - self.extras
+        return left >= 1.0 and left >= most * RETRY_SHARE
+
+    def most(self, instances: int, now: float) -> float:
+        """Returns the extra arrivals that it may cause in one window.
 
         The fixed allowance of a new instance grows over one window, since
         the instance that it follows may have spent the same allowance.
@@ -87,5 +100,4 @@
         bounds = self.bounds
         age = FRESH_SHARE + (now - self.started) / bounds.window_s
         allowance = bounds.slack / max(1, instances) * min(1.0, age)
-        most = bounds.ratio * self.requests + allowance
-        return most * SAFETY - self.extras
+        return (bounds.ratio * self.requests + allowance) * SAFETY
--- a/arbutusbridge/forwarding/presence.py
+++ b/arbutusbridge/forwarding/presence.py
@@ -1,7 +1,7 @@
 """Count of the instances that share what upstreams give.
 
-Each instance keeps a key under a lease while it runs, and reads all such keys
-now and then. A count that shrinks is believed late: an instance that was lost
+Each instance keeps a key under a lease while it runs, and follows all such
+keys. A count that shrinks is believed late: an instance that was lost
 for a moment must not be given away twice.
 """
 
@@ -15,12 +15,12 @@
 LEASE_S = 12.0
 """Length of an instance's lease; its key ends so long after it was lost."""
 
-RENEW_S = 4.0
-"""Time between two renewals, three in a lease."""
+RENEW_S = 3.0
+"""Time between two renewals, four in a lease. A renewal without a reply shows
+an outage of the store that a waiting watch does not."""
 
-COUNT_S = 2.0
-"""Time between two readings of the keys. It bounds how long an outage of the
-store goes unseen, besides how soon a new instance takes part in the shares."""
+RETRY_S = 1.5
+"""Time to the next try after a call that failed."""
 
 BELIEVED_S = 10.0
 """Time for which the greatest count of late is kept, the length of the window
--- a/arbutusbridge/platform/store.py
+++ b/arbutusbridge/platform/store.py
@@ -17,14 +17,9 @@
 NO_SUCH_LEASE_STATUS = 404
 
 
-def page_request(prefix: str, after_key: str, stale: bool = False) -> Request:
-    """Reads the keys under a prefix, behind a key.
-
-    A stale read may be seconds old and costs a tenth.
-    """
+def page_request(prefix: str, after_key: str) -> Request:
+    """Reads the keys under a prefix, behind a key."""
     query = {"prefix": prefix}
-    if stale:
-        query["allow_stale"] = "1"
     if after_key:
         query["after"] = after_key
     return Request("GET", f"/kv-range?{urlencode(query)}", b"", decode_page)
--- a/tests/test_daemon/test_storefeed.py
+++ b/tests/test_daemon/test_storefeed.py
@@ -25,12 +25,7 @@
             self.bench.hub, self.bench.timers, [(LOOPBACK, self.raw.port)]
         ).register(self.bench)
         self.feed = StoreFeed(
-            "servers/",
-            self.store,
-            DIALECT,
-            self.bench.timers,
-            announced,
-            "forwarding",
+            [("servers/", announced)], self.store, DIALECT, self.bench.timers
         ).register(self.bench)
 
     def answer(self, sock, body, status="200 OK") -> None:
@@ -41,7 +36,7 @@
 
     def ask(self) -> None:
         token = ("test", "count")
-        request = DIALECT.page("x/", "", True)
+        request = DIALECT.page("x/", "")
         self.store.ask(request, token, lambda _result: None, 1.0)
 
     def test_watch_is_asked_anew_once_another_call_is_answered(self) -> None:
--- a/tests/test_forwarding/test_budget.py
+++ b/tests/test_forwarding/test_budget.py
@@ -60,6 +60,16 @@
         budget = ServiceBudget(BOUNDS, -100.0)
         self.assertGreater(budget.left(1, 0.0), BOUNDS.slack / 2)
 
+    def test_one_of_many_instances_may_hedge(self) -> None:
+        # 81 instances with a request every two seconds each.
+        budget = ServiceBudget(ExtraBounds(0.2, 202.0, 10.0), -100.0)
+        for number in range(5):
+            budget.note_request(2.0 * number)
+        self.assertTrue(budget.allows_hedge(81, 10.0))
+        budget.note_extra(10.0)
+        budget.note_extra(10.0)
+        self.assertFalse(budget.allows_hedge(81, 10.0))
+
     def test_what_leaves_the_window_is_free_again(self) -> None:
         budget = ServiceBudget(BOUNDS, -100.0)
         before = budget.left(INSTANCES, 0.0)
--- /dev/null
+++ b/tests/test_forwarding/test_feed.py
@@ -0,0 +1,118 @@
+"""Load pattern: a store that is down, forgets, or loses entries for a while."""
+
+from __future__ import annotations
+
+import testtools
+from hypothesis import given
+from hypothesis import strategies as st
+
+from arbutusbridge.forwarding.feed import (
+    LONGEST_RETRY_S,
+    PAUSE_S,
+    RETURN_GRACE_S,
+    CallKind,
+    Feed,
+    Item,
+    Page,
+)
+
+NOW = 100.0
+
+
+def item(number: int, revision: int, value: bytes | None = b"v") -> Item:
+    """A key, or its end."""
+    return Item(f"k{number}", value, revision)
+
+
+def page(revision: int, *items: Item, more: bool = False) -> Page:
+    """A page of keys or changes."""
+    return Page(items, more, revision)
+
+
+class FeedTest(testtools.TestCase):
+    """Keys followed by hand."""
+
+    def loaded(self, count: int = 10) -> Feed:
+        feed = Feed()
+        feed.on_page(page(count, *(item(n, n) for n in range(count))), NOW)
+        return feed
+
+    def test_load_of_several_pages_watches_from_before_the_first(self) -> None:
+        feed = Feed()
+        changes, call = feed.on_page(page(5, item(1, 1), more=True), NOW)
+        self.assertEqual(([], "k1"), (changes, call.after_key))
+        changes, call = feed.on_page(page(9, item(2, 8)), NOW)
+        self.assertEqual(2, len(changes))
+        self.assertEqual((CallKind.WATCH, 5), (call.kind, call.revision))
+
+    def test_changes_are_told_and_the_next_watch_waits_a_little(self) -> None:
+        feed = self.loaded()
+        changes, call = feed.on_changes(page(12, item(1, 12)), NOW)
+        self.assertEqual([item(1, 12)], changes)
+        self.assertEqual((12, PAUSE_S), (call.revision, call.delay_s))
+        _, call = feed.on_changes(page(12), NOW)
+        self.assertEqual(0.0, call.delay_s)
+
+    def test_older_change_than_known_is_nothing(self) -> None:
+        feed = self.loaded()
+        feed.on_changes(page(20, item(1, 20)), NOW)
+        changes, _ = feed.on_changes(page(21, item(1, 15)), NOW)
+        self.assertEqual([], changes)
+
+    def test_single_end_is_believed_at_once(self) -> None:
+        feed = self.loaded()
+        changes, _ = feed.on_changes(page(12, item(1, 12, None)), NOW)
+        self.assertEqual([None], [one.value for one in changes])
+        self.assertNotIn("k1", feed.items)
+
+    def test_end_after_an_outage_is_believed_late_or_taken_back(self) -> None:
+        feed = self.loaded()
+        feed.on_failure()
+        ends = [item(1, 12, None), item(2, 13, None)]
+        changes, _ = feed.on_changes(page(13, *ends), NOW)
+        self.assertEqual([], changes)
+        feed.on_changes(page(14, item(1, 14)), NOW + 1.0)
+        self.assertEqual([], feed.release(NOW + RETURN_GRACE_S - 0.1))
+        (ended,) = feed.release(NOW + RETURN_GRACE_S + 0.1)
+        self.assertEqual("k2", ended.key)
+        self.assertIn("k1", feed.items)
+
+    def test_end_of_many_at_once_is_taken_for_an_outage(self) -> None:
+        feed = self.loaded()
+        ends = [item(number, 20 + number, None) for number in range(6)]
+        changes, _ = feed.on_changes(page(30, *ends), NOW)
+        self.assertEqual([], changes)
+        self.assertEqual(6, len(feed.release(NOW + RETURN_GRACE_S + 0.1)))
+
+    def test_lost_history_loads_again_and_finds_what_ended(self) -> None:
+        feed = self.loaded(3)
+        call = feed.on_history_lost()
+        self.assertEqual((CallKind.PAGE, ""), (call.kind, call.after_key))
+        changes, call = feed.on_page(page(9, item(0, 0), item(2, 7)), NOW)
+        told = {one.key: one.value for one in changes}
+        self.assertEqual({"k1": None, "k2": b"v"}, told)
+        self.assertEqual(9, call.revision)
+
+    def test_calls_get_rarer_in_an_outage_within_a_bound(self) -> None:
+        feed = self.loaded()
+        delays = [feed.on_failure().delay_s for _ in range(12)]
+        self.assertEqual(sorted(delays), delays)
+        self.assertEqual(LONGEST_RETRY_S, delays[-1])
+
+    @given(st.lists(st.tuples(st.integers(0, 5), st.booleans()), max_size=40))
+    def test_any_history_ends_at_the_store_s_keys(self, history) -> None:
+        feed = Feed()
+        feed.on_page(page(0), NOW)
+        truth: dict[str, Item] = {}
+        now = NOW
+        for revision, (number, written) in enumerate(history, 1):
+            change = item(number, revision, b"v" if written else None)
+            if not written and change.key not in truth:
+                continue
+            truth.pop(change.key, None)
+            if written:
+                truth[change.key] = change
+            now += 0.1
+            feed.on_changes(page(revision, change), now)
+        feed.release(now + 2 * RETURN_GRACE_S)
+        self.assertEqual(truth, feed.items)
