Hedge only a minority, answer before logging, and merge by sorting

Change: more than 4 in 10 overdue parts are taken for an own delay; the time by which timers come late and the number of shards add to the margin; the answer goes out before its log line; records are sorted, not heaped.

--- a/arbutusbridge/forwarding/attempts.py
+++ b/arbutusbridge/forwarding/attempts.py
@@ -34,6 +34,11 @@
 FIRST_SERVER_ERROR = 500
 """Lowest status that says that the upstream failed, not the request."""
 
+LEAST_STRAGGLERS = 3.0
+MOST_STRAGGLERS = 0.4
+"""Overdue parts of one request, as a number and as a share of its parts, up
+to which their upstreams are taken to be slow, not this instance."""
+
 HEDGE_MOST_SLOWNESS = 3.0
 """Multiple of the usual reply time from which an upstream gets no hedges."""
 
@@ -216,14 +221,27 @@
 def look(
     exchange: Exchange, forwarder: Forwarder, now: float, out: list[object]
 ) -> None:
-    """Helps the parts that are due for a look."""
-    for part in exchange.parts:
-        if not part.pending or part.look_at > now or part.group:
-            continue
-        if part.open:
+    """Helps the parts that are due for a look.
+
+    Stragglers are few by nature. Where many replies are overdue at once, this
+    instance or its network is slow, and doubled work would make it slower.
+    """
+    due = [
+        part
+        for part in exchange.parts
+        if part.pending and part.look_at <= now and part.group is None
+    ]
+    overdue = sum(bool(part.open) for part in due)
+    few = max(LEAST_STRAGGLERS, MOST_STRAGGLERS * len(exchange.parts))
+    for part in due:
+        if not part.open:
+            retry(exchange, part, forwarder, now, out)
+        elif overdue <= few:
             hedge(exchange, part, forwarder, now, out)
         else:
-            retry(exchange, part, forwarder, now, out)
+            part.look_at = now + RECHECK_S
+    if overdue > few:
+        forwarder.count("hedge_of_many_refused")
 
 
 def drop_open(
--- a/arbutusbridge/forwarding/conclusion.py
+++ b/arbutusbridge/forwarding/conclusion.py
@@ -67,8 +67,8 @@
         # A failure that the upstream answered itself is handed on as it is.
         reply = failure
     if reply is not None:
-        finish(exchange, forwarder, now, out, "relayed", status=reply.status)
         out.append(Relayed(exchange.request, reply))
+        finish(exchange, forwarder, now, out, "relayed", status=reply.status)
     elif part.given_up:
         refuse(exchange, forwarder, now, out)
     elif now >= exchange.give_up_at:
@@ -84,18 +84,12 @@
     bodies = [reply.body for reply in replies] + exchange.gathered
     body = greatest(bodies, exchange.route.most_records)
     outcome = "partial" if missing else "complete"
-    finish(exchange, forwarder, now, out, outcome, missing=missing)
     if exchange.gather is not None:
-        regional.reply(exchange, out)
-        return
-    out.append(
-        Merged(
-            exchange.request,
-            [reply.stamp for reply in replies],
-            len(missing),
-            body,
-        )
-    )
+        regional.reply(exchange, body, out)
+    else:
+        stamps = [reply.stamp for reply in replies]
+        out.append(Merged(exchange.request, stamps, len(missing), body))
+    finish(exchange, forwarder, now, out, outcome, missing=missing)
 
 
 def describe_missing(
@@ -142,11 +136,14 @@
     else:
         refusal, retry = Refusal.LOST, FAILED_RETRY_S
     missing = describe_missing(exchange, forwarder)
-    finish(exchange, forwarder, now, out, refusal.value, missing=missing)
     if exchange.gather is not None:
-        regional.reply(exchange, out)
-        return
-    out.append(Refused(exchange.request, refusal, retry))
+        # What its shards have replied is of use to the peer in any case.
+        bodies = [part.reply.body for part in exchange.parts if part.reply]
+        body = greatest(bodies, exchange.route.most_records)
+        regional.reply(exchange, body, out)
+    else:
+        out.append(Refused(exchange.request, refusal, retry))
+    finish(exchange, forwarder, now, out, refusal.value, missing=missing)
 
 
 def finish(
@@ -157,7 +154,10 @@
     outcome: str,
     **detail: object,
 ) -> None:
-    """Ends a request and logs how it went, in one line."""
+    """Ends a request and logs how it went, in one line.
+
+    Its answer goes out before this, so that the caller doesn't wait for it.
+    """
     exchange.finished = True
     chosen = ",".join(
         f"{part.service}={part.asked[-1].name}"
--- a/arbutusbridge/forwarding/exchange.py
+++ b/arbutusbridge/forwarding/exchange.py
@@ -16,6 +16,10 @@
 """Time before the target at which an answer goes out, besides its way; it
 covers a late timer and other requests that are served just then."""
 
+MERGE_S_A_PART = 0.00006
+"""Time that one more shard adds to the making of an answer on the slowest
+machines, half a core."""
+
 PATIENCE = 1.5
 """Multiple of a route's target after which a shard's reply is not awaited."""
 
@@ -102,8 +106,19 @@
         route: Route,
         version: int,
         services: tuple[str, ...],
+        own_delay_s: float = 0.0,
     ) -> Exchange:
-        """Builds the state of a request that has just arrived."""
+        """Builds the state of a request that has just arrived.
+
+        Args:
+          request: The caller's request.
+          route: Its route.
+          version: Version of the configuration that the route is of.
+          services: Its shards, or the one service that runs it.
+          own_delay_s: Time that this instance adds by being busy.
+        """
+        margin = request.way_s + ANSWER_MARGIN_S + own_delay_s
+        margin += MERGE_S_A_PART * (len(services) - 1)
         arrived = request.arrived
         limit = min(arrived + route.timeout_s, request.deadline)
         limit -= request.way_s
@@ -112,7 +127,7 @@
             route,
             version,
             [Part(service) for service in services],
-            arrived + route.target_s - request.way_s - ANSWER_MARGIN_S,
+            arrived + route.target_s - margin,
             max(limit - DEADLINE_MARGIN_S, arrived),
         )
 
--- a/arbutusbridge/forwarding/forwarder.py
+++ b/arbutusbridge/forwarding/forwarder.py
@@ -39,6 +39,15 @@
     )
     from arbutusbridge.forwarding.upstreams import OpenAttempt
 
+LAG_WEIGHT = 0.1
+"""Part of a new timer's lateness in the smoothed one."""
+
+MOST_LAG_S = 0.1
+"""Largest lateness that counts; a longer one is a pause of the process."""
+
+LAGS_A_REQUEST = 2.0
+"""Times that a request waits for the instance: when read, when answered."""
+
 NOT_READY_RETRY_S = 0.5
 """When to come back to an instance that knows no configuration yet."""
 
@@ -57,6 +66,8 @@
       gather: What instances ask of each other.
       instances: Instances that the extra arrivals are shared with.
       counts: Decisions by name, for the metrics.
+      lag_s: Smoothed time by which timers come late, a measure of how busy
+        this instance is.
       confirmed: Returns when the store last confirmed what is known.
     """
 
@@ -81,6 +92,7 @@
         self.instances = 1
         self.counts: Counter[str] = Counter()
         self.confirmed: Callable[[], float] = lambda: started
+        self.lag_s = 0.0
         self.last_attempt = 0
 
     def count(self, what: str) -> None:
@@ -137,7 +149,9 @@
             return out
         services = route.shards or (table.next_service(route),)
         version = table.configuration.version
-        exchange = Exchange.begin(request, route, version, services)
+        exchange = Exchange.begin(
+            request, route, version, services, LAGS_A_REQUEST * self.lag_s
+        )
         self.start(exchange, now, out)
         return out
 
@@ -229,6 +243,8 @@
         exchange = self.exchanges.get(request)
         if exchange is None or now < exchange.wake_at:
             return out
+        late = min(now - exchange.wake_at, MOST_LAG_S)
+        self.lag_s += (late - self.lag_s) * LAG_WEIGHT
         regional.look(exchange, self, now, out)
         attempts.look(exchange, self, now, out)
         exchange.wake_at = float("inf")
--- a/arbutusbridge/forwarding/merge.py
+++ b/arbutusbridge/forwarding/merge.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import heapq
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -30,5 +29,7 @@
     """
     records: list[bytes] = []
     for body in bodies:
-        records += heapq.nlargest(most, split_records(body))
-    return b"".join(heapq.nlargest(most, records))
+        records += split_records(body)
+    # Sorting all of them is several times faster than keeping a heap.
+    records.sort(reverse=True)
+    return b"".join(records[:most])
--- a/arbutusbridge/forwarding/regional.py
+++ b/arbutusbridge/forwarding/regional.py
@@ -21,7 +21,6 @@
     Group,
     Tell,
 )
-from arbutusbridge.forwarding.merge import greatest
 from arbutusbridge.forwarding.messages import AttemptEnd, UpstreamReply
 from arbutusbridge.forwarding.model import CallerRequest
 
@@ -291,7 +290,7 @@
         out += forwarder.abandon(exchange.request, now)
 
 
-def reply(exchange: Exchange, out: list[object]) -> None:
+def reply(exchange: Exchange, body: bytes, out: list[object]) -> None:
     """Sends a peer what its shards have replied."""
     ask = exchange.gather
     assert ask is not None
@@ -300,9 +299,6 @@
         for part in exchange.parts
         if part.reply is not None
     }
-    body = greatest(
-        (one.body for one in replies.values()), exchange.route.most_records
-    )
     stamps = {service: one.stamp for service, one in replies.items()}
     asked = {
         part.service: [upstream.name for upstream in part.asked]
--- a/tests/test_forwarding/test_scatter.py
+++ b/tests/test_forwarding/test_scatter.py
@@ -12,7 +12,7 @@
     Refused,
 )
 from arbutusbridge.forwarding.attempts import MOST_SENDS
-from arbutusbridge.forwarding.exchange import ANSWER_MARGIN_S
+from arbutusbridge.forwarding.exchange import ANSWER_MARGIN_S, MERGE_S_A_PART
 from tests.test_forwarding.fixtures import (
     TARGET_S,
     ended,
@@ -27,6 +27,7 @@
 )
 
 SHARDS = 4
+MARGIN_S = ANSWER_MARGIN_S + MERGE_S_A_PART * (SHARDS - 1)
 NOW = 100.0
 
 
@@ -92,7 +93,7 @@
         while not any(isinstance(action, Merged) for action in out):
             at, out = self.wake()
         self.assertEqual(1, only(out, Merged).missing)
-        self.assertAlmostEqual(NOW + TARGET_S - ANSWER_MARGIN_S, at)
+        self.assertAlmostEqual(NOW + TARGET_S - MARGIN_S, at)
 
     def test_answer_to_a_far_caller_goes_out_sooner(self) -> None:
         far = request(2, at=NOW)
@@ -103,7 +104,7 @@
         while not any(isinstance(action, Merged) for action in out):
             at = self.forwarder.exchanges[far].wake_at
             out = self.forwarder.wake(far, at)
-        self.assertAlmostEqual(NOW + TARGET_S - 0.06 - ANSWER_MARGIN_S, at)
+        self.assertAlmostEqual(NOW + TARGET_S - 0.06 - MARGIN_S, at)
 
     def test_too_few_shards_are_waited_for_beyond_the_target(self) -> None:
         replies = [result(send, 1) for send in self.sends[:2]]
@@ -174,3 +175,36 @@
         replies = [result(send, 1) for send in sends]
         out = forwarder.replies(replies, NOW + 0.02)
         self.assertEqual(1, only(out, Merged).missing)
+
+
+class BusyInstanceTest(testtools.TestCase):
+    """An instance that is too slow itself to read replies in time."""
+
+    def test_no_hedges_while_most_replies_are_overdue(self) -> None:
+        shards = 20
+        forwarder = make_forwarder([sharded(shards)], shard_upstreams(shards))
+        asked = request(at=NOW)
+        sends = sends_of(forwarder.arrive(asked, NOW))
+        at = forwarder.exchanges[asked].wake_at
+        self.assertEqual([], sends_of(forwarder.wake(asked, at)))
+        replies = [result(send, 1) for send in sends[:17]]
+        forwarder.replies(replies, at + 0.01)
+        at = forwarder.exchanges[asked].wake_at
+        self.assertEqual(3, len(sends_of(forwarder.wake(asked, at))))
+
+    def test_answers_go_out_sooner_where_timers_come_late(self) -> None:
+        forwarder = make_forwarder([sharded(4)], shard_upstreams(4))
+        for number in range(50):
+            asked = request(number, at=NOW + number)
+            forwarder.arrive(asked, NOW + number)
+            at = forwarder.exchanges[asked].wake_at
+            forwarder.wake(asked, at + 0.02)
+        last = forwarder.arrive(request(99, at=NOW + 99), NOW + 99)
+        self.assertTrue(last)
+        (exchange,) = [
+            one
+            for one in forwarder.exchanges.values()
+            if one.request.request_id == "r99"
+        ]
+        least = NOW + 99 + TARGET_S - ANSWER_MARGIN_S - 0.03
+        self.assertLess(exchange.answer_by, least)
