--- a/arbutusbridge/daemon/connection.py
+++ b/arbutusbridge/daemon/connection.py
@@ -50,8 +50,11 @@
       answering: Whether any byte came since the current request.
       idle_since: When its owner last had it free, in the owner's time.
       bytes_sent: Bytes of the current request handed to the kernel.
+      options: Socket options that find a peer that fell silent.
     """
 
+    options: tuple[tuple[int, int, int], ...] = KEEP_ALIVE_OPTIONS
+
     def __init__(
         self,
         hub: SocketHub,
@@ -83,7 +86,7 @@
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.sock.setblocking(False)
         self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        for level, option, value in KEEP_ALIVE_OPTIONS:
+        for level, option, value in self.options:
             self.sock.setsockopt(level, option, value)
         self.descriptor = self.sock.fileno()
         error = self.sock.connect_ex(address)
--- a/arbutusbridge/daemon/links.py
+++ b/arbutusbridge/daemon/links.py
@@ -21,7 +21,7 @@
     from arbutusbridge.forwarding.model import Announcement
     from arbutusbridge.forwarding.wireformat import WireFormat
 
-SWEEP_SECONDS = 0.1
+SWEEP_SECONDS = 0.2
 """Time between two looks for overdue connections."""
 
 REPLY_GRACE_S = 0.2
--- a/arbutusbridge/daemon/relayconnection.py
+++ b/arbutusbridge/daemon/relayconnection.py
@@ -31,9 +31,12 @@
       wants_body: Whether the response to it has a body.
       headers: Headers of the response, as sent.
       values: The same by name in lower case.
-      idle_until: When the upstream may close the connection for idleness.
+      idle_timeout_s: Time after which the upstream may close it for idleness.
     """
 
+    # Every attempt has a time-out of its own, and connections are many.
+    options = ()
+
     def __init__(
         self, *args: Any, is_for: Callable[[str, dict[bytes, bytes]], bool]
     ) -> None:
--- a/arbutusbridge/forwarding/forwarder.py
+++ b/arbutusbridge/forwarding/forwarder.py
@@ -278,7 +278,11 @@
         if exchange.finished:
             return
         times = [part.look_at for part in exchange.parts if part.pending]
-        times += [group.look_at for group in exchange.groups]
+        times += [
+            group.look_at
+            for group in exchange.groups
+            if not group.given_up and group.gather_id in self.gather.groups
+        ]
         times.append(exchange.give_up_at)
         if exchange.answer_by > now:
             times.append(exchange.answer_by)
--- a/arbutusbridge/forwarding/regional.py
+++ b/arbutusbridge/forwarding/regional.py
@@ -29,6 +29,7 @@
 
 SILENT = "silent"
 DECLINED = "declined"
+NO_REPLY = "no_reply"
 """Why a peer is given up."""
 
 FAR_REPLY_S = 0.025
@@ -133,7 +134,8 @@
         return
     group.acknowledged = True
     group.peer.acknowledged(now - group.sent_at)
-    group.look_at = math.inf
+    # Its reply is due by then, unless it ends meanwhile.
+    group.look_at = math.inf if group.given_up else group.exchange.answer_by
     if group.given_up:
         # Both ask the shards now, which was not known before.
         forwarder.count("peer_late")
@@ -154,6 +156,7 @@
         return
     exchange = group.exchange
     group.replied_at = now
+    group.look_at = math.inf
     exchange.gathered.append(message.body)
     for part in group.parts:
         part.group = None
@@ -199,7 +202,8 @@
     for group in exchange.groups:
         if group.look_at <= now:
             group.peer.unfit_until = now + UNFIT_S
-            give_up(group, SILENT, forwarder, now, out)
+            why = NO_REPLY if group.acknowledged else SILENT
+            give_up(group, why, forwarder, now, out)
 
 
 def give_up(
@@ -211,15 +215,15 @@
 ) -> None:
     """Asks a group's shards directly.
 
-    A peer that is silent has most likely ended, and has asked none of them.
+    A peer without a reply may have ended after it asked them. One that is
+    silent has most likely ended, and has asked none of them.
     One that is only late is told to stop; it may have asked one upstream of
     each shard by then. A reply that crosses this is still taken.
     """
     group.look_at = math.inf
     group.given_up = True
     exchange = group.exchange
-    silent = why == SILENT
-    if silent:
+    if why != DECLINED:
         own = forwarder.gather.own_address
         assert own is not None
         stop = GatherCancel(group.gather_id, own)
@@ -228,10 +232,15 @@
     detail["age_ms"] = round((now - exchange.request.arrived) * 1000)
     out.append(Decision(exchange.request.request_id, "peer_given_up", detail))
     for part in group.parts:
-        if part.pending and not part.open:
-            part.asked_elsewhere += silent
+        if part.pending and not part.open and part.group is group:
             part.group = None
-            attempts.begin_part(exchange, part, forwarder, now, out)
+            part.asked_elsewhere += why != DECLINED
+            if why == NO_REPLY:
+                part.arrivals += 1
+                part.may_have_run = True
+                attempts.retry(exchange, part, forwarder, now, out)
+            else:
+                attempts.begin_part(exchange, part, forwarder, now, out)
 
 
 def cancel(exchange: Exchange, forwarder: Forwarder, out: list[object]) -> None:
--- a/tests/test_forwarding/test_regional.py
+++ b/tests/test_forwarding/test_regional.py
@@ -189,6 +189,28 @@
         for part in exchange.parts:
             self.assertEqual(1, len(part.asked))
 
+    def test_peer_that_replied_is_not_given_up_later(self) -> None:
+        arrived, ask = self.pair.ask()
+        self.pair.far.hear(GatherTaken(ask.gather_id, False), NOW + 0.02)
+        stamps = {"s0": "a.0"}
+        self.pair.far.hear(GatherReply(ask.gather_id, stamps, b""), NOW + 0.1)
+        exchange = self.pair.far.exchanges[arrived]
+        self.pair.far.wake(arrived, exchange.answer_by)
+        self.pair.far.wake(arrived, exchange.wake_at)
+        self.assertFalse(exchange.groups[0].given_up)
+
+    def test_peer_that_ends_after_it_acknowledged_is_given_up(self) -> None:
+        arrived, ask = self.pair.ask()
+        self.pair.far.hear(GatherTaken(ask.gather_id, False), NOW + 0.02)
+        exchange = self.pair.far.exchanges[arrived]
+        at, out = NOW, []
+        while not sends_of(out):
+            at = exchange.wake_at
+            out = self.pair.far.wake(arrived, at)
+        self.assertEqual(exchange.answer_by, at)
+        self.assertEqual(SHARDS, len(sends_of(out)))
+        self.assertGreater(exchange.groups[0].peer.unfit_until, at)
+
     def test_caller_that_left_stops_the_peer(self) -> None:
         arrived, ask = self.pair.ask()
         self.pair.near.hear(ask, NOW + 0.01)
