Give up at the target what has no budget, refuse what can't be reached

Change: a shard without budget is given up once the target has passed; a request whose shards too many upstreams have just refused connections for is refused at once.

--- a/arbutusbridge/forwarding/attempts.py
+++ b/arbutusbridge/forwarding/attempts.py
@@ -185,6 +185,9 @@
     if extra and budget.left(forwarder.instances, now) < 1.0:
         forwarder.count("retry_refused")
         part.look_at = now + RECHECK_S
+        if now >= exchange.answer_by:
+            # The caller is better off elsewhere than waiting for a budget.
+            part.given_up = True
         return
     exchange.retries += 1
     launch(exchange, part, upstream, forwarder, now, out, extra)
--- a/arbutusbridge/forwarding/forwarder.py
+++ b/arbutusbridge/forwarding/forwarder.py
@@ -167,11 +167,23 @@
         self.follow_up(exchange, now, out)
 
     def servable(self, exchange: Exchange, now: float) -> bool:
-        """Gives up parts without upstreams; tells whether enough are left."""
+        """Gives up parts without upstreams; tells whether enough are left.
+
+        Upstreams that have just refused connections count as none if too few
+        parts are left without them.
+        """
+        unreachable = []
         for part in exchange.parts:
-            if not self.directory.usable(part.service, now):
+            usable = self.directory.usable(part.service, now)
+            if not usable:
                 part.given_up = True
-        return exchange.covers(exchange.attainable)
+            elif all(one.unreachable_until > now for one in usable):
+                unreachable.append(part)
+        if exchange.covers(exchange.attainable - len(unreachable)):
+            return True
+        for part in unreachable:
+            part.given_up = True
+        return False
 
     def refuse(
         self,
--- a/tests/test_forwarding/test_scatter.py
+++ b/tests/test_forwarding/test_scatter.py
@@ -168,6 +168,33 @@
         self.assertIs(Refusal.UNSERVABLE, refused.refusal)
         self.assertIsNotNone(refused.retry_after_s)
 
+    def test_unreachable_upstreams_are_no_reason_to_wait(self) -> None:
+        forwarder = make_forwarder([sharded(SHARDS)], shard_upstreams(SHARDS))
+        for service in ("s0", "s1"):
+            for one in forwarder.directory.services[service].values():
+                one.unreachable_until = NOW + 1.0
+        out = forwarder.arrive(request(at=NOW), NOW)
+        self.assertEqual([], sends_of(out))
+        self.assertIs(Refusal.UNSERVABLE, only(out, Refused).refusal)
+        later = NOW + 1.1
+        sends = sends_of(forwarder.arrive(request(2, at=later), later))
+        self.assertEqual(SHARDS, len(sends))
+
+    def test_request_without_budget_is_given_up_at_the_target(self) -> None:
+        forwarder = make_forwarder([sharded(SHARDS)], shard_upstreams(SHARDS))
+        asked = request(at=NOW)
+        sends = sends_of(forwarder.arrive(asked, NOW))
+        for number in range(SHARDS):
+            forwarder.budget(f"s{number}", NOW).note_extra(NOW, 1000)
+        replies = [result(send, 1) for send in sends[:2]]
+        replies += [ended(send, AttemptEnd.LOST) for send in sends[2:]]
+        at, out = NOW + 0.03, forwarder.replies(replies, NOW + 0.03)
+        while not any(isinstance(action, Refused) for action in out):
+            at = forwarder.exchanges[asked].wake_at
+            out = forwarder.wake(asked, at)
+        self.assertIs(Refusal.LOST, only(out, Refused).refusal)
+        self.assertLess(at, NOW + TARGET_S + 0.05)
+
     def test_missing_shard_does_not_hold_the_answer(self) -> None:
         upstreams = shard_upstreams(SHARDS - 1)
         forwarder = make_forwarder([sharded(SHARDS)], upstreams)
