--- a/arbutusbridge/forwarding/feed.py
+++ b/arbutusbridge/forwarding/feed.py
@@ -84,7 +84,7 @@
 
 @dataclass(slots=True)
 class Feed:
-    """What is known of the keys under a prefix.
+    """What is known of the followed keys.
 
     Attributes:
       items: The keys in force.
@@ -92,7 +92,6 @@
       loading: Keys found by the load in progress.
       load_revision: Revision at which that load began.
       failures: Calls without a usable reply since the last good one.
-      failed_at: When the last outage was last seen.
       regained_at: When the store was last regained.
       held: Keys whose end is not believed yet, with the time until then.
       confirmed_at: When the store last confirmed the items.
