--- a/arbutusbridge/daemon/forwarding.py
+++ b/arbutusbridge/daemon/forwarding.py
@@ -190,7 +190,9 @@
         table = self.forwarder.table
         if table is not None:
             self.links.share(
-                table.configuration.connections, self.forwarder.instances
+                table.configuration.connections,
+                self.forwarder.instances,
+                self.forwarder.askers(),
             )
 
     def finish_all(self) -> None:
@@ -208,7 +210,7 @@
                     self.links.drop(action)
                 case Tell():
                     assert self.peers is not None
-                    self.peers.send(action)
+                    self.peers.send(action.address, action.message)
                 case WakeAt():
                     self.timers.at(action.at, self.channel, action.request)
                 case Decision():
--- a/arbutusbridge/daemon/forwardinstance.py
+++ b/arbutusbridge/daemon/forwardinstance.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import signal
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, get_args
 
 from circuits import BaseComponent, handler
 from circuits.core.pollers import EPoll
@@ -13,6 +13,7 @@
 from arbutusbridge.daemon.forwarding import Forwarding
 from arbutusbridge.daemon.forwardmetrics import ForwardMetrics
 from arbutusbridge.daemon.gatherpeers import GatherPeers
+from arbutusbridge.daemon.handover import Handover
 from arbutusbridge.daemon.hub import SocketHub
 from arbutusbridge.daemon.ingress import Ingress
 from arbutusbridge.daemon.lifecycle import Door, Lifecycle
@@ -24,19 +25,27 @@
 from arbutusbridge.daemon.storefeed import StoreFeed
 from arbutusbridge.daemon.timers import TimerService
 from arbutusbridge.forwarding import ExtraBounds, Place
+from arbutusbridge.forwarding.gather import GatherMessage, Peer
 from arbutusbridge.forwarding.gatherwire import PeerCard
+from arbutusbridge.forwarding.handover import Snapshot, SnapshotAsk
 from arbutusbridge.forwarding.presence import PREFIX
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from arbutusbridge.daemon.dialect import Dialect
-    from arbutusbridge.forwarding.gather import Peer
     from arbutusbridge.forwarding.wireformat import WireFormat
     from arbutusbridge.settings.forwarding import ForwardSettings
 
 logger = get_logger(__name__)
 
+PEER_CHANNELS: dict[type, str] = {
+    **dict.fromkeys(get_args(GatherMessage), Forwarding.channel),
+    SnapshotAsk: Handover.channel,
+    Snapshot: Handover.channel,
+}
+"""Tasks that take the messages of other instances, by kind."""
+
 
 class ForwardInstance(BaseComponent):
     """One instance that forwards by route: its tasks and its stop.
@@ -85,9 +94,11 @@
         if settings.peers is not None:
             own = (settings.peers.ip, settings.peers.port)
             self.peers = GatherPeers(
-                own, self.hub, self.metrics, Forwarding.channel
+                own, self.hub, self.metrics, PEER_CHANNELS
             ).register(self)
-            self.forwarding.forwarder.gather.own_address = own
+            self.forwarding.forwarder.gather.own = Peer(
+                settings.name, settings.data_centre, own, capacity_of(settings)
+            )
         self.forwarding.attach(self.ingress, self.links, self.peers)
         self.store = PlatformClient(
             self.hub, self.timers, [(settings.store.ip, settings.store.port)]
@@ -103,6 +114,7 @@
             dialect,
             self.timers,
         ).register(self)
+        self.handover = self.begin_feed(dialect)
         self.presence = InstancePresence(
             settings.name,
             card_of(settings),
@@ -148,15 +160,31 @@
         """Builds the instance that the settings describe."""
         return cls(settings, wire, dialect, reload)
 
+    def begin_feed(self, dialect: Dialect) -> Handover | None:
+        """Begins to read the store, through a peer if there are any."""
+        own = self.forwarding.forwarder.gather.own
+        if own is None or self.peers is None:
+            self.feed.begin()
+            return None
+        port = own.address[1]
+        seeds = [(seed.ip, port) for seed in self.settings.seeds]
+        return Handover(
+            own,
+            seeds,
+            self.feed,
+            self.peers,
+            self.store,
+            dialect,
+            self.timers,
+        ).register(self)
+
     def on_instances(self, count: int, peers: list[Peer]) -> None:
         """Takes a reading of the running instances."""
-        place = self.forwarding.forwarder.place
+        forwarder = self.forwarding.forwarder
+        forwarder.gather.book.take(peers)
         self.forwarding.share(count)
-        self.forwarding.forwarder.gather.book.take(peers)
         if self.peers is not None:
-            self.peers.meet(
-                [one for one in peers if not place.is_near(one.data_centre)]
-            )
+            self.peers.meet(forwarder.likely_peers(self.timers.clock()))
 
     def _signal_handler(self, number: int, _frame: Any) -> None:
         """Takes the place of circuits' handler, which cuts callers off."""
@@ -257,5 +285,13 @@
     if settings.peers is None:
         return None
     return PeerCard(
-        settings.data_centre, settings.peers.ip, settings.peers.port
+        settings.data_centre,
+        settings.peers.ip,
+        settings.peers.port,
+        capacity_of(settings),
     )
+
+
+def capacity_of(settings: ForwardSettings) -> float:
+    """Returns the processor that the instance may use, in cores."""
+    return settings.processor.share * settings.processor.speed
--- a/arbutusbridge/daemon/gatherpeers.py
+++ b/arbutusbridge/daemon/gatherpeers.py
@@ -21,7 +21,8 @@
 
     from arbutusbridge.daemon.forwardmetrics import ForwardMetrics
     from arbutusbridge.daemon.hub import SocketHub
-    from arbutusbridge.forwarding.gather import Peer, Tell
+    from arbutusbridge.forwarding.gather import Peer
+    from arbutusbridge.forwarding.gatherwire import PeerMessage
 
 logger = get_logger(__name__)
 
@@ -31,6 +32,9 @@
 
     A message can do no more than a caller can: it names a request that the
     configuration in force here must know, so messages are not sealed.
+
+    Attributes:
+      targets: Channel that takes messages of a kind.
     """
 
     channel = "gatherpeers"
@@ -40,23 +44,23 @@
         address: tuple[str, int],
         hub: SocketHub,
         metrics: ForwardMetrics,
-        target: str,
+        targets: dict[type, str],
     ) -> None:
         super().__init__()
         self.metrics = metrics
-        self.target = target
+        self.targets = targets
         self.links = PeerLinks(address, MOST_MESSAGE_BYTES, hub, self.take)
 
-    def send(self, tell: Tell) -> None:
+    def send(self, address: tuple[str, int], message: PeerMessage) -> None:
         """Sends a message; one that is lost is made up for by a time-out."""
-        data = encode_message(tell.message)
-        outcome, error = self.links.send(tell.address, data)
+        data = encode_message(message)
+        outcome, error = self.links.send(address, data)
         self.metrics.peer_bytes.labels("sent").inc(len(data))
         if outcome is not Sent.TAKEN:
             logger.warning(
                 "peer not reached",
                 extra={
-                    "address": tell.address,
+                    "address": address,
                     "outcome": outcome.value,
                     "error": error,
                 },
@@ -78,7 +82,7 @@
             logger.warning("peer message refused", extra={"error": str(err)})
             raw.pipe.close()
             return
-        self.fire(peer_message(message), self.target)
+        self.fire(peer_message(message), self.targets[type(message)])
 
     @handler("stopped", channel="*")
     def on_stopped(self, _manager: Any) -> None:
--- a/arbutusbridge/daemon/links.py
+++ b/arbutusbridge/daemon/links.py
@@ -31,6 +31,10 @@
 """Part of an upstream's connections that the instances share out; the rest is
 left to instances that are not counted yet."""
 
+ASKERS_SHARE = 0.4
+"""Part of them that goes to the few instances that ask an upstream most of the
+time; the others open one when they must."""
+
 UNKNOWN_CONNECTIONS = 2
 """Connections to one upstream while its service's bound is not known."""
 
@@ -47,6 +51,8 @@
       replies: Ends not yet reported.
       bounds: Connections that one upstream accepts, by service.
       instances: Instances that share them.
+      askers: Instances that ask the upstreams here most of the time, 0 if this
+        is none of them.
     """
 
     channel = "links"
@@ -69,6 +75,7 @@
         self.replies: list[UpstreamReply] = []
         self.bounds: dict[str, int] = {}
         self.instances = 1
+        self.askers = 0
         connect = functools.partial(RelayConnection, is_for=wire.is_for)
         self.protocol = JobProtocol(
             self.encode, self.take, self.fail, connect=connect
@@ -76,12 +83,21 @@
         hub.after_turn.append(self.flush)
         timers.after(SWEEP_SECONDS, self.channel, SWEEP)
 
-    def share(self, bounds: dict[str, int], instances: int) -> None:
-        """Takes the bounds that all instances keep to together."""
-        if bounds == self.bounds and instances == self.instances:
+    def share(
+        self, bounds: dict[str, int], instances: int, askers: int
+    ) -> None:
+        """Takes the bounds that all instances keep to together.
+
+        Args:
+          bounds: Connections that one upstream accepts, by service.
+          instances: Instances that share them.
+          askers: Instances that ask the upstreams of this data centre most of
+            the time, 0 if this is none of them.
+        """
+        shared = (bounds, instances, askers)
+        if shared == (self.bounds, self.instances, self.askers):
             return
-        self.bounds = bounds
-        self.instances = instances
+        self.bounds, self.instances, self.askers = shared
         for pool in self.pools.values():
             pool.set_most(self.most_for(pool.upstream))
 
@@ -90,7 +106,10 @@
         bound = self.bounds.get(upstream.service)
         if bound is None:
             return UNKNOWN_CONNECTIONS
-        return max(1, int(bound * CONNECTIONS_USED / self.instances))
+        share = bound * CONNECTIONS_USED / self.instances
+        if self.askers:
+            share = max(share, bound * ASKERS_SHARE / self.askers)
+        return max(1, int(share))
 
     def pool_for(self, upstream: Announcement) -> Pool:
         """Returns the connections to an upstream, new ones if it moved."""
--- a/arbutusbridge/daemon/peerlinks.py
+++ b/arbutusbridge/daemon/peerlinks.py
@@ -14,7 +14,7 @@
 
     from arbutusbridge.daemon.hub import SocketHub
 
-MOST_LINKS = 32
+MOST_LINKS = 64
 """Connections to peers kept; the one used longest ago is closed first."""
 
 LINK_QUEUE = 16
--- a/arbutusbridge/daemon/presence.py
+++ b/arbutusbridge/daemon/presence.py
@@ -16,10 +16,10 @@
 )
 from arbutusbridge.forwarding.presence import (
     LEASE_S,
-    PREFIX,
     RENEW_S,
     RETRY_S,
     Presence,
+    prefix_of,
 )
 
 if TYPE_CHECKING:
@@ -36,6 +36,9 @@
 CALL_S = 1.5
 """Time that a call may take."""
 
+NO_PLACE = "-"
+"""Stands in a key for the data centre of an instance that takes no messages."""
+
 
 class InstancePresence(BaseComponent):
     """Announces this instance and reports how many there are.
@@ -60,7 +63,9 @@
         on_count: Callable[[int, list[Peer]], None],
     ) -> None:
         super().__init__()
-        self.key = f"{PREFIX}{name}"
+        # An instance without a card is only counted.
+        place = card.data_centre if card is not None else NO_PLACE
+        self.key = f"{prefix_of(place)}{name}"
         self.value = encode_card(card) if card is not None else b""
         self.store = store
         self.dialect = dialect
@@ -161,5 +166,6 @@
     card = decode_card(item.value or b"")
     if card is None:
         return None
-    name = item.key.removeprefix(PREFIX)
-    return Peer(name, card.data_centre, (card.ip, card.port))
+    name = item.key.rpartition("/")[2]
+    address = (card.ip, card.port)
+    return Peer(name, card.data_centre, address, card.capacity)
--- a/arbutusbridge/daemon/storefeed.py
+++ b/arbutusbridge/daemon/storefeed.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import TYPE_CHECKING, Any
 
 from circuits import BaseComponent, Event, handler
@@ -46,6 +46,7 @@
       feed: What is known.
       loaded: Whether all keys were read once.
       watching: Number of the open watch, 0 if there is none.
+      begun: Whether the store is being read or watched.
     """
 
     channel = "storefeed"
@@ -65,9 +66,27 @@
         self.feed = Feed()
         self.loaded = False
         self.watching = 0
-        self.timers.after(0.0, self.channel, self.feed.first_call())
+        self.begun = False
         self.timers.after(RELEASE_S, self.channel, None)
 
+    def begin(self) -> None:
+        """Reads the store, unless what it holds is known already."""
+        if not self.begun:
+            self.begun = True
+            self.timers.after(0.0, self.channel, self.feed.first_call())
+
+    def adopt(self, items: Sequence[Item], revision: int, age_s: float) -> bool:
+        """Takes what a peer knows; returns whether it was needed."""
+        if self.loaded:
+            return False
+        confirmed_at = self.timers.clock() - age_s
+        changes, call = self.feed.adopt(items, revision, confirmed_at)
+        self.report(changes)
+        if not self.begun:
+            self.begun = True
+            self.timers.after(call.delay_s, self.channel, call)
+        return True
+
     @handler("due")
     def on_due(self, tokens: list[Any]) -> None:
         """Makes the calls that are due."""
@@ -140,7 +159,7 @@
 
     def report(self, changes: list[Item]) -> None:
         """Fires changes, and the end of the first load."""
-        first = not self.loaded and self.feed.reloads > 0
+        first = not self.loaded and self.feed.revision is not None
         self.loaded = self.loaded or first
         for prefix, event in self.topics:
             found = [one for one in changes if one.key.startswith(prefix)]
--- a/arbutusbridge/forwarding/attempts.py
+++ b/arbutusbridge/forwarding/attempts.py
@@ -72,7 +72,8 @@
     options = [one for one in usable if one not in waiting]
     fresh = [one for one in options if one not in part.asked]
     asked = len(part.asked) + part.asked_elsewhere
-    if part.asked and asked >= exchange.route.most_upstreams:
+    known = part.asked or part.asked_elsewhere > 1
+    if known and asked >= exchange.route.most_upstreams:
         fresh = []
     return cheapest(
         fresh or [one for one in options if one in part.asked],
--- a/arbutusbridge/forwarding/choice.py
+++ b/arbutusbridge/forwarding/choice.py
@@ -42,6 +42,12 @@
         self.data_centre = data_centre
         self.regions = regions
 
+    @property
+    def near(self) -> list[str]:
+        """Data centres of this region, this one among them."""
+        known = {*self.regions, self.data_centre}
+        return sorted(one for one in known if self.is_near(one))
+
     def is_near(self, data_centre: str) -> bool:
         """Tells whether a data centre is in the region of this one."""
         if data_centre == self.data_centre:
--- a/arbutusbridge/forwarding/feed.py
+++ b/arbutusbridge/forwarding/feed.py
@@ -4,6 +4,10 @@
 
 import enum
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
 
 PAUSE_S = 0.8
 """Pause between two watches that returned changes. A watch that returns is a
@@ -132,9 +136,37 @@
         self.load_revision = None
         return self.next_call()
 
+    def adopt(
+        self, items: Sequence[Item], revision: int, confirmed_at: float
+    ) -> tuple[list[Item], Call]:
+        """Takes what another instance knows, before a first load of its own.
+
+        Whatever that instance has missed comes with the first watch.
+
+        Args:
+          items: Every key that it knows.
+          revision: Revision up to which it knows them.
+          confirmed_at: When the store last confirmed them there.
+        """
+        self.loading = {}
+        self.load_revision = None
+        self.revision = revision
+        self.confirmed_at = confirmed_at
+        self.items = {item.key: item for item in items}
+        return list(items), self.next_call()
+
+    def known(self) -> list[Item]:
+        """Returns the keys in force, without those whose end is in doubt."""
+        return [
+            item for key, item in self.items.items() if key not in self.held
+        ]
+
     def on_page(self, page: Page, now: float) -> tuple[list[Item], Call]:
         """Takes one page of a load; returns changes and the next call."""
         self.note_contact(now)
+        if self.revision is not None:
+            # A peer has handed all keys over while this page was on its way.
+            return [], self.next_call()
         if self.load_revision is None:
             # Pages are no snapshot: watch from before the first one.
             self.load_revision = page.revision
--- a/arbutusbridge/forwarding/forwarder.py
+++ b/arbutusbridge/forwarding/forwarder.py
@@ -6,7 +6,12 @@
 from typing import TYPE_CHECKING
 
 from arbutusbridge.core.messages import Decision
-from arbutusbridge.forwarding import attempts, conclusion, regional
+from arbutusbridge.forwarding import (
+    attempts,
+    conclusion,
+    division,
+    regional,
+)
 from arbutusbridge.forwarding.budget import ExtraBounds, ServiceBudget
 from arbutusbridge.forwarding.exchange import Exchange, Part
 from arbutusbridge.forwarding.gather import (
@@ -31,7 +36,7 @@
     from collections.abc import Callable
 
     from arbutusbridge.forwarding.choice import Place
-    from arbutusbridge.forwarding.gather import GatherMessage
+    from arbutusbridge.forwarding.gather import GatherMessage, Peer
     from arbutusbridge.forwarding.model import (
         Announcement,
         CallerRequest,
@@ -45,6 +50,10 @@
 MOST_LAG_S = 0.1
 """Largest lateness that counts; a longer one is a pause of the process."""
 
+MOST_FAR_LINKS = 8
+"""Peers of other regions that connections are opened to before they are
+needed; a first message over a new one takes a few ways longer."""
+
 LAGS_A_REQUEST = 2.0
 """Times that a request waits for the instance: when read, when answered."""
 
@@ -136,6 +145,51 @@
         """Takes the end of an upstream's announcement."""
         self.directory.remove(upstream)
 
+    def likely_peers(self, now: float) -> list[Peer]:
+        """Returns the peers that requests are about to need."""
+        gather = self.gather
+        peers = list(gather.book.peers.values())
+        likely = [
+            one for one in peers if not self.place.is_near(one.data_centre)
+        ][:MOST_FAR_LINKS]
+        if gather.own is not None:
+            for data_centre in self.place.near:
+                shards = self.held_shards(data_centre)
+                members = gather.book.members(data_centre)
+                name = gather.own.name
+                likely += division.helpers(members, name, shards, now)
+        return likely
+
+    def askers(self) -> int:
+        """Returns how many instances ask each shard of a wide request.
+
+        It is 0 if this instance does not, or if no request is wide.
+        """
+        own = self.gather.own
+        if own is None:
+            return 0
+        shards = self.held_shards(own.data_centre)
+        members = [*self.gather.book.members(own.data_centre), own]
+        return division.helper_count(members, own.name, shards)
+
+    def held_shards(self, data_centre: str) -> int:
+        """Returns how many shards a data centre holds of the widest route.
+
+        It is 0 if no route is wide.
+        """
+        own = self.gather.own
+        shards = self.table.widest_shards if self.table else ()
+        if own is None or not division.is_wide(len(shards), own.capacity):
+            return 0
+        services = self.directory.services
+        return sum(
+            any(
+                one.announcement.data_centre == data_centre
+                for one in services.get(service, {}).values()
+            )
+            for service in shards
+        )
+
     def arrive(self, request: CallerRequest, now: float) -> list[object]:
         """Takes a caller's request; returns its first actions."""
         out: list[object] = []
@@ -160,7 +214,7 @@
         self.exchanges[exchange.request] = exchange
         if self.servable(exchange, now):
             if exchange.route.shards:
-                regional.group_far_parts(exchange, self, now, out)
+                regional.hand_out(exchange, self, now, out)
             for part in exchange.parts:
                 if part.group is None:
                     attempts.begin_part(exchange, part, self, now, out)
--- a/arbutusbridge/forwarding/gather.py
+++ b/arbutusbridge/forwarding/gather.py
@@ -63,6 +63,7 @@
       services: Shards to ask.
       answer_in_s: Time after which a reply that covers enough is sent.
       give_up_in_s: Time after which the reply is sent as it is.
+      asked_already: Upstreams of each shard that may have been asked before.
     """
 
     gather_id: int
@@ -76,6 +77,7 @@
     services: list[str]
     answer_in_s: float
     give_up_in_s: float
+    asked_already: int = 0
 
 
 @dataclass(slots=True)
@@ -140,6 +142,7 @@
       name: Unique over the deployment.
       data_centre: Where it runs.
       address: Where it takes messages.
+      capacity: Its processor, in cores.
       ack_s: Smoothed time to its acknowledgements.
       unfit_until: No request before this time.
     """
@@ -147,6 +150,7 @@
     name: str
     data_centre: str
     address: tuple[str, int]
+    capacity: float = 1.0
     ack_s: float = FIRST_ACK_S / ACK_FACTOR
     unfit_until: float = 0.0
 
@@ -177,7 +181,19 @@
         for peer in found:
             old = known.get(peer.name)
             same = old is not None and old.address == peer.address
-            self.peers[peer.name] = old if old and same else peer
+            if old is not None and same:
+                old.capacity = peer.capacity
+                self.peers[peer.name] = old
+            else:
+                self.peers[peer.name] = peer
+
+    def members(self, data_centre: str) -> list[Peer]:
+        """Returns the peers of a data centre."""
+        return [
+            peer
+            for peer in self.peers.values()
+            if peer.data_centre == data_centre
+        ]
 
     def pick(
         self, data_centre: str, now: float, rng: random.Random
@@ -185,8 +201,8 @@
         """Returns a fit peer of a data centre, if there is one."""
         fit = [
             peer
-            for peer in self.peers.values()
-            if peer.data_centre == data_centre and peer.unfit_until <= now
+            for peer in self.members(data_centre)
+            if peer.unfit_until <= now
         ]
         return rng.choice(fit) if fit else None
 
@@ -204,6 +220,8 @@
       look_at: When to give the peer up.
       acknowledged: Whether the peer has taken the request.
       given_up: Whether the shards are asked directly meanwhile.
+      superseded: Whether other peers ask them meanwhile, so that its reply
+        must not count beside theirs.
       replied_at: When the reply came, infinite until then.
     """
 
@@ -215,6 +233,7 @@
     look_at: float
     acknowledged: bool = False
     given_up: bool = False
+    superseded: bool = False
     replied_at: float = math.inf
 
     def describe(self) -> dict[str, object]:
@@ -234,14 +253,14 @@
 
     Attributes:
       book: The other instances.
-      own_address: Where this instance takes messages, None if it does not.
+      own: This instance, None if it takes no messages.
       groups: Own groups without a final reply, by id.
       taken: Requests taken for others, by their address and id.
       accepting: Whether requests of others are taken.
     """
 
     book: PeerBook = field(default_factory=PeerBook)
-    own_address: tuple[str, int] | None = None
+    own: Peer | None = None
     groups: dict[int, Group] = field(default_factory=dict)
     taken: dict[tuple[tuple[str, int], int], Exchange] = field(
         default_factory=dict
--- a/arbutusbridge/forwarding/gatherwire.py
+++ b/arbutusbridge/forwarding/gatherwire.py
@@ -16,20 +16,31 @@
     GatherReply,
     GatherTaken,
 )
+from arbutusbridge.forwarding.handover import Snapshot, SnapshotAsk
 
 PROTOCOL = b"\x11"
 """First byte of every message; another number is another protocol."""
 
-MOST_MESSAGE_BYTES = 1_048_576
-"""Largest message taken: a whole body of a caller and its headers."""
+MOST_MESSAGE_BYTES = 4_194_304
+"""Largest message taken: all that the store holds, packed, at the planned
+size; a whole body of a caller and its headers is smaller."""
 
-KINDS: tuple[type, ...] = (GatherAsk, GatherTaken, GatherReply, GatherCancel)
+PeerMessage = GatherMessage | SnapshotAsk | Snapshot
+
+KINDS: tuple[type, ...] = (
+    GatherAsk,
+    GatherTaken,
+    GatherReply,
+    GatherCancel,
+    SnapshotAsk,
+    Snapshot,
+)
 """Kinds of messages; the place of a kind is its number on the wire."""
 
 ADAPTERS: list[TypeAdapter[Any]] = [TypeAdapter(kind) for kind in KINDS]
 
 
-def encode_message(message: GatherMessage) -> bytes:
+def encode_message(message: PeerMessage) -> bytes:
     """Writes a message as its kind's number and its fields."""
     fields = [
         getattr(message, field.name) for field in dataclasses.fields(message)
@@ -38,7 +49,7 @@
     return PROTOCOL + payload
 
 
-def decode_message(data: bytes) -> GatherMessage:
+def decode_message(data: bytes) -> PeerMessage:
     """Reads a message.
 
     Raises:
@@ -72,11 +83,13 @@
       data_centre: Where it runs.
       ip: Where it takes messages of other instances.
       port: The port there.
+      capacity: Its processor, in cores.
     """
 
     data_centre: PeerName
     ip: PeerName
     port: Annotated[int, Field(ge=1, le=65535)]
+    capacity: Annotated[float, Field(gt=0, le=1024)] = 1.0
 
 
 CARD = TypeAdapter(PeerCard)
--- a/arbutusbridge/forwarding/presence.py
+++ b/arbutusbridge/forwarding/presence.py
@@ -12,6 +12,12 @@
 PREFIX = "arbutusbridge/instances/"
 """Start of the keys of running instances."""
 
+
+def prefix_of(data_centre: str) -> str:
+    """Returns the start of the keys of a data centre's instances."""
+    return f"{PREFIX}{data_centre}/"
+
+
 LEASE_S = 12.0
 """Length of an instance's lease; its key ends so long after it was lost."""
 
--- a/arbutusbridge/forwarding/regional.py
+++ b/arbutusbridge/forwarding/regional.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 from arbutusbridge.core.messages import Decision
-from arbutusbridge.forwarding import attempts
+from arbutusbridge.forwarding import attempts, division
 from arbutusbridge.forwarding.exchange import Exchange, Part
 from arbutusbridge.forwarding.gather import (
     ALIKE_SHARE,
@@ -25,7 +25,10 @@
 from arbutusbridge.forwarding.model import CallerRequest
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from arbutusbridge.forwarding.forwarder import Forwarder
+    from arbutusbridge.forwarding.gather import Peer
 
 SILENT = "silent"
 DECLINED = "declined"
@@ -40,21 +43,67 @@
 its way."""
 
 
-def group_far_parts(
+def hand_out(
     exchange: Exchange, forwarder: Forwarder, now: float, out: list[object]
 ) -> None:
-    """Hands the shards that are held in another region to a peer there."""
-    gather = forwarder.gather
-    if gather.own_address is None or exchange.gather is not None:
+    """Hands shards to peers that ask them at less cost or sooner.
+
+    Those are shards held in another region only, and all shards of a request
+    that is too wide for this instance.
+    """
+    if forwarder.gather.own is None or exchange.gather is not None:
+        return
+    near, far = by_place(exchange.parts, forwarder, now)
+    own = forwarder.gather.own
+    if division.is_wide(len(near), own.capacity):
+        divide(exchange, near, forwarder, now, out)
+    if division.is_wide(len(far), own.capacity):
+        divide(exchange, far, forwarder, now, out)
         return
-    far = far_parts(exchange, forwarder, now)
     data_centre = choose_data_centre(far, forwarder)
     if data_centre is None:
         return
     parts = [part for part, places in far if data_centre in places]
-    peer = gather.book.pick(data_centre, now, forwarder.rng)
-    if peer is None or len(parts) < LEAST_GROUP:
-        return
+    peer = forwarder.gather.book.pick(data_centre, now, forwarder.rng)
+    if peer is not None and len(parts) >= LEAST_GROUP:
+        ask_peer(exchange, peer, parts, forwarder, now, out)
+
+
+def divide(
+    exchange: Exchange,
+    held: Held,
+    forwarder: Forwarder,
+    now: float,
+    out: list[object],
+) -> None:
+    """Divides shards among instances of the data centres that hold them."""
+    own = forwarder.gather.own
+    while held and own is not None:
+        data_centre = choose_data_centre(held, forwarder)
+        if data_centre is None:
+            return
+        parts = [part for part, places in held if data_centre in places]
+        held = [one for one in held if data_centre not in one[1]]
+        members = forwarder.gather.book.members(data_centre)
+        if own.data_centre == data_centre:
+            members.append(own)
+        among = division.helpers(members, own.name, len(parts), now)
+        for peer, share in division.divide(parts, among):
+            if peer is not own:
+                ask_peer(exchange, peer, share, forwarder, now, out)
+
+
+def ask_peer(
+    exchange: Exchange,
+    peer: Peer,
+    parts: list[Part],
+    forwarder: Forwarder,
+    now: float,
+    out: list[object],
+) -> None:
+    """Sends shards to a peer in one message."""
+    gather = forwarder.gather
+    assert gather.own is not None
     gather.last_id += 1
     group = Group(gather.last_id, exchange, peer, parts, now, peer.ack_due(now))
     gather.groups[group.gather_id] = group
@@ -69,7 +118,7 @@
             peer.address,
             GatherAsk(
                 group.gather_id,
-                gather.own_address,
+                gather.own.address,
                 request.request_id,
                 request.method,
                 request.target,
@@ -79,21 +128,28 @@
                 [part.service for part in parts],
                 max(0.0, exchange.answer_by - now - 2 * way),
                 max(0.0, exchange.give_up_at - now - 2 * way),
+                max(part.asked_elsewhere for part in parts),
             ),
         )
     )
 
 
-def far_parts(
-    exchange: Exchange, forwarder: Forwarder, now: float
-) -> list[tuple[Part, set[str]]]:
-    """Returns shards without a fit upstream in this region.
+Held = list[tuple[Part, set[str]]]
+"""Shards with the data centres that hold them."""
 
-    Each comes with the data centres that hold it.
+
+def by_place(
+    parts: Iterable[Part], forwarder: Forwarder, now: float
+) -> tuple[Held, Held]:
+    """Returns the shards with a fit upstream in this region, and the others.
+
+    Shards without any fit upstream are in neither. Near ones come with the
+    data centres of this region only.
     """
     place = forwarder.place
-    found = []
-    for part in exchange.parts:
+    near: Held = []
+    far: Held = []
+    for part in parts:
         if part.given_up:
             continue
         places = {
@@ -101,20 +157,23 @@
             for upstream in forwarder.directory.usable(part.service, now)
             if upstream.fit(now)
         }
-        if places and not any(place.is_near(one) for one in places):
-            found.append((part, places))
-    return found
+        here = {one for one in places if place.is_near(one)}
+        if here:
+            near.append((part, here))
+        elif places:
+            far.append((part, places))
+    return near, far
 
 
-def choose_data_centre(
-    far: list[tuple[Part, set[str]]], forwarder: Forwarder
-) -> str | None:
-    """Returns a data centre that holds most of the far shards."""
-    counts = Counter(one for _, places in far for one in places)
+def choose_data_centre(held: Held, forwarder: Forwarder) -> str | None:
+    """Returns a data centre that holds most of the shards, this one if so."""
+    counts = Counter(one for _, places in held for one in places)
     if not counts:
         return None
     most = max(counts.values())
     alike = [one for one, n in counts.items() if n >= ALIKE_SHARE * most]
+    if forwarder.place.data_centre in alike:
+        return forwarder.place.data_centre
     return forwarder.rng.choice(sorted(alike))
 
 
@@ -157,6 +216,8 @@
     exchange = group.exchange
     group.replied_at = now
     group.look_at = math.inf
+    if group.superseded:
+        return
     exchange.gathered.append(message.body)
     for part in group.parts:
         part.group = None
@@ -224,23 +285,36 @@
     group.given_up = True
     exchange = group.exchange
     if why != DECLINED:
-        own = forwarder.gather.own_address
+        own = forwarder.gather.own
         assert own is not None
-        stop = GatherCancel(group.gather_id, own)
+        stop = GatherCancel(group.gather_id, own.address)
         out.append(Tell(group.peer.address, stop))
     detail = {"why": why, **group.describe()}
     detail["age_ms"] = round((now - exchange.request.arrived) * 1000)
     out.append(Decision(exchange.request.request_id, "peer_given_up", detail))
-    for part in group.parts:
-        if part.pending and not part.open and part.group is group:
-            part.group = None
-            part.asked_elsewhere += why != DECLINED
-            if why == NO_REPLY:
-                part.arrivals += 1
-                part.may_have_run = True
-                attempts.retry(exchange, part, forwarder, now, out)
-            else:
-                attempts.begin_part(exchange, part, forwarder, now, out)
+    left = [
+        part
+        for part in group.parts
+        if part.pending and not part.open and part.group is group
+    ]
+    for part in left:
+        part.group = None
+        part.asked_elsewhere += why != DECLINED
+        if why == NO_REPLY:
+            part.arrivals += 1
+            part.may_have_run = True
+    own = forwarder.gather.own
+    if why != NO_REPLY and own and division.is_wide(len(left), own.capacity):
+        group.superseded = True
+        near, far = by_place(left, forwarder, now)
+        divide(exchange, near or far, forwarder, now, out)
+    for part in left:
+        if part.group is not None:
+            continue
+        if why == NO_REPLY:
+            attempts.retry(exchange, part, forwarder, now, out)
+        else:
+            attempts.begin_part(exchange, part, forwarder, now, out)
 
 
 def cancel(exchange: Exchange, forwarder: Forwarder, out: list[object]) -> None:
@@ -248,8 +322,8 @@
     gather = forwarder.gather
     for group in exchange.groups:
         if gather.groups.pop(group.gather_id, None) is not None:
-            assert gather.own_address is not None
-            message = GatherCancel(group.gather_id, gather.own_address)
+            assert gather.own is not None
+            message = GatherCancel(group.gather_id, gather.own.address)
             out.append(Tell(group.peer.address, message))
 
 
@@ -280,7 +354,10 @@
         request,
         route,
         table.configuration.version,
-        [Part(service) for service in message.services],
+        [
+            Part(service, asked_elsewhere=message.asked_already)
+            for service in message.services
+        ],
         now + message.answer_in_s,
         give_up_at,
         gather=message,
--- a/arbutusbridge/forwarding/routes.py
+++ b/arbutusbridge/forwarding/routes.py
@@ -14,6 +14,7 @@
     Attributes:
       configuration: The configuration that they come from.
       hosts: Routes by prefix, by host.
+      widest_shards: Shards of the route that has most.
       turns: Weight owed to each service of a weighted route.
     """
 
@@ -21,7 +22,11 @@
         self.configuration = configuration
         self.hosts: dict[str, dict[str, Route]] = {}
         self.turns: dict[str, dict[str, float]] = {}
-        for route in configuration.routes:
+        routes = configuration.routes
+        self.widest_shards = max(
+            (one.shards for one in routes), key=len, default=()
+        )
+        for route in routes:
             self.hosts.setdefault(route.host, {})[route.prefix] = route
 
     def find(self, host: str, target: str) -> Route | None:
--- a/arbutusbridge/settings/forwarding.py
+++ b/arbutusbridge/settings/forwarding.py
@@ -37,6 +37,18 @@
     window_s: float = Field(default=10.0, gt=0, le=600)
 
 
+class Processor(BorderModel):
+    """The processor that a process may use.
+
+    Attributes:
+      share: Part of the machine's processor.
+      speed: Speed of the machine's processor, relative to one usual core.
+    """
+
+    share: float = Field(default=1.0, gt=0, le=1024)
+    speed: float = Field(default=1.0, gt=0, le=1024)
+
+
 class ForwardSettings(BorderModel):
     """What one process learns from its settings file.
 
@@ -49,11 +61,16 @@
       metrics: Second address of the same, at a port known to monitoring.
       peers: Address that other instances reach it at, None to ask all
         upstreams from here.
+      seeds: Addresses of other instances, for a start without the store. Only
+        the IP number counts; they take peers' messages at the port of this
+        one.
       store: Address of the store.
       stop_seconds: Time that a planned stop may take at most.
       balancer_lag_seconds: How long the balancer may go on sending requests
         after readiness went false.
       extras: Bound on extra arrivals at upstreams.
+      processor: What of a processor it may use; peers share wide scatters by
+        it.
       log_level: Lowest level that is logged.
     """
 
@@ -64,8 +81,10 @@
     operators: AddressText
     metrics: AddressText | None = None
     peers: AddressText | None = None
+    seeds: list[AddressText] = []
     store: AddressText
     stop_seconds: float = Field(default=6.0, gt=0, le=600)
     balancer_lag_seconds: float = Field(default=2.5, ge=0, le=60)
     extras: ExtraLimits = ExtraLimits()
+    processor: Processor = Processor()
     log_level: Literal["debug", "info", "notice", "warning", "error"] = "info"
--- a/tests/test_daemon/test_links.py
+++ b/tests/test_daemon/test_links.py
@@ -207,7 +207,7 @@
         self.assertIs(AttemptEnd.LOST, self.reply().end)
 
     def test_share_bounds_the_connections(self) -> None:
-        self.links.share({"records": 26}, 8)
+        self.links.share({"records": 26}, 8, 0)
         for number in range(1, 6):
             self.send(number)
         self.bench.turn()
--- a/tests/test_daemon/test_storefeed.py
+++ b/tests/test_daemon/test_storefeed.py
@@ -27,6 +27,7 @@
         self.feed = StoreFeed(
             [("servers/", announced)], self.store, DIALECT, self.bench.timers
         ).register(self.bench)
+        self.feed.begin()
 
     def answer(self, sock, body, status="200 OK") -> None:
         data = json.dumps(body).encode()
--- /dev/null
+++ b/tests/test_forwarding/test_division.py
@@ -0,0 +1,186 @@
+"""Load pattern: a scatter over more shards than one processor asks in time."""
+
+from __future__ import annotations
+
+import testtools
+
+from arbutusbridge.forwarding import Merged, division
+from arbutusbridge.forwarding.gather import GatherTaken, Peer, Tell
+from tests.test_forwarding.fixtures import (
+    make_forwarder,
+    records,
+    request,
+    result,
+    sends_of,
+    shard_upstreams,
+    sharded,
+)
+
+SHARDS = 45
+NOW = 100.0
+STRONG = 2.15
+SMALL = 0.516
+
+
+def fleet(place: str = "north") -> list[Peer]:
+    """Two strong and eleven small instances of one data centre."""
+    return [
+        Peer(
+            f"{place}-{number}",
+            place,
+            (f"10.0.0.{number}", 7380),
+            STRONG if number < 2 else SMALL,
+        )
+        for number in range(13)
+    ]
+
+
+class TeamTest(testtools.TestCase):
+    """Who takes part, found alike by every instance."""
+
+    def test_each_share_takes_about_the_time_aimed_at(self) -> None:
+        among = division.helpers(fleet(), "south-1", SHARDS, NOW)
+        shares = division.divide(range(SHARDS), among)
+        for peer, share in shares:
+            took = len(share) * division.SHARD_S / peer.capacity
+            self.assertLess(took, 1.3 * division.SHARE_S)
+        self.assertEqual(
+            list(range(SHARDS)), [one for _, share in shares for one in share]
+        )
+
+    def test_strong_instances_take_most(self) -> None:
+        among = division.helpers(fleet(), "south-1", SHARDS, NOW)
+        self.assertEqual([STRONG, STRONG], [one.capacity for one in among[:2]])
+        self.assertLess(len(among), 7)
+
+    def test_unfit_instance_is_replaced_and_the_others_stay(self) -> None:
+        peers = fleet()
+        before = division.helpers(peers, "south-1", SHARDS, NOW)
+        before[-1].unfit_until = NOW + 1
+        after = division.helpers(peers, "south-1", SHARDS, NOW)
+        self.assertEqual(before[:-1], after[: len(before) - 1])
+        self.assertNotIn(before[-1], after)
+
+    def test_many_instances_form_teams_that_all_know_alike(self) -> None:
+        peers = [peer for n in range(7) for peer in fleet(f"north{n}")]
+        formed = division.teams(peers, SHARDS)
+        self.assertGreater(len(formed), 4)
+        self.assertEqual(formed, division.teams(peers[::-1], SHARDS))
+        strongest = [sum(p.capacity > 1 for p in team) for team in formed]
+        self.assertLessEqual(max(strongest) - min(strongest), 1)
+
+    def test_askers_of_a_shard_are_counted_by_themselves_alone(self) -> None:
+        peers = fleet()
+        core = division.core_of(division.teams(peers, SHARDS)[0], SHARDS)
+        for peer in peers:
+            count = division.helper_count(peers, peer.name, SHARDS)
+            self.assertEqual(len(core) if peer in core else 0, count)
+
+    def test_few_shards_or_a_fast_processor_need_no_help(self) -> None:
+        self.assertFalse(division.is_wide(30, 1.07))
+        self.assertTrue(division.is_wide(SHARDS, SMALL))
+
+
+class WideScatterTest(testtools.TestCase):
+    """A request that is divided, from its arrival to its answer."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.route = sharded(SHARDS, least_coverage=0.95)
+        upstreams = shard_upstreams(SHARDS)
+        self.peers = fleet()
+        self.entry = make_forwarder([self.route], upstreams, "south")
+        self.entry.place.regions = {"north": "n", "south": "n", "central": "c"}
+        self.entry.gather.own = Peer("s", "south", ("10.1.0.1", 7380), SMALL)
+        self.entry.gather.book.take(self.peers)
+        self.helpers = {}
+        for peer in self.peers:
+            helper = make_forwarder([self.route], upstreams, "north")
+            helper.gather.own = peer
+            self.helpers[peer.address] = helper
+
+    def tells(self, out):
+        """The messages to peers among actions."""
+        return [one for one in out if isinstance(one, Tell)]
+
+    def asks(self):
+        """Lets a request arrive; returns the messages to peers."""
+        self.arrived = request(at=NOW)
+        out = self.entry.arrive(self.arrived, NOW)
+        self.assertEqual([], sends_of(out))
+        return self.tells(out)
+
+    def serve(self, tell, number: int):
+        """Lets a helper ask its shards; returns the entry's actions."""
+        helper = self.helpers[tell.address]
+        out = helper.hear(tell.message, NOW + 0.01)
+        sends = sends_of(out)
+        self.assertEqual(len(tell.message.services), len(sends))
+        replies = [result(one, number) for one in sends]
+        for back in self.tells(helper.replies(replies, NOW + 0.03)):
+            out = self.entry.hear(back.message, NOW + 0.04)
+        return out
+
+    def test_every_shard_is_asked_by_one_helper(self) -> None:
+        asks = self.asks()
+        self.assertLess(len(asks), 7)
+        asked = [one for ask in asks for one in ask.message.services]
+        self.assertEqual(sorted(self.route.shards), sorted(asked))
+        for number, ask in enumerate(asks):
+            out = self.serve(ask, number)
+        answer = next(one for one in out if isinstance(one, Merged))
+        self.assertEqual(0, answer.missing)
+        self.assertEqual(SHARDS, len(answer.stamps))
+        self.assertEqual([len(asks) - 1] * 3, records(answer.body))
+
+    def test_silent_helper_s_shards_go_to_another(self) -> None:
+        asks = self.asks()
+        exchange = self.entry.exchanges[self.arrived]
+        silent = max(asks, key=lambda ask: len(ask.message.services))
+        for ask in asks:
+            if ask is not silent:
+                self.serve(ask, 1)
+        out = self.entry.wake(self.arrived, exchange.wake_at)
+        again = [
+            one for one in self.tells(out) if one.address != silent.address
+        ]
+        left = [one for ask in again for one in ask.message.services]
+        left += [send.upstream.service for send in sends_of(out)]
+        self.assertEqual(sorted(silent.message.services), sorted(left))
+        for ask in again:
+            self.assertEqual(1, ask.message.asked_already)
+
+    def test_late_reply_of_a_replaced_helper_counts_not_twice(self) -> None:
+        asks = self.asks()
+        exchange = self.entry.exchanges[self.arrived]
+        silent = max(asks, key=lambda ask: len(ask.message.services))
+        for ask in asks:
+            if ask is not silent:
+                self.serve(ask, 1)
+        again = self.tells(self.entry.wake(self.arrived, exchange.wake_at))
+        self.serve(silent, 99)
+        out = []
+        for ask in again:
+            if ask.address != silent.address:
+                out = self.serve(ask, 2)
+        answer = next(one for one in out if isinstance(one, Merged))
+        self.assertEqual(SHARDS, len(answer.stamps))
+        self.assertNotIn(99, records(answer.body))
+
+    def test_helper_asks_no_more_upstreams_than_the_route_allows(self) -> None:
+        ask = self.asks()[0]
+        ask.message.asked_already = 1
+        helper = self.helpers[ask.address]
+        sends_of(helper.hear(ask.message, NOW + 0.01))
+        exchange = next(iter(helper.exchanges.values()))
+        out = helper.wake(exchange.request, exchange.wake_at)
+        self.assertEqual([], sends_of(out))
+
+    def test_declined_part_goes_to_another_without_an_attempt(self) -> None:
+        asks = self.asks()
+        wide = max(asks, key=lambda ask: len(ask.message.services))
+        taken = GatherTaken(wide.message.gather_id, True)
+        out = self.entry.hear(taken, NOW + 0.01)
+        self.assertNotIn(wide.address, [one.address for one in self.tells(out)])
+        for ask in self.tells(out):
+            self.assertEqual(0, ask.message.asked_already)
