--- a/arbutusbridge/daemon/forwardinstance.py
+++ b/arbutusbridge/daemon/forwardinstance.py
@@ -10,10 +10,10 @@
 
 from arbutusbridge.core.stop import StopPlan
 from arbutusbridge.daemon.events import announced, present, routed
+from arbutusbridge.daemon.following import StoreFollowing
 from arbutusbridge.daemon.forwarding import Forwarding
 from arbutusbridge.daemon.forwardmetrics import ForwardMetrics
 from arbutusbridge.daemon.gatherpeers import GatherPeers
-from arbutusbridge.daemon.handover import Handover
 from arbutusbridge.daemon.hub import SocketHub
 from arbutusbridge.daemon.ingress import Ingress
 from arbutusbridge.daemon.lifecycle import Door, Lifecycle
@@ -25,10 +25,20 @@
 from arbutusbridge.daemon.storefeed import StoreFeed
 from arbutusbridge.daemon.timers import TimerService
 from arbutusbridge.forwarding import ExtraBounds, Place
+from arbutusbridge.forwarding.following import (
+    LEAST_BOUND_S,
+    Follow,
+    News,
+)
 from arbutusbridge.forwarding.gather import GatherMessage, Peer
 from arbutusbridge.forwarding.gatherwire import PeerCard
-from arbutusbridge.forwarding.handover import Snapshot, SnapshotAsk
-from arbutusbridge.forwarding.presence import PREFIX
+from arbutusbridge.forwarding.presence import (
+    FOLLOWER_LEASE_S,
+    FOLLOWER_RENEW_S,
+    LEASE_S,
+    PREFIX,
+    RENEW_S,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -41,8 +51,8 @@
 
 PEER_CHANNELS: dict[type, str] = {
     **dict.fromkeys(get_args(GatherMessage), Forwarding.channel),
-    SnapshotAsk: Handover.channel,
-    Snapshot: Handover.channel,
+    Follow: StoreFollowing.channel,
+    News: StoreFollowing.channel,
 }
 """Tasks that take the messages of other instances, by kind."""
 
@@ -103,7 +113,6 @@
         self.store = PlatformClient(
             self.hub, self.timers, [(settings.store.ip, settings.store.port)]
         ).register(self)
-        self.forwarding.forwarder.confirmed = lambda: self.store.heard_at
         self.feed = StoreFeed(
             [
                 (wire.configuration_key, routed),
@@ -114,7 +123,8 @@
             dialect,
             self.timers,
         ).register(self)
-        self.handover = self.begin_feed(dialect)
+        self.forwarding.forwarder.confirmed = lambda: self.feed.heard_at
+        self.following = self.begin_feed(dialect)
         self.presence = InstancePresence(
             settings.name,
             card_of(settings),
@@ -122,6 +132,8 @@
             dialect,
             self.timers,
             self.on_instances,
+            self.lease_s,
+            lambda: RENEW_S if self.feed.asking else FOLLOWER_RENEW_S,
         ).register(self)
         self.lifecycle = Lifecycle(
             StopPlan(settings.balancer_lag_seconds, settings.stop_seconds),
@@ -160,7 +172,7 @@
         """Builds the instance that the settings describe."""
         return cls(settings, wire, dialect, reload)
 
-    def begin_feed(self, dialect: Dialect) -> Handover | None:
+    def begin_feed(self, dialect: Dialect) -> StoreFollowing | None:
         """Begins to read the store, through a peer if there are any."""
         own = self.forwarding.forwarder.gather.own
         if own is None or self.peers is None:
@@ -168,9 +180,11 @@
             return None
         port = own.address[1]
         seeds = [(seed.ip, port) for seed in self.settings.seeds]
-        return Handover(
+        return StoreFollowing(
             own,
+            self.forwarding.forwarder.gather.book,
             seeds,
+            self.settings.changes_ms / 1000,
             self.feed,
             self.peers,
             self.store,
@@ -178,6 +192,12 @@
             self.timers,
         ).register(self)
 
+    @property
+    def lease_s(self) -> float:
+        """Length of the own lease in the store."""
+        follows = self.settings.changes_ms / 1000 >= LEAST_BOUND_S
+        return FOLLOWER_LEASE_S if follows else LEASE_S
+
     def on_instances(self, count: int, peers: list[Peer]) -> None:
         """Takes a reading of the running instances."""
         forwarder = self.forwarding.forwarder
@@ -239,6 +259,7 @@
             "attempts_open": len(forwarder.attempts),
             "store": {
                 "revision": feed.revision,
+                "asked_from_here": self.feed.asking,
                 "failures": feed.failures,
                 "reloads": feed.reloads,
                 "keys": len(feed.items),
@@ -257,7 +278,7 @@
         for what, count in forwarder.counts.items():
             metrics.raise_to(metrics.silent.labels(what), count)
         metrics.upstreams.set(len(forwarder.directory.by_name))
-        metrics.store_age.set(self.timers.clock() - self.store.heard_at)
+        metrics.store_age.set(self.timers.clock() - self.feed.heard_at)
 
     @handler("exception", channel="*")
     def on_exception(
--- a/arbutusbridge/daemon/presence.py
+++ b/arbutusbridge/daemon/presence.py
@@ -49,6 +49,8 @@
       items: Keys of the running instances.
       known: Whether they were read once.
       on_count: Called with each count to share by and the other instances.
+      lease_s: Length of the own lease.
+      renew_s: Returns the time to the next renewal.
     """
 
     channel = "presence"
@@ -61,8 +63,12 @@
         dialect: Dialect,
         timers: TimerService,
         on_count: Callable[[int, list[Peer]], None],
+        lease_s: float = LEASE_S,
+        renew_s: Callable[[], float] = lambda: RENEW_S,
     ) -> None:
         super().__init__()
+        self.lease_s = lease_s
+        self.renew_s = renew_s
         # An instance without a card is only counted.
         place = card.data_centre if card is not None else NO_PLACE
         self.key = f"{prefix_of(place)}{name}"
@@ -100,7 +106,7 @@
         """Takes the next step towards a key under a living lease."""
         presence = self.presence
         if not presence.lease:
-            self.ask(self.dialect.lease(LEASE_S), "lease")
+            self.ask(self.dialect.lease(self.lease_s), "lease")
         elif not presence.written:
             request = self.dialect.write(self.key, self.value, presence.lease)
             self.ask(request, "write")
@@ -128,7 +134,8 @@
         elif result.status is StoreStatus.CONFLICT:
             logger.notice("own lease ended", extra={"lease": presence.lease})
             presence.forget()
-        self.timers.after(RENEW_S if done else RETRY_S, self.channel, "renew")
+        pause = self.renew_s() if done else RETRY_S
+        self.timers.after(pause, self.channel, "renew")
 
     @handler("present", channel="*")
     def on_present(self, items: list[Item]) -> None:
--- a/arbutusbridge/daemon/storefeed.py
+++ b/arbutusbridge/daemon/storefeed.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 from collections.abc import Callable, Sequence
 from typing import TYPE_CHECKING, Any
 
@@ -26,6 +27,10 @@
 """Longest wait of one watch. Each return is a priced call; a watch that fell
 silent with the store is asked anew once another call has a reply."""
 
+FIRST_WATCH_S = 2.0
+"""Wait of the first watch after the store was left alone; one that a failing
+store never answers must not hold up the next for long."""
+
 CALL_S = 1.5
 """Time that a call may take; the slowest store seen answers in 0.3 s."""
 
@@ -46,7 +51,10 @@
       feed: What is known.
       loaded: Whether all keys were read once.
       watching: Number of the open watch, 0 if there is none.
-      begun: Whether the store is being read or watched.
+      asking: Whether the store is being read or watched.
+      round: Number of pauses so far; what was asked before one is void.
+      wait_s: Wait of the next watch.
+      told: Called with the changes that are acted on.
     """
 
     channel = "storefeed"
@@ -66,33 +74,61 @@
         self.feed = Feed()
         self.loaded = False
         self.watching = 0
-        self.begun = False
+        self.asking = False
+        self.round = 0
+        self.wait_s = FIRST_WATCH_S
+        self.told: Callable[[list[Item]], None] = lambda _changes: None
         self.timers.after(RELEASE_S, self.channel, None)
 
     def begin(self) -> None:
-        """Reads the store, unless what it holds is known already."""
-        if not self.begun:
-            self.begun = True
-            self.timers.after(0.0, self.channel, self.feed.first_call())
-
-    def adopt(self, items: Sequence[Item], revision: int, age_s: float) -> bool:
-        """Takes what a peer knows; returns whether it was needed."""
-        if self.loaded:
-            return False
+        """Reads and watches the store, from what is known."""
+        if self.asking:
+            return
+        self.asking = True
+        self.wait_s = FIRST_WATCH_S
+        if self.feed.revision is None:
+            call = self.feed.first_call()
+        else:
+            call = self.feed.next_call()
+        self.timers.after(0.0, self.channel, (self.round, call))
+
+    def doubt(self) -> None:
+        """Takes the word that ends may have been missed; loads all again."""
+        self.feed.on_history_lost()
+
+    def pause(self) -> None:
+        """Leaves the store alone, since a peer tells its changes."""
+        self.asking = False
+        self.round += 1
+        if self.watching:
+            self.store.forget(self.watching)
+            self.watching = 0
+
+    def adopt(self, items: Sequence[Item], revision: int, age_s: float) -> None:
+        """Takes all that a peer knows, and leaves the store alone."""
+        now = self.timers.clock()
+        self.pause()
+        self.report(self.feed.adopt(items, revision, now - age_s, now))
+
+    def relay(self, items: Sequence[Item], revision: int, age_s: float) -> None:
+        """Takes what a peer has learnt."""
         confirmed_at = self.timers.clock() - age_s
-        changes, call = self.feed.adopt(items, revision, confirmed_at)
-        self.report(changes)
-        if not self.begun:
-            self.begun = True
-            self.timers.after(call.delay_s, self.channel, call)
-        return True
+        self.report(self.feed.relay(items, revision, confirmed_at))
+
+    @property
+    def heard_at(self) -> float:
+        """When the store last confirmed what is known."""
+        if self.asking:
+            return max(self.store.heard_at, self.feed.confirmed_at)
+        return self.feed.confirmed_at
 
     @handler("due")
     def on_due(self, tokens: list[Any]) -> None:
         """Makes the calls that are due."""
         for token in tokens:
-            if isinstance(token, Call):
-                self.make(token)
+            if token is not None:
+                if token[0] == self.round:
+                    self.make(token[1])
             else:
                 self.report(self.feed.release(self.timers.clock()))
                 self.timers.after(RELEASE_S, self.channel, None)
@@ -100,24 +136,28 @@
     def make(self, call: Call) -> None:
         """Makes one call."""
         token = (self.channel, call.kind.value)
+        take = functools.partial(self.on_result, self.round)
         if call.kind is CallKind.PAGE:
             request = self.dialect.page(ALL_KEYS, call.after_key)
-            self.store.ask(request, token, self.on_result, CALL_S)
+            self.store.ask(request, token, take, CALL_S)
             return
-        request = self.dialect.watch(ALL_KEYS, call.revision, WATCH_S)
-        seconds = WATCH_S + CALL_S
-        self.watching = self.store.ask(request, token, self.on_result, seconds)
+        request = self.dialect.watch(ALL_KEYS, call.revision, self.wait_s)
+        seconds = self.wait_s + CALL_S
+        self.wait_s = WATCH_S
+        self.watching = self.store.ask(request, token, take, seconds)
 
     @handler("store_regained", channel="*")
     def on_store_regained(self) -> None:
         """Asks anew for what an outage may have swallowed."""
-        if self.watching:
+        if self.asking and self.watching:
             self.store.forget(self.watching)
             self.watching = 0
             self.make(self.feed.next_call())
 
-    def on_result(self, result: StoreResult) -> None:
+    def on_result(self, asked_in: int, result: StoreResult) -> None:
         """Takes a call's result and plans the next call."""
+        if asked_in != self.round:
+            return
         now = self.timers.clock()
         feed = self.feed
         self.watching = 0
@@ -143,7 +183,7 @@
             else:
                 changes, call = feed.on_changes(result.page, now)
         self.report(changes)
-        self.timers.after(call.delay_s, self.channel, call)
+        self.timers.after(call.delay_s, self.channel, (self.round, call))
 
     def on_failure(self) -> Call:
         """Takes a call that failed; the first of an outage is logged."""
@@ -161,6 +201,8 @@
         """Fires changes, and the end of the first load."""
         first = not self.loaded and self.feed.revision is not None
         self.loaded = self.loaded or first
+        if changes or first:
+            self.told(changes)
         for prefix, event in self.topics:
             found = [one for one in changes if one.key.startswith(prefix)]
             if found or first:
--- a/arbutusbridge/forwarding/feed.py
+++ b/arbutusbridge/forwarding/feed.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import math
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -137,23 +138,38 @@
         return self.next_call()
 
     def adopt(
-        self, items: Sequence[Item], revision: int, confirmed_at: float
-    ) -> tuple[list[Item], Call]:
-        """Takes what another instance knows, before a first load of its own.
-
-        Whatever that instance has missed comes with the first watch.
+        self,
+        items: Sequence[Item],
+        revision: int,
+        confirmed_at: float,
+        now: float,
+    ) -> list[Item]:
+        """Takes all that another instance knows in place of a load.
 
         Args:
           items: Every key that it knows.
           revision: Revision up to which it knows them.
           confirmed_at: When the store last confirmed them there.
+          now: The time.
+
+        Returns:
+          What to act on now.
+        """
+        self.loading = {item.key: item for item in items}
+        self.load_revision = revision
+        return self.end_load(confirmed_at, now)
+
+    def relay(
+        self, items: Sequence[Item], revision: int, confirmed_at: float
+    ) -> list[Item]:
+        """Takes changes that another instance has acted on itself.
+
+        They are not doubted again.
         """
-        self.loading = {}
-        self.load_revision = None
-        self.revision = revision
         self.confirmed_at = confirmed_at
-        self.items = {item.key: item for item in items}
-        return list(items), self.next_call()
+        if self.revision is not None:
+            self.revision = max(self.revision, revision)
+        return self.apply(list(items), math.inf, sure=True)
 
     def known(self) -> list[Item]:
         """Returns the keys in force, without those whose end is in doubt."""
@@ -174,22 +190,30 @@
             self.loading[item.key] = item
         if page.more and page.items:
             return [], self.next_call()
+        self.reloads += 1
+        return self.end_load(now, now), self.next_call()
+
+    def end_load(self, confirmed_at: float, now: float) -> list[Item]:
+        """Takes the keys that a load has found as all there are."""
+        assert self.load_revision is not None
+        revision = self.load_revision
         changes = [
             item
             for key, item in self.loading.items()
             if self.items.get(key) != item
         ]
         changes += [
-            Item(key, None, page.revision)
+            Item(key, None, revision)
             for key in self.items
             if key not in self.loading
         ]
-        self.revision = self.load_revision
+        for key in self.loading:
+            self.held.pop(key, None)
+        self.revision = revision
         self.load_revision = None
         self.loading = {}
-        self.reloads += 1
-        self.confirmed_at = now
-        return self.apply(changes, now), self.next_call()
+        self.confirmed_at = confirmed_at
+        return self.apply(changes, now)
 
     def on_changes(self, page: Page, now: float) -> tuple[list[Item], Call]:
         """Takes the changes that a watch returned."""
@@ -206,13 +230,22 @@
             self.failures = 0
             self.regained_at = now
 
-    def apply(self, changes: list[Item], now: float) -> list[Item]:
-        """Takes changes in; returns those to act on now."""
+    def apply(
+        self, changes: list[Item], now: float, sure: bool = False
+    ) -> list[Item]:
+        """Takes changes in; returns those to act on now.
+
+        Args:
+          changes: Changes of keys.
+          now: The time.
+          sure: Whether ends are believed in any case.
+        """
         ends = [item for item in changes if item.value is None]
         unsure = now - self.regained_at < RETURN_GRACE_S or (
             len(ends) >= LEAST_MASS_LOSS
             and len(ends) >= MASS_LOSS_SHARE * len(self.items)
         )
+        unsure = unsure and not sure
         acted = []
         for item in changes:
             known = self.items.get(item.key)
--- a/arbutusbridge/forwarding/gather.py
+++ b/arbutusbridge/forwarding/gather.py
@@ -36,7 +36,11 @@
 """Part of a new time in the smoothed time to an acknowledgement."""
 
 UNFIT_S = 3.0
-"""Time for which a peer that did not acknowledge is left out."""
+"""Time for which a peer that did not acknowledge is left out; it doubles each
+time that it is silent again."""
+
+MOST_UNFIT_S = 24.0
+"""Longest such time."""
 
 DECLINED_S = 10.0
 """Time for which a peer that declined is left out; it is about to end, and
@@ -145,6 +149,7 @@
       capacity: Its processor, in cores.
       ack_s: Smoothed time to its acknowledgements.
       unfit_until: No request before this time.
+      silences: Requests that it did not take since the last that it took.
     """
 
     name: str
@@ -153,6 +158,13 @@
     capacity: float = 1.0
     ack_s: float = FIRST_ACK_S / ACK_FACTOR
     unfit_until: float = 0.0
+    silences: int = 0
+
+    def silent(self, now: float) -> None:
+        """Leaves it out for a time, since it did not answer."""
+        pause = min(UNFIT_S * 2.0**self.silences, MOST_UNFIT_S)
+        self.unfit_until = now + pause
+        self.silences += 1
 
     def ack_due(self, now: float) -> float:
         """Returns when an acknowledgement is overdue."""
@@ -162,6 +174,7 @@
         """Takes the time that an acknowledgement took."""
         self.ack_s += (seconds - self.ack_s) * ACK_WEIGHT
         self.unfit_until = 0.0
+        self.silences = 0
 
 
 class PeerBook:
--- a/arbutusbridge/forwarding/gatherwire.py
+++ b/arbutusbridge/forwarding/gatherwire.py
@@ -9,6 +9,7 @@
 from pydantic import Field, TypeAdapter, ValidationError
 
 from arbutusbridge.errors import ProtocolError
+from arbutusbridge.forwarding.following import Follow, News
 from arbutusbridge.forwarding.gather import (
     GatherAsk,
     GatherCancel,
@@ -16,7 +17,6 @@
     GatherReply,
     GatherTaken,
 )
-from arbutusbridge.forwarding.handover import Snapshot, SnapshotAsk
 
 PROTOCOL = b"\x11"
 """First byte of every message; another number is another protocol."""
@@ -25,15 +25,15 @@
 """Largest message taken: all that the store holds, packed, at the planned
 size; a whole body of a caller and its headers is smaller."""
 
-PeerMessage = GatherMessage | SnapshotAsk | Snapshot
+PeerMessage = GatherMessage | Follow | News
 
 KINDS: tuple[type, ...] = (
     GatherAsk,
     GatherTaken,
     GatherReply,
     GatherCancel,
-    SnapshotAsk,
-    Snapshot,
+    Follow,
+    News,
 )
 """Kinds of messages; the place of a kind is its number on the wire."""
 
--- a/arbutusbridge/forwarding/presence.py
+++ b/arbutusbridge/forwarding/presence.py
@@ -25,6 +25,13 @@
 """Time between two renewals, four in a lease. A renewal without a reply shows
 an outage of the store that a waiting watch does not."""
 
+FOLLOWER_LEASE_S = 30.0
+"""Length of a lease where instances may follow others; its end is noticed
+late, which only makes the shares of the others smaller for that time."""
+
+FOLLOWER_RENEW_S = 8.0
+"""Time between renewals while another instance watches the store."""
+
 RETRY_S = 1.5
 """Time to the next try after a call that failed."""
 
--- a/arbutusbridge/forwarding/regional.py
+++ b/arbutusbridge/forwarding/regional.py
@@ -13,7 +13,6 @@
     ALIKE_SHARE,
     DECLINED_S,
     LEAST_GROUP,
-    UNFIT_S,
     GatherAsk,
     GatherCancel,
     GatherReply,
@@ -262,7 +261,7 @@
     """Gives up peers that have not acknowledged in time."""
     for group in exchange.groups:
         if group.look_at <= now:
-            group.peer.unfit_until = now + UNFIT_S
+            group.peer.silent(now)
             why = NO_REPLY if group.acknowledged else SILENT
             give_up(group, why, forwarder, now, out)
 
--- a/arbutusbridge/settings/forwarding.py
+++ b/arbutusbridge/settings/forwarding.py
@@ -65,6 +65,7 @@
         the IP number counts; they take peers' messages at the port of this
         one.
       store: Address of the store.
+      changes_ms: Time in which what the store takes must be in force here.
       stop_seconds: Time that a planned stop may take at most.
       balancer_lag_seconds: How long the balancer may go on sending requests
         after readiness went false.
@@ -83,6 +84,7 @@
     peers: AddressText | None = None
     seeds: list[AddressText] = []
     store: AddressText
+    changes_ms: int = Field(default=3000, ge=100, le=600_000)
     stop_seconds: float = Field(default=6.0, gt=0, le=600)
     balancer_lag_seconds: float = Field(default=2.5, ge=0, le=60)
     extras: ExtraLimits = ExtraLimits()
--- a/tests/test_daemon/test_handover.py
+++ b/tests/test_daemon/test_following.py
@@ -9,25 +9,31 @@
 import testtools
 
 from arbutusbridge.daemon.events import announced
+from arbutusbridge.daemon.following import StoreFollowing
 from arbutusbridge.daemon.forwardmetrics import ForwardMetrics
 from arbutusbridge.daemon.gatherpeers import GatherPeers
-from arbutusbridge.daemon.handover import Handover
 from arbutusbridge.daemon.platform import PlatformClient
 from arbutusbridge.daemon.storefeed import StoreFeed
 from arbutusbridge.forwarding.feed import Item
-from arbutusbridge.forwarding.gather import Peer
-from arbutusbridge.forwarding.gatherwire import PeerCard, encode_card
-from arbutusbridge.forwarding.handover import (
+from arbutusbridge.forwarding.following import (
+    FOLLOW_AGAIN_S,
+    HEARTBEAT_S,
+    LEAST_MEMBERS,
     SOURCE_WAIT_S,
-    Snapshot,
-    SnapshotAsk,
+    Follow,
+    News,
 )
+from arbutusbridge.forwarding.gather import Peer, PeerBook
+from arbutusbridge.forwarding.gatherwire import PeerCard, encode_card
 from arbutusbridge.platform import DIALECT
 from arbutusbridge.standins.deployment import LOOPBACK
 from tests.test_daemon.fixtures import Bench, RawUpstream
 
 ITEMS = [Item(f"servers/{number}", b"value", number) for number in range(3)]
-CHANNELS = {SnapshotAsk: Handover.channel, Snapshot: Handover.channel}
+CHANNELS = {
+    Follow: StoreFollowing.channel,
+    News: StoreFollowing.channel,
+}
 
 
 def free_port() -> int:
@@ -40,7 +46,11 @@
     """An instance that starts, as far as its first load goes."""
 
     def __init__(
-        self, name: str, capacity: float, seeds: list[tuple[str, int]]
+        self,
+        name: str,
+        capacity: float,
+        seeds: list[tuple[str, int]],
+        bound_s: float = 3.0,
     ) -> None:
         self.bench = Bench()
         self.raw = RawUpstream()
@@ -58,9 +68,12 @@
             ForwardMetrics(),
             CHANNELS,
         ).register(self.bench)
-        self.handover = Handover(
+        self.book = PeerBook()
+        self.following = StoreFollowing(
             self.peer,
+            self.book,
             seeds,
+            bound_s,
             self.feed,
             self.links,
             store,
@@ -86,7 +99,7 @@
         return asked
 
 
-class HandoverTest(testtools.TestCase):
+class StartTest(testtools.TestCase):
     """An instance that starts beside one that runs."""
 
     def setUp(self) -> None:
@@ -135,7 +148,7 @@
     def test_silent_peer_is_waited_for_a_short_time(self) -> None:
         new = self.start()
         new.answer(self.card())
-        self.assertFalse(new.feed.begun)
+        self.assertFalse(new.feed.asking)
         new.bench.now += SOURCE_WAIT_S + 0.01
         new.bench.turn()
         self.assertIn(b"/kv-range?prefix= ", new.sock.recv(4096))
@@ -163,3 +176,89 @@
 
         new.bench.turn_until(loaded)
         self.assertEqual(41, new.feed.feed.revision)
+
+
+class FollowTest(testtools.TestCase):
+    """One instance of a large data centre watches for the others."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.source = Starter("n-1", 2.0, [], bound_s=5.0)
+        self.source.answer()
+        self.source.feed.adopt(ITEMS, 40, 0.0)
+        self.source.feed.begin()
+        self.follower = Starter("n-2", 1.0, [self.source.peer.address], 5.0)
+        self.follower.raw.accept().close()
+        for one in (self.source, self.follower):
+            self.addCleanup(one.links.links.close)
+            others = [
+                Peer(f"n-{n}", "north", (LOOPBACK, 1))
+                for n in range(3, LEAST_MEMBERS + 1)
+            ]
+            known = [self.source.peer, self.follower.peer]
+            others += [peer for peer in known if peer is not one.peer]
+            one.book.take(others)
+        self.turn_until(lambda: self.follower.feed.loaded)
+
+    def turn_until(self, done) -> None:
+        """Turns both until something holds."""
+
+        def both():
+            self.source.bench.tick(0.002)
+            return done()
+
+        self.follower.bench.turn_until(both)
+
+    def advance(self, seconds: float) -> None:
+        """Lets time pass for both."""
+        self.source.bench.now += seconds
+        self.follower.bench.now += seconds
+
+    def test_follower_leaves_the_store_alone_and_learns_changes(self) -> None:
+        self.assertFalse(self.follower.feed.asking)
+        new = Item("servers/9", b"value", 41)
+        self.source.feed.report(self.source.feed.feed.apply([new], 200.0))
+        self.turn_until(lambda: new.key in self.follower.feed.feed.items)
+        ended = Item(ITEMS[0].key, None, 42)
+        self.source.feed.report(self.source.feed.feed.apply([ended], 200.0))
+        self.turn_until(lambda: ended.key not in self.follower.feed.feed.items)
+
+    def test_follower_of_a_source_that_ended_watches_itself(self) -> None:
+        self.source.links.links.close()
+        for _ in range(4):
+            self.follower.bench.now += HEARTBEAT_S
+            self.follower.bench.turn()
+        self.assertTrue(self.follower.feed.asking)
+        # The call that the handing over made needless comes first.
+        self.assertIn(b"/kv-range", self.asked())
+        self.assertIn(b"after=40", self.asked())
+
+    def asked(self) -> bytes:
+        """The next call that reaches the follower's store."""
+        sock = self.follower.raw.accept()
+        self.follower.bench.turn()
+        return sock.recv(4096)
+
+    def test_follower_of_a_source_without_the_store_watches_itself(self):
+        for _ in range(5):
+            self.advance(HEARTBEAT_S)
+            self.source.bench.turn()
+            self.follower.bench.turn()
+        self.turn_until(lambda: self.follower.feed.asking)
+
+    def test_follower_is_kept_by_its_signs_of_life(self) -> None:
+        address = self.follower.peer.address
+        followers = self.source.following.followers
+        before = followers.seen[address]
+        for _ in range(int(FOLLOW_AGAIN_S / HEARTBEAT_S) + 1):
+            self.advance(HEARTBEAT_S)
+            self.source.feed.feed.confirmed_at = self.source.bench.now
+            self.source.bench.turn()
+            self.follower.bench.turn()
+        self.turn_until(lambda: followers.seen[address] > before)
+        self.assertFalse(self.follower.feed.asking)
+
+    def test_lost_change_makes_the_follower_ask_the_store(self) -> None:
+        self.source.following.followers.number += 1
+        self.advance(HEARTBEAT_S)
+        self.turn_until(lambda: self.follower.feed.asking)
--- a/tests/test_forwarding/test_handover.py
+++ b/tests/test_forwarding/test_following.py
@@ -8,13 +8,22 @@
 
 from arbutusbridge.errors import ProtocolError
 from arbutusbridge.forwarding.feed import CallKind, Feed, Item, Page
-from arbutusbridge.forwarding.gather import Peer
-from arbutusbridge.forwarding.handover import (
+from arbutusbridge.forwarding.following import (
+    FOLLOW_AGAIN_S,
+    HEARTBEAT_S,
+    LEAST_BOUND_S,
+    MOST_AGE_S,
+    MOST_FOLLOWERS,
     MOST_SOURCES,
+    SILENT_S,
+    Followers,
+    Following,
+    News,
     pack,
     sources,
     unpack,
 )
+from arbutusbridge.forwarding.gather import Peer
 
 ADDRESS = ("10.0.0.1", 7380)
 ITEMS = [Item(f"servers/{number}", b"value", number) for number in range(9)]
@@ -69,8 +78,8 @@
 
     def test_watch_begins_behind_the_peer_s_revision(self) -> None:
         feed = Feed()
-        changes, call = feed.adopt(ITEMS, 40, 99.0)
-        self.assertEqual(ITEMS, changes)
+        self.assertEqual(ITEMS, feed.adopt(ITEMS, 40, 99.0, 100.0))
+        call = feed.next_call()
         self.assertEqual((CallKind.WATCH, 40), (call.kind, call.revision))
         self.assertEqual(99.0, feed.confirmed_at)
 
@@ -78,7 +87,7 @@
         # Only its last page would be seen, and the rest taken for ended.
         feed = Feed()
         feed.on_page(Page((ITEMS[0],), True, 30), 100.0)
-        feed.adopt(ITEMS, 40, 99.0)
+        feed.adopt(ITEMS, 40, 99.0, 100.0)
         changes, call = feed.on_page(Page((ITEMS[8],), False, 30), 100.1)
         self.assertEqual([], changes)
         self.assertEqual(len(ITEMS), len(feed.items))
@@ -86,9 +95,71 @@
 
     def test_entry_whose_end_is_in_doubt_is_not_handed_over(self) -> None:
         feed = Feed()
-        feed.adopt(ITEMS, 40, 100.0)
+        feed.adopt(ITEMS, 40, 100.0, 100.0)
         feed.on_failure()
         gone = Item(ITEMS[0].key, None, 41)
         feed.on_changes(Page((gone,), False, 41), 100.5)
         self.assertIn(ITEMS[0].key, feed.items)
         self.assertEqual(ITEMS[1:], feed.known())
+
+    def test_adopting_again_finds_what_ended_and_what_came_back(self) -> None:
+        feed = Feed()
+        feed.adopt(ITEMS, 40, 100.0, 100.0)
+        feed.on_failure()
+        feed.on_changes(Page((Item(ITEMS[0].key, None, 41),), False, 41), 101.0)
+        changes = feed.adopt(ITEMS[:-1], 42, 110.0, 110.0)
+        self.assertEqual([Item(ITEMS[-1].key, None, 42)], changes)
+        self.assertEqual([], feed.release(120.0))
+
+    def test_end_that_the_source_believed_is_not_doubted_again(self) -> None:
+        feed = Feed()
+        feed.adopt(ITEMS, 40, 100.0, 100.0)
+        ends = [Item(item.key, None, 41) for item in ITEMS[:6]]
+        self.assertEqual(ends, feed.relay(ends, 41, 101.0))
+        self.assertEqual(3, len(feed.items))
+
+
+class FollowingTest(testtools.TestCase):
+    """When a follower may trust its source."""
+
+    def news(self, number: int, packed: bytes = b"") -> News:
+        """A message of the source."""
+        return News(ADDRESS, number, False, 40, 0.1, False, packed)
+
+    def following(self) -> Following:
+        """A follower since time 100."""
+        following = Following()
+        following.begin(self.news(7), 100.0)
+        return following
+
+    def test_lost_change_shows_in_the_next_message(self) -> None:
+        following = self.following()
+        self.assertFalse(following.misses(self.news(7)))
+        self.assertFalse(following.misses(self.news(8, b"x")))
+        self.assertTrue(following.misses(self.news(8)))
+        self.assertTrue(following.misses(self.news(9, b"x")))
+
+    def test_restarted_source_is_no_source(self) -> None:
+        self.assertTrue(self.following().misses(self.news(0)))
+
+    def test_silence_is_noticed_after_two_heartbeats(self) -> None:
+        following = self.following()
+        self.assertFalse(following.is_silent(100.0 + 2 * HEARTBEAT_S))
+        self.assertTrue(following.is_silent(100.0 + 3 * HEARTBEAT_S))
+
+    def test_follower_without_a_sign_of_life_is_forgotten(self) -> None:
+        followers = Followers()
+        followers.take(ADDRESS, 100.0)
+        self.assertEqual([ADDRESS], followers.current(100.0 + FOLLOW_AGAIN_S))
+        self.assertEqual([], followers.current(120.0))
+
+    def test_followers_are_bounded(self) -> None:
+        followers = Followers()
+        for port in range(MOST_FOLLOWERS):
+            self.assertTrue(followers.take(("10.0.0.1", port), 100.0))
+        self.assertFalse(followers.take(("10.0.0.2", 1), 100.0))
+        self.assertTrue(followers.take(("10.0.0.1", 1), 101.0))
+
+    def test_source_without_the_store_is_left_within_the_bound(self) -> None:
+        self.assertLess(MOST_AGE_S + HEARTBEAT_S, LEAST_BOUND_S)
+        self.assertLess(SILENT_S, LEAST_BOUND_S)
