Add a fault soak: real instances under faults, promises checked

Store, upstreams, callers and loopback proxies of one run live in one process, the instances in processes of their own; faults are drawn by seed and overlap. Observers judge from what callers and upstreams saw; a test breaks each promise and sees its check go red.

--- a/arbutusbridge/cmd/main.py
+++ b/arbutusbridge/cmd/main.py
@@ -20,6 +20,7 @@
     key,
     replay,
     serve,
+    soak,
     standin,
     status,
 )
@@ -52,6 +53,7 @@
     "key": key.key,
     "replay": replay.replay,
     "bench": bench.bench,
+    "soak": soak.soak,
     "standin": {
         "platform": standin.platform,
         "upstreams": standin.upstreams,
--- /dev/null
+++ b/arbutusbridge/cmd/soak.py
@@ -0,0 +1,61 @@
+"""Command ``soak``: real instances under faults, with promises checked."""
+
+from __future__ import annotations
+
+import sys
+import tempfile
+from pathlib import Path
+
+from arbutusbridge.daemon.logs import start_logging
+from arbutusbridge.soak.run import Verdict, play
+
+EXIT_USAGE = 2
+
+
+def soak(
+    *seeds: int,
+    folder: Path | None = None,
+    faults: int = 10,
+    seconds: float = 12.0,
+) -> int:
+    """Play runs of real instances under faults, one for each seed.
+
+    Args:
+      seeds: Seeds of the runs.
+      folder: Where settings and logs go; a temporary one if not given.
+      faults: Faults of each run.
+      seconds: Time within which they begin.
+
+    Returns:
+      0 where every promise held, 1 where not, 2 for wrong use.
+    """
+    if not seeds:
+        print("No seeds. Remedy: soak 1 2 3.", file=sys.stderr)
+        return EXIT_USAGE
+    handler = start_logging("warning", sys.stderr)
+    held = True
+    for seed in seeds:
+        with tempfile.TemporaryDirectory() as temporary:
+            where = Path(temporary) if folder is None else folder / str(seed)
+            where.mkdir(parents=True, exist_ok=True)
+            verdict = play(seed, where, faults, seconds)
+        report(verdict)
+        held = held and not verdict.breaches
+    handler.close()
+    return 0 if held else 1
+
+
+def report(verdict: Verdict) -> None:
+    """Prints a verdict, with the faults if something did not hold."""
+    places = "+".join(str(n) for n in verdict.shape.instances.values())
+    print(
+        f"seed {verdict.seed}: {places} instances, "
+        f"{verdict.served} of {verdict.requests} requests served, "
+        f"{len(verdict.breaches)} promises broken",
+        flush=True,
+    )
+    if verdict.breaches:
+        for breach in verdict.breaches[:20]:
+            print(f"  {breach.promise} {breach.request_id}: {breach.detail}")
+        for line in verdict.plan:
+            print(f"  {line}", flush=True)
--- /dev/null
+++ b/arbutusbridge/platform/standins.py
@@ -0,0 +1,426 @@
+"""Stand-ins of the platform's store and upstreams, and its callers' words."""
+
+from __future__ import annotations
+
+import base64
+import enum
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+from urllib.parse import parse_qs, urlsplit
+
+import orjson
+
+from arbutusbridge.forwarding.feed import Item
+from arbutusbridge.platform import http
+from arbutusbridge.platform.documents import UPSTREAMS_PREFIX
+from arbutusbridge.soak.record import CallerAnswer, Run
+from arbutusbridge.standins.server import StandInServer
+
+if TYPE_CHECKING:
+    from arbutusbridge.daemon.hub import SocketHub
+    from arbutusbridge.forwarding.model import (
+        Announcement,
+        RoutingConfiguration,
+    )
+    from arbutusbridge.standins.server import ServerConnection
+
+Later = Callable[[float, Callable[[], None]], None]
+"""Calls a function after so many seconds."""
+
+MOST_ITEMS = 500
+"""Items of one page."""
+
+RECORD_BYTES = 16
+
+
+class StoreFault(enum.Enum):
+    """What is wrong with the store."""
+
+    NONE = "none"
+    REFUSING = "refusing"
+    SILENT = "silent"
+    LOSING = "losing"
+
+
+@dataclass(slots=True)
+class Watch:
+    """A watch that waits.
+
+    Attributes:
+      connection: Who waits.
+      prefix: Start of the keys.
+      after: Revision behind which events count.
+    """
+
+    connection: ServerConnection
+    prefix: str
+    after: int
+
+
+class StoreStandIn:
+    """The platform's store in memory.
+
+    Attributes:
+      items: Keys in force.
+      history: Changes, the oldest first.
+      forgotten: Revision up to which the history was forgotten.
+      leases: Time to live and time of end by number.
+      fault: What is wrong with it.
+    """
+
+    def __init__(
+        self,
+        hub: SocketHub,
+        address: tuple[str, int],
+        clock: Callable[[], float],
+        later: Later,
+    ) -> None:
+        self.clock = clock
+        self.later = later
+        self.items: dict[str, tuple[Item, int]] = {}
+        self.history: list[Item] = []
+        self.forgotten = 0
+        self.revision = 1
+        self.leases: dict[int, tuple[float, float]] = {}
+        self.watches: list[Watch] = []
+        self.fault = StoreFault.NONE
+        self.server = StandInServer(hub, address, self.serve, self.on_lost)
+
+    def put(self, key: str, value: bytes, lease: int = 0) -> int:
+        """Writes a key; returns the revision."""
+        self.revision += 1
+        item = Item(key, value, self.revision)
+        self.items[key] = (item, lease)
+        self.note(item)
+        return self.revision
+
+    def delete(self, key: str) -> None:
+        """Ends a key."""
+        if self.items.pop(key, None) is not None:
+            self.revision += 1
+            self.note(Item(key, None, self.revision))
+
+    def note(self, item: Item) -> None:
+        """Keeps a change and tells those that watch."""
+        self.history.append(item)
+        if self.fault is StoreFault.NONE:
+            self.wake()
+
+    def wake(self) -> None:
+        """Answers the watches that have events by now."""
+        for watch in list(self.watches):
+            events = self.events(watch.prefix, watch.after)
+            if events:
+                self.watches.remove(watch)
+                self.answer_watch(watch, events)
+
+    def forget_history(self) -> None:
+        """Forgets all changes so far."""
+        self.forgotten = self.revision
+        self.history.clear()
+
+    def set_fault(self, fault: StoreFault) -> None:
+        """Begins or ends a fault; a refusing store cuts every connection."""
+        self.fault = fault
+        if fault is StoreFault.REFUSING:
+            for connection in list(self.server.connections):
+                connection.close()
+        if fault is StoreFault.NONE:
+            self.wake()
+
+    def end_leases(self) -> None:
+        """Ends what has lapsed."""
+        now = self.clock()
+        ended = {n for n, (_, end) in self.leases.items() if end <= now}
+        for number in ended:
+            del self.leases[number]
+        self.end_keys(ended)
+
+    def end_keys(self, leases: set[int]) -> None:
+        """Ends the keys of leases."""
+        held = [key for key, (_, n) in self.items.items() if n in leases]
+        for key in held:
+            self.delete(key)
+
+    def serve(
+        self, connection: ServerConnection, method: str, path: str, body: bytes
+    ) -> None:
+        """Serves one call."""
+        if self.fault is StoreFault.REFUSING:
+            connection.respond(503, b"{}")
+            return
+        if self.fault is StoreFault.SILENT:
+            return
+        self.end_leases()
+        parts = urlsplit(path)
+        query = {name: one[0] for name, one in parse_qs(parts.query).items()}
+        if parts.path == "/kv-watch":
+            self.watch(connection, query)
+            return
+        status, answer = self.execute(method, parts.path, query, body)
+        if self.fault is not StoreFault.LOSING:
+            connection.respond(status, orjson.dumps(answer))
+
+    def execute(
+        self, method: str, path: str, query: dict[str, str], body: bytes
+    ) -> tuple[int, dict[str, Any]]:
+        """Executes a call other than a watch; returns its answer."""
+        if path == "/kv-range":
+            prefix, after = query.get("prefix", ""), query.get("after", "")
+            found = [
+                item
+                for key, (item, _) in sorted(self.items.items())
+                if key.startswith(prefix) and key > after
+            ]
+            rows = [self.row(item) for item in found[:MOST_ITEMS]]
+            more = len(found) > MOST_ITEMS
+            return 200, self.page(items=rows, has_more=more)
+        _, _, number = path.rpartition("/")
+        if path == "/kv-lease":
+            ttl = orjson.loads(body)["ttl_ms"] / 1000
+            lease = max(self.leases, default=100) + 1
+            self.leases[lease] = (ttl, self.clock() + ttl)
+            return 200, {"lease": lease, "ttl_ms": ttl * 1000}
+        if path == "/kv-txn":
+            return self.write(orjson.loads(body))
+        if not number.isdigit() or int(number) not in self.leases:
+            return 404, {}
+        if method == "DELETE":
+            del self.leases[int(number)]
+            self.end_keys({int(number)})
+        else:
+            ttl, _ = self.leases[int(number)]
+            self.leases[int(number)] = (ttl, self.clock() + ttl)
+        return 200, {}
+
+    def write(self, transaction: dict[str, Any]) -> tuple[int, dict[str, Any]]:
+        """Executes the writes of a transaction."""
+        for put in transaction["puts"]:
+            if put["lease"] and put["lease"] not in self.leases:
+                return 404, {}
+            value = base64.b64decode(put["value"])
+            self.put(put["key"], value, put["lease"])
+        for key in transaction["deletes"]:
+            self.delete(key)
+        return 200, {"revision": self.revision}
+
+    def page(self, **fields: Any) -> dict[str, Any]:
+        """Returns a body with the store's revision."""
+        return {**fields, "current_rev": self.revision}
+
+    def row(self, item: Item) -> dict[str, Any]:
+        """Returns an item or an end as the wire has it."""
+        if item.value is None:
+            return {
+                "key": item.key,
+                "revision": item.revision,
+                "deleted": True,
+            }
+        value = base64.b64encode(item.value).decode()
+        return {"key": item.key, "value": value, "revision": item.revision}
+
+    def events(self, prefix: str, after: int) -> list[Item]:
+        """Returns the changes behind a revision."""
+        return [
+            item
+            for item in self.history
+            if item.revision > after and item.key.startswith(prefix)
+        ]
+
+    def watch(
+        self, connection: ServerConnection, query: dict[str, str]
+    ) -> None:
+        """Answers a watch once there are events, or after its time."""
+        after = int(query["after"])
+        if after < self.forgotten:
+            connection.respond(410, b"{}")
+            return
+        watch = Watch(connection, query.get("prefix", ""), after)
+        events = self.events(watch.prefix, after)
+        if events:
+            self.answer_watch(watch, events)
+            return
+        self.watches.append(watch)
+        self.later(int(query["wait_ms"]) / 1000, lambda: self.expire(watch))
+
+    def expire(self, watch: Watch) -> None:
+        """Answers a watch whose time is over."""
+        if watch in self.watches and self.fault is StoreFault.NONE:
+            self.watches.remove(watch)
+            self.answer_watch(watch, [])
+
+    def answer_watch(self, watch: Watch, events: list[Item]) -> None:
+        """Answers a watch."""
+        rows = [self.row(item) for item in events]
+        body = self.page(events=rows)
+        watch.connection.respond(200, orjson.dumps(body))
+
+    def on_lost(self, connection: ServerConnection) -> None:
+        """Forgets the watches of a connection."""
+        self.watches = [
+            one for one in self.watches if one.connection is not connection
+        ]
+
+
+class UpstreamFault(enum.Enum):
+    """What is wrong with an upstream."""
+
+    NONE = "none"
+    HANGING = "hanging"
+    FAILING = "failing"
+    SHEDDING = "shedding"
+    DAMAGING = "damaging"
+    DROPPING = "dropping"
+
+
+@dataclass(slots=True)
+class UpstreamStandIn:
+    """One upstream on its own port.
+
+    Attributes:
+      announcement: What it says of itself.
+      work_s: Mean time that a request takes.
+      ran: Called with each run when it begins, and with what is shed.
+      fault: What is wrong with it.
+      runs: Runs so far.
+    """
+
+    announcement: Announcement
+    hub: SocketHub
+    clock: Callable[[], float]
+    later: Later
+    rng: random.Random
+    ran: Callable[[Run], None]
+    address: tuple[str, int]
+    work_s: float = 0.01
+    fault: UpstreamFault = UpstreamFault.NONE
+    runs: int = 0
+    server: StandInServer = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.server = StandInServer(self.hub, self.address, self.serve)
+
+    def serve(
+        self,
+        connection: ServerConnection,
+        _method: str,
+        path: str,
+        _body: bytes,
+    ) -> None:
+        """Runs one request, or says that it does not."""
+        headers = connection.headers
+        name = self.announcement.upstream.encode()
+        if headers.get(http.EXPECTED_UPSTREAM) != name:
+            connection.respond(421, b"", "X-Not-Executed: 1\r\n")
+            return
+        request_id = headers[http.REQUEST_ID].decode()
+        service = self.announcement.service
+        run = Run(request_id, name.decode(), service, self.clock(), path)
+        if self.fault is UpstreamFault.SHEDDING:
+            run.shed = True
+            self.ran(run)
+            connection.respond(503, b"", "X-Not-Executed: 1\r\n")
+            return
+        self.runs += 1
+        self.ran(run)
+        if self.fault is UpstreamFault.HANGING:
+            return
+        work_s = self.rng.uniform(0.5, 1.5) * self.work_s
+        self.later(work_s, lambda: self.finish(connection, run))
+
+    def finish(self, connection: ServerConnection, run: Run) -> None:
+        """Answers one request."""
+        stamp = f"{run.upstream}.{run.request_id}.{self.runs}"
+        body = self.rng.randbytes(RECORD_BYTES * self.rng.randint(1, 6))
+        headers = f"X-Request-Id: {run.request_id}\r\n"
+        signed = f"{headers}X-Server-Stamp: {stamp}\r\n"
+        if self.fault is UpstreamFault.DROPPING:
+            connection.close()
+        elif self.fault is UpstreamFault.FAILING:
+            connection.respond(500, b"failed", signed)
+        elif self.fault is UpstreamFault.DAMAGING:
+            wrong = f"X-Request-Id: other\r\nX-Server-Stamp: {stamp}\r\n"
+            connection.respond(200, body, wrong)
+        else:
+            run.stamp, run.body = stamp, body
+            connection.respond(200, body, signed)
+
+
+def encode_configuration(configuration: RoutingConfiguration) -> bytes:
+    """Writes a configuration as the operators do."""
+    routes = []
+    for route in configuration.routes:
+        entry: dict[str, Any] = {
+            "name": route.name,
+            "host": route.host,
+            "prefix": route.prefix,
+            "kind": "idempotent" if route.idempotent else "non_idempotent",
+            "timeout_ms": route.timeout_s * 1000,
+            "target_latency_ms": route.target_s * 1000,
+            "max_attempts": route.most_upstreams,
+        }
+        if route.shards:
+            entry["fanout_services"] = route.shards
+            entry["top_k"] = route.most_records
+            entry["min_shard_ratio"] = route.least_coverage
+        else:
+            entry["service"] = route.services[0].name
+        routes.append(entry)
+    services = [
+        {"name": name, "max_conns": most}
+        for name, most in configuration.connections.items()
+    ]
+    return orjson.dumps(
+        {
+            "version": configuration.version,
+            "routes": routes,
+            "services": services,
+        }
+    )
+
+
+def encode_announcement(announcement: Announcement) -> tuple[str, bytes]:
+    """Writes what an upstream says of itself; returns key and value."""
+    ip, port = announcement.address
+    value = {
+        "service": announcement.service,
+        "addr": f"{ip}:{port}",
+        "zone": announcement.data_centre,
+        "slots": announcement.slots,
+        "state": "draining" if announcement.leaving else "ready",
+        "born": announcement.started_ms,
+    }
+    return UPSTREAMS_PREFIX + announcement.upstream, orjson.dumps(value)
+
+
+def encode_call(
+    request_id: str, method: str, target: str, host: str, deadline_ms: int
+) -> bytes:
+    """Writes a caller's request."""
+    lines = [
+        f"{method} {target} HTTP/1.1",
+        f"Host: {host}",
+        f"X-Request-Id: {request_id}",
+        f"X-Deadline-Ms: {deadline_ms}",
+    ]
+    if method == "POST":
+        lines.append("Content-Length: 0")
+    return "\r\n".join([*lines, "", ""]).encode()
+
+
+def decode_answer(
+    status: int, headers: dict[bytes, bytes], body: bytes
+) -> CallerAnswer:
+    """Reads an answer; header names are in lower case."""
+    text = {name: value.decode() for name, value in headers.items()}
+    stamps = text.get(b"x-shard-stamps", "")
+    return CallerAnswer(
+        status,
+        text.get(http.REQUEST_ID, ""),
+        text.get(http.SIGNATURE, ""),
+        [one.strip() for one in stamps.split(",")] if stamps else [],
+        int(text.get(b"x-shards-missing", "0")),
+        body,
+    )
--- /dev/null
+++ b/arbutusbridge/soak/proxy.py
@@ -0,0 +1,190 @@
+"""A loopback proxy that delays, resets, stalls one way or silences."""
+
+from __future__ import annotations
+
+import socket
+import struct
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from arbutusbridge.daemon.hub import READABLE, WRITABLE
+
+if TYPE_CHECKING:
+    from arbutusbridge.daemon.hub import SocketHub
+
+READ_BYTES = 65_536
+BACKLOG = 1024
+CONNECT_S = 0.2
+"""Time to connect on loopback."""
+
+RESET_LINGER = struct.pack("ii", 1, 0)
+"""Socket option with which a close is a reset."""
+
+
+class Proxy:
+    """Passes the connections to one address on to another.
+
+    Attributes:
+      delay_s: Time by which bytes come later.
+      stalled: Directions, ``out`` and ``back``, in which bytes wait; they
+        follow once the direction is no longer stalled, as after a cut.
+      refusing: Whether new connections are reset.
+      links: Open connections.
+    """
+
+    def __init__(
+        self,
+        hub: SocketHub,
+        address: tuple[str, int],
+        target: tuple[str, int],
+        clock: Callable[[], float],
+        later: Callable[[float, Callable[[], None]], None],
+    ) -> None:
+        self.hub = hub
+        self.target = target
+        self.clock = clock
+        self.later = later
+        self.delay_s = 0.0
+        self.stalled: set[str] = set()
+        self.refusing = False
+        self.links: set[Link] = set()
+        self.sock = socket.create_server(address, backlog=BACKLOG)
+        self.sock.setblocking(False)
+        self.address = self.sock.getsockname()
+        hub.add(self.sock.fileno(), READABLE, self.on_accept)
+
+    def on_accept(self, _mask: int) -> None:
+        """Accepts every connection that waits."""
+        while True:
+            try:
+                near, _ = self.sock.accept()
+            except OSError:
+                return
+            if self.refusing:
+                reset(near)
+                continue
+            try:
+                far = socket.create_connection(self.target, CONNECT_S)
+            except OSError:
+                reset(near)
+                continue
+            self.links.add(Link(self, near, far))
+
+    def set_stalled(self, *directions: str) -> None:
+        """Stalls these directions only; what waited in others follows."""
+        self.stalled = set(directions)
+        for link in list(self.links):
+            link.flush()
+
+    def reset_all(self) -> None:
+        """Resets every open connection."""
+        for link in list(self.links):
+            link.end(hard=True)
+
+    def close(self) -> None:
+        """Stops listening and ends every connection."""
+        self.hub.remove(self.sock.fileno())
+        self.sock.close()
+        self.reset_all()
+
+
+class Link:
+    """One connection through a proxy.
+
+    Attributes:
+      queues: Bytes that wait with the time at which they may go, by
+        direction; an empty piece is the end of the stream.
+    """
+
+    def __init__(
+        self, proxy: Proxy, near: socket.socket, far: socket.socket
+    ) -> None:
+        self.proxy = proxy
+        self.ends = {"out": (near, far), "back": (far, near)}
+        self.queues: dict[str, list[tuple[float, bytes]]] = {
+            "out": [],
+            "back": [],
+        }
+        self.alive = True
+        for direction, (source, _) in self.ends.items():
+            source.setblocking(False)
+            source.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self.watch(direction, READABLE)
+
+    def watch(self, direction: str, mask: int) -> None:
+        """Watches the source of a direction."""
+        source, _ = self.ends[direction]
+
+        def on_ready(ready: int) -> None:
+            self.on_ready(direction, ready)
+
+        self.proxy.hub.add(source.fileno(), mask, on_ready)
+
+    def on_ready(self, direction: str, mask: int) -> None:
+        """Reads what came, or goes on writing the other way."""
+        source, _ = self.ends[direction]
+        if mask & WRITABLE:
+            self.proxy.hub.change(source.fileno(), READABLE)
+            self.flush()
+        if not mask & ~WRITABLE or not self.alive:
+            return
+        try:
+            data = source.recv(READ_BYTES)
+        except BlockingIOError:
+            return
+        except OSError:
+            self.end(hard=True)
+            return
+        if not data:
+            self.proxy.hub.remove(source.fileno())
+        queue = self.queues[direction]
+        due = self.proxy.clock() + self.proxy.delay_s
+        queue.append((max(due, queue[-1][0] if queue else 0.0), data))
+        if self.proxy.delay_s:
+            self.proxy.later(self.proxy.delay_s, self.flush)
+        else:
+            self.flush()
+
+    def flush(self) -> None:
+        """Passes on what may go by now."""
+        for direction, queue in self.queues.items():
+            _, target = self.ends[direction]
+            while queue and self.alive:
+                due, data = queue[0]
+                stalled = direction in self.proxy.stalled
+                if stalled or due > self.proxy.clock():
+                    break
+                if not data:
+                    self.end()
+                    return
+                try:
+                    count = target.send(data)
+                except BlockingIOError:
+                    mask = READABLE | WRITABLE
+                    self.proxy.hub.change(target.fileno(), mask)
+                    break
+                except OSError:
+                    self.end(hard=True)
+                    return
+                queue.pop(0)
+                if count < len(data):
+                    queue.insert(0, (due, data[count:]))
+
+    def end(self, hard: bool = False) -> None:
+        """Closes both ends, with resets if hard."""
+        if not self.alive:
+            return
+        self.alive = False
+        self.proxy.links.discard(self)
+        for source, _ in self.ends.values():
+            self.proxy.hub.remove(source.fileno())
+            if hard:
+                reset(source)
+            else:
+                source.close()
+
+
+def reset(sock: socket.socket) -> None:
+    """Closes a socket with a reset."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_LINGER)
+    sock.close()
--- /dev/null
+++ b/arbutusbridge/soak/record.py
@@ -0,0 +1,165 @@
+"""What callers and upstreams saw during a run, and what was done to it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from arbutusbridge.forwarding.model import Route, RoutingConfiguration
+
+
+@dataclass(slots=True)
+class Run:
+    """One run of a request at an upstream.
+
+    Attributes:
+      request_id: The caller's request.
+      upstream: Who ran it.
+      service: Its service.
+      at: When it began, seconds.
+      target: Path and query.
+      stamp: Signature of a good response, empty if it gave none.
+      body: Body of it.
+      shed: Whether the upstream refused to run it.
+    """
+
+    request_id: str
+    upstream: str
+    service: str
+    at: float
+    target: str
+    stamp: str = ""
+    body: bytes = b""
+    shed: bool = False
+
+
+@dataclass(slots=True)
+class CallerAnswer:
+    """What a caller gets.
+
+    Attributes:
+      status: HTTP status.
+      request_id: Id that it names.
+      stamp: Signature of one upstream's response.
+      stamps: Signatures of the shards in a merged answer.
+      missing: Shards left out of it.
+      body: The whole body.
+    """
+
+    status: int
+    request_id: str
+    stamp: str
+    stamps: list[str]
+    missing: int
+    body: bytes
+
+    @property
+    def good(self) -> bool:
+        """Whether it is a success."""
+        return 200 <= self.status < 300
+
+
+@dataclass(slots=True)
+class Asked:
+    """One request of a caller.
+
+    Attributes:
+      request_id: Unique in a run.
+      instance: Who was asked.
+      route: Name of the route that it is for.
+      target: Path and query.
+      at: When its last byte was sent, seconds.
+      wait_s: How long the caller waits.
+      answer: What came, None if nothing whole did.
+      ended_at: When the answer came or the connection ended, None until then.
+      left: Whether the caller itself gave it up.
+    """
+
+    request_id: str
+    instance: str
+    route: str
+    target: str
+    at: float
+    wait_s: float
+    answer: CallerAnswer | None = None
+    ended_at: float | None = None
+    left: bool = False
+
+
+@dataclass(slots=True)
+class Disturbance:
+    """Something that was done to a part of the system.
+
+    Attributes:
+      kind: What was done.
+      target: An instance, an upstream, or ``store``.
+      since: When it began, seconds.
+      until: When it ended.
+    """
+
+    kind: str
+    target: str
+    since: float
+    until: float
+
+
+@dataclass(slots=True)
+class Record:
+    """One whole run.
+
+    Attributes:
+      configurations: Versions with the time at which the store took them.
+      asked: Requests by id.
+      runs: Runs at upstreams.
+      disturbances: What was done.
+      leaving: When an upstream was announced to leave, by its id.
+      extra_ratio: Extra arrivals allowed per request.
+      extra_slack: Extra arrivals allowed besides.
+      window_s: Window in which they are counted.
+      apply_s: Time after which a version must be in force.
+      unexpected: Processes that ended by themselves or did not end in time.
+      ended: When the run ended.
+    """
+
+    configurations: list[tuple[float, RoutingConfiguration]] = field(
+        default_factory=list
+    )
+    asked: dict[str, Asked] = field(default_factory=dict)
+    runs: list[Run] = field(default_factory=list)
+    disturbances: list[Disturbance] = field(default_factory=list)
+    leaving: dict[str, float] = field(default_factory=dict)
+    extra_ratio: float = 0.2
+    extra_slack: float = 50.0
+    window_s: float = 10.0
+    apply_s: float = 3.0
+    unexpected: list[str] = field(default_factory=list)
+    ended: float = 0.0
+
+    def disturbed(
+        self, target: str, since: float, until: float, *kinds: str
+    ) -> bool:
+        """Tells whether something was done to a part within a time.
+
+        Args:
+          target: The part.
+          since: Begin of the time.
+          until: End of it.
+          kinds: What counts; everything if there are none.
+        """
+        return any(
+            one.target == target
+            and one.since < until
+            and one.until > since
+            and (not kinds or one.kind in kinds)
+            for one in self.disturbances
+        )
+
+    def routes(self, name: str) -> list[tuple[float, Route]]:
+        """Returns the route of a name in each version, with its time."""
+        return [
+            (at, route)
+            for at, configuration in self.configurations
+            for route in configuration.routes
+            if route.name == name
+        ]
--- /dev/null
+++ b/arbutusbridge/soak/world.py
@@ -0,0 +1,401 @@
+"""Store, upstreams, proxies, callers and real instances of one run."""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+import os
+import random
+import signal
+import subprocess
+import sys
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any
+
+from circuits import BaseComponent, handler
+from circuits.core.pollers import EPoll
+
+from arbutusbridge.cmd.forward import SETTINGS_VARIABLE
+from arbutusbridge.daemon.hub import SocketHub
+from arbutusbridge.daemon.timers import TimerService
+from arbutusbridge.forwarding.model import (
+    Announcement,
+    Route,
+    RoutingConfiguration,
+    WeightedService,
+)
+from arbutusbridge.platform.documents import CONFIGURATION_KEY
+from arbutusbridge.platform.standins import (
+    StoreFault,
+    StoreStandIn,
+    UpstreamStandIn,
+    encode_announcement,
+    encode_configuration,
+)
+from arbutusbridge.soak.callers import Caller
+from arbutusbridge.soak.proxy import Proxy
+from arbutusbridge.soak.record import Disturbance, Record
+from arbutusbridge.standins.deployment import LOOPBACK, free_ports
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+HOST = "soak.example"
+STOP_S = 4.0
+"""Time that instances have for a planned stop."""
+
+STOP_SLACK_S = 1.5
+"""Time past it in which a process may still end."""
+
+READY_S = 3.0
+"""Time that an instance may take to start on a busy machine."""
+
+LOOK_S = 0.25
+"""Time between two looks at leases and processes."""
+
+OPERATOR_RETRY_S = 0.3
+"""Time after which operators write again to a store that did not take it."""
+
+CONNECTIONS = 40
+"""Connections that an upstream accepts."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Shape:
+    """Size of a run.
+
+    Attributes:
+      instances: Instances of each data centre.
+      callers: Callers.
+      shards: Shards of the two sets that a search may be over.
+      capacity: Processor that each instance believes to have; little makes
+        it divide searches among its peers.
+      changes_ms: Time in which versions must be in force.
+    """
+
+    instances: dict[str, int]
+    callers: int = 12
+    shards: tuple[int, int] = (6, 9)
+    capacity: float = 1.0
+    changes_ms: int = 3000
+
+
+class Instance:
+    """One real process.
+
+    Attributes:
+      process: The process, None while there is none.
+      ending: Whether it was told to end.
+    """
+
+    def __init__(self, name: str, settings: Path, log: Path) -> None:
+        self.name = name
+        self.settings = settings
+        self.log = log
+        self.process: subprocess.Popen[bytes] | None = None
+        self.ending = False
+
+    def start(self) -> None:
+        """Starts the process."""
+        self.ending = False
+        environment = {**os.environ, SETTINGS_VARIABLE: str(self.settings)}
+        with self.log.open("ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "arbutusbridge.cmd.forward"],
+                env=environment,
+                stdout=log,
+                stderr=log,
+            )
+
+    def signal(self, number: int) -> None:
+        """Sends a signal to the process, if it runs."""
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(number)
+
+    @property
+    def ended(self) -> bool:
+        """Whether the process has ended."""
+        return self.process is None or self.process.poll() is not None
+
+    def end(self) -> None:
+        """Ends the process at once, also while it is paused."""
+        self.ending = True
+        if self.process is not None:
+            self.process.kill()
+            self.process.wait()
+
+
+class World(BaseComponent):
+    """Everything of one run under one circuits manager.
+
+    Attributes:
+      record: What was seen and done.
+      instances: Real processes by name.
+      upstreams: Upstreams by the name of their place, which stays when
+        another upstream takes it.
+      paths: Proxies by kind and target.
+    """
+
+    channel = "soak"
+
+    def __init__(self, seed: int, shape: Shape, folder: Path) -> None:
+        super().__init__()
+        self.shape = shape
+        self.folder = folder
+        self.rng = random.Random(seed)
+        self.poller = EPoll().register(self)
+        self.timers = TimerService().register(self)
+        self.hub = SocketHub().register(self)
+        self.started = self.timers.clock()
+        self.record = Record(apply_s=shape.changes_ms / 1000)
+        self.store = StoreStandIn(
+            self.hub, (LOOPBACK, 0), self.timers.clock, self.later
+        )
+        self.paths: dict[tuple[str, str], Proxy] = {}
+        self.upstreams: dict[str, UpstreamStandIn] = {}
+        self.born = 0
+        self.version = 0
+        self.search_set = 0
+        self.desk_set = 0
+        for service in self.services():
+            self.add_upstreams(service)
+        self.publish()
+        self.instances = self.make_instances()
+        self.callers: list[Caller] = []
+        self.later(LOOK_S, self.look)
+
+    def clock(self) -> float:
+        """Returns seconds since the run began."""
+        return self.timers.clock() - self.started
+
+    def later(self, seconds: float, function: Callable[[], None]) -> None:
+        """Calls a function after so many seconds."""
+        self.timers.after(seconds, self.channel, function)
+
+    @handler("due")
+    def on_due(self, functions: list[Callable[[], None]]) -> None:
+        """Calls the functions that are due."""
+        for function in functions:
+            function()
+
+    def services(self) -> list[str]:
+        """Returns every service."""
+        shards = [
+            f"{'st'[which]}{number}"
+            for which, count in enumerate(self.shape.shards)
+            for number in range(count)
+        ]
+        return [*shards, "desk-0", "desk-1", "once"]
+
+    def add_upstreams(self, service: str) -> None:
+        """Adds two upstreams of a service in different data centres."""
+        places = sorted(self.shape.instances)
+        first = self.rng.randrange(len(places))
+        for number in range(2):
+            place = places[(first + number) % len(places)]
+            self.add_upstream(f"{service}.{number}", service, place)
+
+    def add_upstream(
+        self, slot: str, service: str, data_centre: str, port: int = 0
+    ) -> None:
+        """Starts an upstream behind a proxy and announces it."""
+        self.born += 1
+        upstream = UpstreamStandIn(
+            Announcement(
+                f"i-{self.born}", service, (LOOPBACK, 1), data_centre, 4
+            ),
+            self.hub,
+            self.clock,
+            self.later,
+            self.rng,
+            self.record.runs.append,
+            (LOOPBACK, port),
+        )
+        own = (LOOPBACK, upstream.server.port)
+        path = self.paths.get(("upstream", slot))
+        if path is None:
+            path = self.proxy("upstream", slot, own)
+        upstream.announcement = dataclasses.replace(
+            upstream.announcement, address=path.address, started_ms=self.born
+        )
+        self.upstreams[slot] = upstream
+        self.announce(upstream.announcement)
+
+    def announce(self, announcement: Announcement) -> None:
+        """Writes an announcement."""
+        self.store.put(*encode_announcement(announcement))
+
+    def proxy(self, kind: str, target: str, own: tuple[str, int]) -> Proxy:
+        """Adds a proxy in front of an address."""
+        made = Proxy(
+            self.hub, (LOOPBACK, 0), own, self.timers.clock, self.later
+        )
+        self.paths[kind, target] = made
+        return made
+
+    def publish(self) -> None:
+        """Lets operators write the next version, once the store takes it."""
+        if self.store.fault is not StoreFault.NONE:
+            self.later(OPERATOR_RETRY_S, self.publish)
+            return
+        self.version += self.rng.randint(1, 3)
+        shards = tuple(
+            f"{'st'[self.search_set]}{number}"
+            for number in range(self.shape.shards[self.search_set])
+        )
+        common: dict[str, Any] = {
+            "host": HOST,
+            "timeout_s": 1.5,
+            "target_s": 0.3,
+            "most_upstreams": 2,
+        }
+        desk = WeightedService(f"desk-{self.desk_set}")
+        routes = (
+            Route(
+                "search",
+                prefix="/search/",
+                idempotent=True,
+                shards=shards,
+                most_records=5,
+                least_coverage=0.6,
+                **common,
+            ),
+            Route(
+                "desk",
+                prefix="/desk/",
+                idempotent=True,
+                services=(desk,),
+                **common,
+            ),
+            Route(
+                "once",
+                prefix="/once/",
+                idempotent=False,
+                services=(WeightedService("once"),),
+                **common,
+            ),
+        )
+        connections = dict.fromkeys(self.services(), CONNECTIONS)
+        configuration = RoutingConfiguration(self.version, routes, connections)
+        self.record.configurations.append((self.clock(), configuration))
+        self.store.put(CONFIGURATION_KEY, encode_configuration(configuration))
+
+    def make_instances(self) -> dict[str, Instance]:
+        """Writes the settings of all instances; each has an IP of its own."""
+        ports = free_ports(4)
+        regions = {place: f"r-{place}" for place in self.shape.instances}
+        named = [
+            (f"{place}-{number}", place)
+            for place, count in sorted(self.shape.instances.items())
+            for number in range(count)
+        ]
+        ips = [f"127.77.0.{number}" for number in range(1, len(named) + 1)]
+        instances = {}
+        for (name, place), ip in zip(named, ips, strict=True):
+            callers, operators, metrics, peers = (
+                f"{ip}:{port}" for port in ports
+            )
+            store = self.proxy(
+                "store", name, (LOOPBACK, self.store.server.port)
+            )
+            settings = {
+                "name": name,
+                "data_centre": place,
+                "regions": regions,
+                "callers": callers,
+                "operators": operators,
+                "metrics": metrics,
+                "peers": peers,
+                "seeds": [f"{one}:{ports[3]}" for one in ips[:3]],
+                "store": "{}:{}".format(*store.address),
+                "processor": {"share": self.shape.capacity},
+                "changes_ms": self.shape.changes_ms,
+                "stop_seconds": STOP_S,
+                "balancer_lag_seconds": 1.0,
+            }
+            path = self.folder / f"{name}.json"
+            path.write_text(json.dumps(settings))
+            self.proxy("caller", name, (ip, ports[0]))
+            log = self.folder / f"{name}.log"
+            instances[name] = Instance(name, path, log)
+        return instances
+
+    def begin(self) -> None:
+        """Starts the processes, and a little later the callers."""
+        for instance in self.instances.values():
+            instance.start()
+        self.later(READY_S, self.begin_callers)
+
+    def begin_callers(self) -> None:
+        """Starts the callers."""
+        routes = [
+            ("search", "GET", "/search/"),
+            ("search", "GET", "/search/"),
+            ("desk", "GET", "/desk/"),
+            ("once", "POST", "/once/"),
+        ]
+        addresses = {
+            name: self.paths["caller", name].address for name in self.instances
+        }
+        self.callers = [
+            Caller(
+                f"c{number}",
+                HOST,
+                addresses,
+                routes,
+                self.record,
+                self.hub,
+                self.clock,
+                self.later,
+                self.rng,
+            )
+            for number in range(self.shape.callers)
+        ]
+
+    def disturb(self, kind: str, target: str, seconds: float) -> None:
+        """Notes something that is done now and lasts so long."""
+        now = self.clock()
+        done = Disturbance(kind, target, now, now + seconds)
+        self.record.disturbances.append(done)
+
+    def look(self) -> None:
+        """Ends what has lapsed; notes processes that ended unasked."""
+        if self.store.fault is StoreFault.NONE:
+            self.store.end_leases()
+        for instance in self.instances.values():
+            if instance.ended and not instance.ending and instance.process:
+                code = instance.process.returncode
+                detail = f"{instance.name} ended by itself with {code}"
+                self.record.unexpected.append(detail)
+                instance.ending = True
+        self.later(LOOK_S, self.look)
+
+    def end(self) -> None:
+        """Ends every process that was started here, by its id."""
+        for caller in self.callers:
+            caller.stopped = True
+        for instance in self.instances.values():
+            instance.end()
+
+    def kill(
+        self, name: str, down_s: float, power: int = signal.SIGKILL
+    ) -> None:
+        """Kills an instance, or asks it to stop, and starts it again."""
+        instance = self.instances[name]
+        if instance.ending:
+            return
+        kind = "kill" if power == signal.SIGKILL else "stop"
+        instance.ending = True
+        instance.signal(signal.SIGCONT)
+        instance.signal(power)
+        wait_s = down_s if kind == "kill" else STOP_S + STOP_SLACK_S
+        self.disturb(kind, name, wait_s + READY_S)
+
+        def again() -> None:
+            if not instance.ended:
+                detail = f"{name} did not end in {wait_s} s"
+                self.record.unexpected.append(detail)
+                instance.end()
+            instance.start()
+
+        self.later(wait_s, again)
--- a/arbutusbridge/standins/server.py
+++ b/arbutusbridge/standins/server.py
@@ -20,7 +20,11 @@
 
 
 class ServerConnection:
-    """One accepted connection; requests are served in order."""
+    """One accepted connection; requests are served in order.
+
+    Attributes:
+      headers: Headers of the last request by name in lower case.
+    """
 
     def __init__(self, server: StandInServer, sock: socket.socket) -> None:
         self.server = server
@@ -31,6 +35,7 @@
         self.parser = httptools.HttpRequestParser(self)
         self.url = b""
         self.body: list[bytes] = []
+        self.headers: dict[bytes, bytes] = {}
         self.pending = b""
         self.alive = True
         server.hub.add(self.descriptor, READABLE, self.on_ready)
@@ -61,6 +66,14 @@
         """Takes a piece of the URL, called by the parser."""
         self.url += url
 
+    def on_message_begin(self) -> None:
+        """Forgets the headers of the last request, called by the parser."""
+        self.headers = {}
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Takes a header, called by the parser."""
+        self.headers[name.lower()] = value
+
     def on_body(self, data: bytes) -> None:
         """Takes a piece of the body, called by the parser."""
         self.body.append(data)
--- /dev/null
+++ b/tests/test_soak/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the fault soak."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/test_soak/test_observers.py
@@ -0,0 +1,216 @@
+"""Every promise's check goes red when the promise is broken."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import testtools
+
+from arbutusbridge.forwarding.merge import greatest
+from arbutusbridge.forwarding.model import (
+    Route,
+    RoutingConfiguration,
+    WeightedService,
+)
+from arbutusbridge.soak import Record, check
+from arbutusbridge.soak.record import Asked, CallerAnswer, Disturbance, Run
+
+SHARDS = ("s0", "s1", "s2", "s3")
+BODIES = {shard: bytes([n] * 16) for n, shard in enumerate(SHARDS)}
+COMMON = {
+    "host": "soak.example",
+    "timeout_s": 1.5,
+    "target_s": 0.3,
+    "most_upstreams": 2,
+}
+SEARCH = Route(
+    "search",
+    prefix="/search/",
+    idempotent=True,
+    shards=SHARDS,
+    most_records=3,
+    least_coverage=0.75,
+    **COMMON,
+)
+DESK = Route(
+    "desk",
+    prefix="/desk/",
+    idempotent=True,
+    services=(WeightedService("desk-0"),),
+    **COMMON,
+)
+ONCE = Route(
+    "once",
+    prefix="/once/",
+    idempotent=False,
+    services=(WeightedService("once"),),
+    **COMMON,
+)
+MOVED = dataclasses.replace(DESK, services=(WeightedService("desk-1"),))
+
+
+class PromiseTest(testtools.TestCase):
+    """A record in which all is well, and one thing wrong at a time."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.record = Record(ended=60.0)
+        first = RoutingConfiguration(1, (SEARCH, DESK, ONCE))
+        second = RoutingConfiguration(2, (SEARCH, MOVED, ONCE))
+        self.record.configurations = [(0.0, first), (20.0, second)]
+        for number in range(20):
+            self.ask(f"early-{number}", "desk", 7.0, "desk-0")
+        self.ask("desk-1", "desk", 10.0, "desk-0")
+        self.ask("once-1", "once", 11.0, "once")
+        self.ask("desk-2", "desk", 30.0, "desk-1")
+        self.search("search-1", 12.0, SHARDS)
+        self.search("search-2", 40.0, SHARDS[:3])
+
+    def ask(self, request_id: str, route: str, at: float, service: str):
+        """A plain request that was served."""
+        target = f"/{route}/1"
+        run = Run(request_id, "i-1", service, at + 0.01, target, "sig", b"x")
+        answer = CallerAnswer(200, request_id, "sig", [], 0, b"x")
+        self.record.asked[request_id] = Asked(
+            request_id, "n-0", route, target, at, 1.0, answer, at + 0.1
+        )
+        self.record.runs.append(run)
+        return run
+
+    def search(self, request_id: str, at: float, shards) -> None:
+        """A search that these shards answered."""
+        for shard in shards:
+            stamp = f"{shard}.{request_id}"
+            self.record.runs.append(
+                Run(
+                    request_id,
+                    f"i-{shard}",
+                    shard,
+                    at,
+                    "/search/1",
+                    stamp,
+                    BODIES[shard],
+                )
+            )
+        stamps = [f"{shard}.{request_id}" for shard in shards]
+        body = greatest([BODIES[shard] for shard in shards], 3)
+        missing = len(SHARDS) - len(shards)
+        answer = CallerAnswer(200, request_id, "", stamps, missing, body)
+        self.record.asked[request_id] = Asked(
+            request_id, "n-0", "search", "/search/1", at, 1.0, answer, at + 0.1
+        )
+
+    def broken(self) -> set[str]:
+        """The promises that the record breaks."""
+        return {breach.promise for breach in check(self.record)}
+
+    def answer(self, request_id: str) -> CallerAnswer:
+        """The answer to a request."""
+        answer = self.record.asked[request_id].answer
+        assert answer is not None
+        return answer
+
+    def again(self, request_id: str, **fields) -> None:
+        """Runs a request once more."""
+        run = next(
+            one for one in self.record.runs if one.request_id == request_id
+        )
+        self.record.runs.append(dataclasses.replace(run, **fields))
+
+    def disturb(self, kind: str, target: str, at: float) -> None:
+        """Notes a disturbance of a second."""
+        done = Disturbance(kind, target, at, at + 1.0)
+        self.record.disturbances.append(done)
+
+    def test_all_is_well(self) -> None:
+        self.assertEqual(set(), self.broken())
+
+    def test_second_run_of_what_runs_once(self) -> None:
+        self.again("desk-1")
+        self.assertEqual(set(), self.broken())
+        self.again("once-1")
+        self.assertEqual({"runs_once"}, self.broken())
+
+    def test_what_was_shed_has_not_run(self) -> None:
+        self.again("once-1", shed=True)
+        self.assertEqual(set(), self.broken())
+
+    def test_refusal_of_what_ran(self) -> None:
+        self.answer("once-1").status = 503
+        self.assertEqual({"refusal_is_true"}, self.broken())
+
+    def test_answer_that_no_upstream_gave(self) -> None:
+        self.answer("desk-1").body = b"other"
+        self.assertEqual({"answer_is_the_upstream_s"}, self.broken())
+
+    def test_answer_without_a_signature(self) -> None:
+        self.answer("desk-1").stamp = ""
+        self.assertEqual({"answer_is_the_upstream_s"}, self.broken())
+
+    def test_merged_answers_that_are_not_what_they_say(self) -> None:
+        changes = [
+            {"stamps": ["s0.search-1", "s0.search-1"], "missing": 2},
+            {"stamps": ["unknown"], "missing": 3},
+            {"missing": 1},
+            {"body": BODIES["s0"] * 3},
+        ]
+        whole = self.answer("search-1")
+        for change in changes:
+            wrong = dataclasses.replace(whole, **change)
+            self.record.asked["search-1"].answer = wrong
+            self.assertEqual({"merged_answer_is_whole"}, self.broken(), change)
+
+    def test_merged_answer_of_too_few_shards(self) -> None:
+        self.search("search-3", 41.0, SHARDS[:2])
+        self.assertEqual({"merged_answer_is_whole"}, self.broken())
+
+    def test_run_of_another_target(self) -> None:
+        self.again("desk-1", target="/desk/2")
+        self.assertEqual({"nothing_unasked"}, self.broken())
+
+    def test_request_without_an_answer(self) -> None:
+        self.record.asked["desk-1"].answer = None
+        self.assertEqual({"answered_in_time"}, self.broken())
+        self.disturb("kill", "n-0", 10.5)
+        self.assertEqual(set(), self.broken())
+
+    def test_stop_that_leaves_a_request_unanswered(self) -> None:
+        self.record.asked["desk-1"].answer = None
+        self.disturb("stop", "n-0", 10.0)
+        self.assertEqual({"stop_answers"}, self.broken())
+
+    def test_denied_request(self) -> None:
+        answer = self.answer("desk-1")
+        answer.status, answer.stamp = 404, ""
+        self.assertEqual({"not_denied"}, self.broken())
+
+    def test_version_that_is_no_longer_in_force(self) -> None:
+        self.ask("desk-3", "desk", 22.0, "desk-0")
+        self.assertEqual(set(), self.broken())
+        self.ask("desk-4", "desk", 24.0, "desk-0")
+        self.assertEqual({"version_in_force"}, self.broken())
+        self.disturb("store", "store", 21.0)
+        self.assertEqual(set(), self.broken())
+
+    def test_upstream_that_left_long_ago(self) -> None:
+        self.record.leaving["i-1"] = 28.0
+        self.assertEqual(set(), self.broken())
+        self.record.leaving["i-1"] = 26.0
+        self.assertEqual({"leaving_is_left"}, self.broken())
+
+    def test_extra_arrivals_beyond_the_budget(self) -> None:
+        # A fifth of the 20 requests before, and 50 besides.
+        for number in range(54):
+            self.again("desk-1", at=10.1 + number / 100)
+        self.assertEqual(set(), self.broken())
+        self.again("desk-1", at=11.0)
+        self.assertEqual({"extra_arrivals"}, self.broken())
+
+    def test_no_recovery(self) -> None:
+        self.disturb("kill", "n-1", 22.0)
+        self.answer("desk-2").status = 502
+        self.assertEqual({"recovers"}, self.broken())
+
+    def test_process_that_ended_by_itself(self) -> None:
+        self.record.unexpected.append("n-0 ended by itself with 1")
+        self.assertEqual({"processes_live"}, self.broken())
