--- a/arbutusbridge/daemon/forwarding.py
+++ b/arbutusbridge/daemon/forwarding.py
@@ -15,6 +15,7 @@
     ExtraBounds,
     Forwarder,
     Place,
+    Prepare,
     Send,
     WakeAt,
 )
@@ -208,6 +209,8 @@
                     self.links.send(action)
                 case Drop():
                     self.links.drop(action)
+                case Prepare():
+                    self.links.prepare(action.upstream)
                 case Tell():
                     assert self.peers is not None
                     self.peers.send(action.address, action.message)
--- a/arbutusbridge/daemon/links.py
+++ b/arbutusbridge/daemon/links.py
@@ -38,6 +38,9 @@
 UNKNOWN_CONNECTIONS = 2
 """Connections to one upstream while its service's bound is not known."""
 
+PREPARED_S = 2.0
+"""Time for which a connection that is made ready must still be open."""
+
 SWEEP = "sweep"
 
 
@@ -148,6 +151,10 @@
         self.jobs[send.attempt_id] = (pool, job)
         pool.submit(job)
 
+    def prepare(self, upstream: Announcement) -> None:
+        """Sees to it that a connection to an upstream is ready."""
+        self.pool_for(upstream).prepare(PREPARED_S)
+
     def drop(self, drop: Drop) -> None:
         """Stops waiting for an attempt."""
         found = self.jobs.get(drop.attempt_id)
--- a/arbutusbridge/daemon/pool.py
+++ b/arbutusbridge/daemon/pool.py
@@ -166,10 +166,21 @@
         self.waiting.append(job)
         self.connect_for_waiting()
 
+    def prepare(self, seconds: float) -> None:
+        """Opens a connection unless one will be open for so long."""
+        until = self.clock() + seconds
+        while self.idle and not self.idle[-1].usable(until):
+            self.idle.pop().close()
+        if not self.size and not self.retired:
+            self.connect()
+
     def connect_for_waiting(self) -> None:
         """Opens one more connection if requests wait and it is allowed."""
-        if len(self.connecting) >= len(self.waiting) or self.size >= self.most:
-            return
+        if len(self.connecting) < len(self.waiting) and self.size < self.most:
+            self.connect()
+
+    def connect(self) -> None:
+        """Opens one more connection."""
         self.protocol.connects += 1
         try:
             connection = self.protocol.connect(
--- a/arbutusbridge/forwarding/attempts.py
+++ b/arbutusbridge/forwarding/attempts.py
@@ -12,6 +12,7 @@
     NOT_RUN_ENDS,
     AttemptEnd,
     Drop,
+    Prepare,
     Send,
 )
 from arbutusbridge.forwarding.upstreams import OpenAttempt, overdue_after
@@ -39,6 +40,13 @@
 """Overdue parts of one request, as a number and as a share of its parts, up
 to which their upstreams are taken to be slow, not this instance."""
 
+LEAST_REPLY_SHARE = 0.7
+"""Part of the usual reply time in which an upstream replies at best."""
+
+PREPARE_EVERY_S = 2.0
+"""Time between two looks for a connection to the second choice; upstreams
+close idle connections after some seconds."""
+
 HEDGE_MOST_SLOWNESS = 3.0
 """Multiple of the usual reply time from which an upstream gets no hedges."""
 
@@ -57,6 +65,29 @@
         part.given_up = True
         return
     launch(exchange, part, upstream, forwarder, now, out, extra=False)
+    if exchange.route.shards:
+        prepare(exchange, part, upstream, forwarder, now, out)
+
+
+def prepare(
+    exchange: Exchange,
+    part: Part,
+    asked: Upstream,
+    forwarder: Forwarder,
+    now: float,
+    out: list[object],
+) -> None:
+    """Has a connection ready to the upstream that a hedge would go to.
+
+    The way there and back that opening one takes is most of the time that a
+    hedge to another region has.
+    """
+    if asked.second_seen_at + PREPARE_EVERY_S > now:
+        return
+    asked.second_seen_at = now
+    second = pick(exchange, part, forwarder, now)
+    if second is not None and second.fit(now):
+        out.append(Prepare(second.announcement))
 
 
 def pick(
@@ -182,6 +213,9 @@
         part.look_at = now + RECHECK_S
         return
     extra = part.arrivals > 0
+    if extra and is_too_late(exchange, upstream, forwarder, now):
+        part.given_up = True
+        return
     budget = forwarder.budget(part.service, now)
     if extra and budget.left(forwarder.instances, now) < 1.0:
         forwarder.count("retry_refused")
@@ -213,6 +247,9 @@
     if upstream.slowness >= HEDGE_MOST_SLOWNESS:
         # Two slow upstreams get slower still by work done twice.
         return
+    if is_too_late(exchange, upstream, forwarder, now):
+        part.look_at = math.inf
+        return
     budget = forwarder.budget(part.service, now)
     if not budget.allows_hedge(forwarder.instances, now):
         forwarder.count("hedge_refused")
@@ -222,6 +259,17 @@
     out.append(decision("hedge", exchange, part, forwarder, now))
 
 
+def is_too_late(
+    exchange: Exchange, upstream: Upstream, forwarder: Forwarder, now: float
+) -> bool:
+    """Tells whether the answer goes out before an upstream can reply."""
+    if not exchange.covers(exchange.answered):
+        return False
+    data_centre = upstream.announcement.data_centre
+    usual = forwarder.times.usual(exchange.route, data_centre)
+    return now + LEAST_REPLY_SHARE * usual > exchange.answer_by
+
+
 def look(
     exchange: Exchange, forwarder: Forwarder, now: float, out: list[object]
 ) -> None:
--- a/arbutusbridge/forwarding/messages.py
+++ b/arbutusbridge/forwarding/messages.py
@@ -99,6 +99,13 @@
     repeatable: bool
 
 
+@dataclass(slots=True)
+class Prepare:
+    """Have a connection to an upstream ready, an action."""
+
+    upstream: Announcement
+
+
 @dataclass(slots=True)
 class Drop:
     """Stop waiting for an attempt, an action.
--- a/arbutusbridge/forwarding/regional.py
+++ b/arbutusbridge/forwarding/regional.py
@@ -34,9 +34,6 @@
 NO_REPLY = "no_reply"
 """Why a peer is given up."""
 
-FAR_REPLY_S = 0.025
-"""Shortest time in which an upstream of another region replies."""
-
 REPLY_MARGIN_S = 0.006
 """Time before an answer is due at which a peer's reply must be sent, besides
 its way."""
@@ -231,7 +228,7 @@
             part.arrivals += 1
             part.may_have_run = True
             part.look_at = now
-    look_again(exchange, forwarder, now, out)
+    attempts.look(exchange, forwarder, now, out)
     forwarder.follow_up(exchange, now, out)
 
 
@@ -245,16 +242,6 @@
             part.asked.append(upstream)
 
 
-def look_again(
-    exchange: Exchange, forwarder: Forwarder, now: float, out: list[object]
-) -> None:
-    """Asks what a peer left open, unless the answer goes out before that."""
-    nearly = now >= exchange.answer_by - REPLY_MARGIN_S - FAR_REPLY_S
-    if nearly and exchange.covers(exchange.answered):
-        return
-    attempts.look(exchange, forwarder, now, out)
-
-
 def look(
     exchange: Exchange, forwarder: Forwarder, now: float, out: list[object]
 ) -> None:
--- a/arbutusbridge/forwarding/upstreams.py
+++ b/arbutusbridge/forwarding/upstreams.py
@@ -95,6 +95,8 @@
       warm_at: When its start-up slowness ends.
       leaving_at: When it was learnt that it leaves, infinite if it stays.
       gone: Whether it must get nothing any more.
+      second_seen_at: When a connection to the upstream that stands in for it
+        was last seen to.
     """
 
     announcement: Announcement
@@ -108,6 +110,7 @@
     warm_at: float = 0.0
     leaving_at: float = math.inf
     gone: bool = False
+    second_seen_at: float = -math.inf
 
     @property
     def name(self) -> str:
