--- a/arbutusbridge/bench/_gossip.py
+++ b/arbutusbridge/bench/_gossip.py
@@ -7,11 +7,11 @@
 from dataclasses import dataclass
 
 from arbutusbridge.bench._targets import DATA_CENTRES, REPLICAS
-from arbutusbridge.core.gossip import ROUND_SECONDS, Gossip
-from arbutusbridge.core.members import Identity, Listed
-from arbutusbridge.core.membership import Membership
-from arbutusbridge.core.peeractions import GossipAction, SendPeer
-from arbutusbridge.core.peerwire import Finding, derive_key, seal, unseal
+from arbutusbridge.core.membership.members import Identity, Listed
+from arbutusbridge.core.membership.membership import Membership
+from arbutusbridge.core.peers.gossip import ROUND_SECONDS, Gossip
+from arbutusbridge.core.peers.peeractions import GossipAction, SendPeer
+from arbutusbridge.core.peers.peerwire import Finding, derive_key, seal, unseal
 
 KEY = derive_key("capacity-secret-of-the-bench", "capacity")
 PORT = 7000
--- a/arbutusbridge/bench/_paths.py
+++ b/arbutusbridge/bench/_paths.py
@@ -9,7 +9,7 @@
 
 from arbutusbridge.bench import fanout
 from arbutusbridge.bench._state import least_seconds
-from arbutusbridge.core.claimpage import (
+from arbutusbridge.core.claims.claimpage import (
     Claim,
     ClaimState,
     decode_page,
--- a/arbutusbridge/bench/_peers.py
+++ b/arbutusbridge/bench/_peers.py
@@ -6,14 +6,14 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from arbutusbridge.core.gossip import ROUND_SECONDS, Gossip, SendPeer
-from arbutusbridge.core.members import Identity, Listed, MemberState
-from arbutusbridge.core.membership import Membership
+from arbutusbridge.core.membership.members import Identity, Listed, MemberState
+from arbutusbridge.core.membership.membership import Membership
+from arbutusbridge.core.peers.gossip import ROUND_SECONDS, Gossip, SendPeer
 from arbutusbridge.replay.schedule import Schedule
 
 if TYPE_CHECKING:
-    from arbutusbridge.core.gossip import GossipAction
-    from arbutusbridge.core.peerwire import PeerMessage
+    from arbutusbridge.core.peers.gossip import GossipAction
+    from arbutusbridge.core.peers.peerwire import PeerMessage
 
 LIST_LAG_S = 10.0
 LOSS_SHARE = 0.01
--- a/arbutusbridge/bench/_scatter.py
+++ b/arbutusbridge/bench/_scatter.py
@@ -6,8 +6,6 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from arbutusbridge.core.admission import Admission
-from arbutusbridge.core.intake import Intake
 from arbutusbridge.core.messages import SearchRequest
 from arbutusbridge.core.model import (
     KEY_SPACE,
@@ -18,13 +16,15 @@
     Shard,
     Upstream,
 )
-from arbutusbridge.core.quarantine import Quarantine, canary_never
+from arbutusbridge.core.requests.admission import Admission
+from arbutusbridge.core.requests.intake import Intake
+from arbutusbridge.core.requests.quarantine import Quarantine, canary_never
 from arbutusbridge.replay import World
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
-    from arbutusbridge.core.routing import Picker
+    from arbutusbridge.core.requests.routing import Picker
     from arbutusbridge.replay import Ended
 
 SERVICE = "reports"
--- a/arbutusbridge/bench/_state.py
+++ b/arbutusbridge/bench/_state.py
@@ -11,18 +11,18 @@
 import tracemalloc
 from typing import TYPE_CHECKING, Any
 
-from arbutusbridge.core.claimpage import Claim, ClaimState
+from arbutusbridge.core.claims.claimpage import Claim, ClaimState
 from arbutusbridge.core.configuration import Head, pack
-from arbutusbridge.core.membership import Identity, Membership
-from arbutusbridge.core.quarantine import Quarantine
-from arbutusbridge.core.tier import Tier
+from arbutusbridge.core.membership.membership import Identity, Membership
+from arbutusbridge.core.requests.quarantine import Quarantine
+from arbutusbridge.core.requests.tier import Tier
 from arbutusbridge.daemon.adoption import compile_version
 from arbutusbridge.standins.deployment import Shape, make_register
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from arbutusbridge.core.claimpage import Entries
+    from arbutusbridge.core.claims.claimpage import Entries
 
 REPEATS = 3
 RULES = {"defaults": {"deadline_ms": 65.0, "least_coverage": 0.9}}
--- a/arbutusbridge/bench/capacity.py
+++ b/arbutusbridge/bench/capacity.py
@@ -12,10 +12,10 @@
 from arbutusbridge.bench import _gossip, _paths, _state, _targets
 from arbutusbridge.bench._slopes import Slope
 from arbutusbridge.bench.report import Report
-from arbutusbridge.core.findings import PROBERS, REMOTE_PROBE_SECONDS
-from arbutusbridge.core.membership import WATCHERS
+from arbutusbridge.core.membership.membership import WATCHERS
 from arbutusbridge.core.messages import WATCH_SECONDS
-from arbutusbridge.core.spread import LIST_SECONDS
+from arbutusbridge.core.peers.findings import PROBERS, REMOTE_PROBE_SECONDS
+from arbutusbridge.core.peers.spread import LIST_SECONDS
 from arbutusbridge.daemon.upstreams import PROBE_SECONDS
 
 MIB = 1024 * 1024
--- a/arbutusbridge/bench/core_cost.py
+++ b/arbutusbridge/bench/core_cost.py
@@ -23,7 +23,7 @@
     Shard,
     Upstream,
 )
-from arbutusbridge.core.tier import Tier
+from arbutusbridge.core.requests.tier import Tier
 
 if TYPE_CHECKING:
     from arbutusbridge.core.messages import Action
--- a/arbutusbridge/bench/once.py
+++ b/arbutusbridge/bench/once.py
@@ -15,7 +15,7 @@
     make_configuration,
 )
 from arbutusbridge.bench.report import Report
-from arbutusbridge.core.claimpage import apply_change
+from arbutusbridge.core.claims.claimpage import apply_change
 from arbutusbridge.core.keys import KEEP_CLAIMS_MS
 from arbutusbridge.core.messages import Outcome, Ran
 from arbutusbridge.core.model import Policy
@@ -24,7 +24,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from arbutusbridge.core.claimpage import Change, Entries, Verdict
+    from arbutusbridge.core.claims.claimpage import Change, Entries, Verdict
     from arbutusbridge.core.messages import Answer
     from arbutusbridge.replay import VirtualInstance
 
--- a/arbutusbridge/bench/overload.py
+++ b/arbutusbridge/bench/overload.py
@@ -9,8 +9,6 @@
 
 from arbutusbridge.bench import _scatter
 from arbutusbridge.bench.report import Report
-from arbutusbridge.core.admission import Admission
-from arbutusbridge.core.intake import Intake
 from arbutusbridge.core.messages import Outcome, SearchRequest
 from arbutusbridge.core.model import (
     Configuration,
@@ -19,7 +17,9 @@
     Upstream,
     Urgency,
 )
-from arbutusbridge.core.sharing import Sharing
+from arbutusbridge.core.requests.admission import Admission
+from arbutusbridge.core.requests.intake import Intake
+from arbutusbridge.core.requests.sharing import Sharing
 from arbutusbridge.replay import World
 
 if TYPE_CHECKING:
--- a/arbutusbridge/bench/poison.py
+++ b/arbutusbridge/bench/poison.py
@@ -9,12 +9,12 @@
 
 from arbutusbridge.bench import _scatter, tail
 from arbutusbridge.bench.report import Report
-from arbutusbridge.core import quarantine
-from arbutusbridge.core.intake import Intake
 from arbutusbridge.core.messages import Outcome, SearchRequest
+from arbutusbridge.core.requests import quarantine
+from arbutusbridge.core.requests.intake import Intake
 
 if TYPE_CHECKING:
-    from arbutusbridge.core.quarantine import CanaryRule
+    from arbutusbridge.core.requests.quarantine import CanaryRule
     from arbutusbridge.replay import Ended, World
 
 POISON = "poison"
--- a/arbutusbridge/bench/shares.py
+++ b/arbutusbridge/bench/shares.py
@@ -9,12 +9,12 @@
 from arbutusbridge.bench._peers import Peer, PeerNet
 from arbutusbridge.bench._topology import DATA_CENTRES
 from arbutusbridge.bench.report import Report
-from arbutusbridge.core.members import MemberState
+from arbutusbridge.core.membership.members import MemberState
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from arbutusbridge.core.members import Identity
+    from arbutusbridge.core.membership.members import Identity
 
     Allow = Callable[["Holder"], dict[str, int]]
 
--- a/arbutusbridge/bench/store_calls.py
+++ b/arbutusbridge/bench/store_calls.py
@@ -8,10 +8,10 @@
 
 from arbutusbridge.bench.report import Report
 from arbutusbridge.core.configuration import pack, publish_steps
-from arbutusbridge.core.findings import Known
-from arbutusbridge.core.members import Listed, MemberState
-from arbutusbridge.core.membership import WATCHERS
-from arbutusbridge.core.peerwire import Finding
+from arbutusbridge.core.membership.members import Listed, MemberState
+from arbutusbridge.core.membership.membership import WATCHERS
+from arbutusbridge.core.peers.findings import Known
+from arbutusbridge.core.peers.peerwire import Finding
 from arbutusbridge.daemon.upstreams import PROBE_SECONDS
 from arbutusbridge.replay.fleet import Fleet
 from arbutusbridge.standins.deployment import Shape, make_register
--- a/arbutusbridge/bench/tail.py
+++ b/arbutusbridge/bench/tail.py
@@ -7,14 +7,14 @@
 
 from arbutusbridge.bench import _scatter
 from arbutusbridge.bench.report import Report
-from arbutusbridge.core import routing
 from arbutusbridge.core.model import Policy, Preference
+from arbutusbridge.core.requests import routing
 
 if TYPE_CHECKING:
     import random
     from collections.abc import Callable
 
-    from arbutusbridge.core.routing import Picker
+    from arbutusbridge.core.requests.routing import Picker
     from arbutusbridge.replay import World
 
 MEDIAN_SERVICE_S = 0.0035
--- a/arbutusbridge/core/claims.py
+++ b/arbutusbridge/core/claims/claims.py
@@ -11,7 +11,7 @@
 from typing import TYPE_CHECKING
 
 from arbutusbridge.core.budget import RateBudget
-from arbutusbridge.core.claimpage import (
+from arbutusbridge.core.claims.claimpage import (
     MOST_CLAIMED_PAGE_BYTES,
     Change,
     ClaimState,
--- /dev/null
+++ b/arbutusbridge/core/membership/__init__.py
@@ -0,0 +1,3 @@
+"""The instances of a deployment and the shares they divide."""
+
+from __future__ import annotations
--- a/arbutusbridge/core/membership.py
+++ b/arbutusbridge/core/membership/membership.py
@@ -4,7 +4,7 @@
 
 from dataclasses import replace
 
-from arbutusbridge.core.members import (
+from arbutusbridge.core.membership.members import (
     MOST_MEMBERS,
     Identity,
     Listed,
--- a/arbutusbridge/core/shares.py
+++ b/arbutusbridge/core/membership/shares.py
@@ -16,11 +16,11 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from arbutusbridge.core.members import MOST_MEMBERS
+from arbutusbridge.core.membership.members import MOST_MEMBERS
 
 if TYPE_CHECKING:
-    from arbutusbridge.core.members import Identity, Member
-    from arbutusbridge.core.membership import Membership
+    from arbutusbridge.core.membership.members import Identity, Member
+    from arbutusbridge.core.membership.membership import Membership
 
 FIRST_SECONDS = 0.5
 """Wait for a first word of others, before which no connection is opened."""
--- a/arbutusbridge/core/messages.py
+++ b/arbutusbridge/core/messages.py
@@ -8,10 +8,7 @@
 
 import enum
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, Any
-
-if TYPE_CHECKING:
-    from arbutusbridge.forwarding.feed import Page
+from typing import Any
 
 Version = tuple[int, int]
 """A (layout epoch, snapshot id) pair; greater is newer."""
@@ -252,6 +249,36 @@
     UNAVAILABLE = "unavailable"
 
 
+@dataclass(frozen=True, slots=True)
+class Item:
+    """A key of the store.
+
+    Attributes:
+      key: Its name.
+      value: Its value, None once it was deleted.
+      revision: The store's revision of its last change.
+    """
+
+    key: str
+    value: bytes | None
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class Page:
+    """Keys under a prefix, as of about one time.
+
+    Attributes:
+      items: The keys found.
+      more: Whether there are more behind the last one.
+      revision: The store's revision when it answered.
+    """
+
+    items: tuple[Item, ...]
+    more: bool
+    revision: int
+
+
 @dataclass(slots=True)
 class StoreResult:
     """Result of a store call; UNAVAILABLE may have taken effect.
--- /dev/null
+++ b/arbutusbridge/core/peers/__init__.py
@@ -0,0 +1,3 @@
+"""What instances tell each other, and how it spreads."""
+
+from __future__ import annotations
--- a/arbutusbridge/core/beats.py
+++ b/arbutusbridge/core/peers/beats.py
@@ -6,14 +6,14 @@
 import struct
 from typing import TYPE_CHECKING
 
-from arbutusbridge.core.members import MemberState, member_key
+from arbutusbridge.core.membership.members import MemberState, member_key
 from arbutusbridge.errors import ProtocolError
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from arbutusbridge.core.members import Member
-    from arbutusbridge.core.membership import Membership
+    from arbutusbridge.core.membership.members import Member
+    from arbutusbridge.core.membership.membership import Membership
 
 ROW = struct.Struct(">5sHBBB")
 """Name key, incarnation check, age heard, age listed, state and version."""
--- a/arbutusbridge/core/findings.py
+++ b/arbutusbridge/core/peers/findings.py
@@ -8,13 +8,13 @@
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
-from arbutusbridge.core.rumours import Rumours
+from arbutusbridge.core.peers.rumours import Rumours
 
 if TYPE_CHECKING:
     import random
 
-    from arbutusbridge.core.membership import Membership
-    from arbutusbridge.core.peerwire import Finding
+    from arbutusbridge.core.membership.membership import Membership
+    from arbutusbridge.core.peers.peerwire import Finding
 
 PROBERS = 2
 """Instances of a data centre that probe each upstream."""
--- a/arbutusbridge/core/gossip.py
+++ b/arbutusbridge/core/peers/gossip.py
@@ -10,12 +10,13 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from arbutusbridge.core.beats import encode_table, take_table
 from arbutusbridge.core.configuration import NO_HEAD
-from arbutusbridge.core.findings import Findings
-from arbutusbridge.core.members import MemberState, is_ip
-from arbutusbridge.core.notices import Notices
-from arbutusbridge.core.peeractions import (
+from arbutusbridge.core.membership.members import MemberState, is_ip
+from arbutusbridge.core.membership.shares import Shares
+from arbutusbridge.core.peers.beats import encode_table, take_table
+from arbutusbridge.core.peers.findings import Findings
+from arbutusbridge.core.peers.notices import Notices
+from arbutusbridge.core.peers.peeractions import (
     GossipAction,
     HearFinding,
     HearNotice,
@@ -24,10 +25,9 @@
     SeeWanted,
     SendPeer,
 )
-from arbutusbridge.core.peerwire import PeerMessage
-from arbutusbridge.core.rumours import Rumours
-from arbutusbridge.core.shares import Shares
-from arbutusbridge.core.targets import (
+from arbutusbridge.core.peers.peerwire import PeerMessage
+from arbutusbridge.core.peers.rumours import Rumours
+from arbutusbridge.core.peers.targets import (
     local_targets,
     one_of_each_other,
     other_places,
@@ -39,10 +39,10 @@
     import random
 
     from arbutusbridge.core.configuration import Head
-    from arbutusbridge.core.members import Identity, Member
-    from arbutusbridge.core.membership import Membership
+    from arbutusbridge.core.membership.members import Identity, Member
+    from arbutusbridge.core.membership.membership import Membership
     from arbutusbridge.core.messages import Notice
-    from arbutusbridge.core.peerwire import Piece
+    from arbutusbridge.core.peers.peerwire import Piece
 
 ROUND_SECONDS = 1.0
 """Time between two rounds of messages."""
--- a/arbutusbridge/core/notices.py
+++ b/arbutusbridge/core/peers/notices.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from arbutusbridge.core.messages import Notice, NoticeKind
-from arbutusbridge.core.rumours import Rumours
+from arbutusbridge.core.peers.rumours import Rumours
 
 NOTICE_SENDS = 8
 """Messages that carry a notice on from each instance."""
--- a/arbutusbridge/core/peeractions.py
+++ b/arbutusbridge/core/peers/peeractions.py
@@ -8,7 +8,7 @@
 if TYPE_CHECKING:
     from arbutusbridge.core.configuration import Head
     from arbutusbridge.core.messages import Notice
-    from arbutusbridge.core.peerwire import Finding, PeerMessage, Piece
+    from arbutusbridge.core.peers.peerwire import Finding, PeerMessage, Piece
 
 
 @dataclass(slots=True)
--- a/arbutusbridge/core/peerwire.py
+++ b/arbutusbridge/core/peers/peerwire.py
@@ -18,9 +18,9 @@
 )
 
 from arbutusbridge.core.configuration import Head
-from arbutusbridge.core.members import Identity, MemberState
+from arbutusbridge.core.membership.members import Identity, MemberState
+from arbutusbridge.core.membership.shares import ShareWord
 from arbutusbridge.core.messages import Notice
-from arbutusbridge.core.shares import ShareWord
 from arbutusbridge.errors import ProtocolError
 
 PROTOCOL = b"\x01"
--- a/arbutusbridge/core/pieces.py
+++ b/arbutusbridge/core/peers/pieces.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 
 from arbutusbridge.core.configuration import MOST_VALUE_BYTES, Head
-from arbutusbridge.core.peerwire import PIECES_A_WINDOW, Piece
+from arbutusbridge.core.peers.peerwire import PIECES_A_WINDOW, Piece
 
 PIECE_BYTES = 48_000
 """Bytes of a packed version in one message."""
--- a/arbutusbridge/core/spread.py
+++ b/arbutusbridge/core/peers/spread.py
@@ -9,6 +9,7 @@
 
 from typing import TYPE_CHECKING
 
+from arbutusbridge.core.claims.openreads import OpenReads
 from arbutusbridge.core.configuration import (
     NO_HEAD,
     Head,
@@ -20,10 +21,9 @@
     StoreResult,
     StoreStatus,
 )
-from arbutusbridge.core.openreads import OpenReads
-from arbutusbridge.core.peeractions import SeeHead, SeePiece, SeeWanted
-from arbutusbridge.core.pieces import Ask, window_of
-from arbutusbridge.core.spreadactions import (
+from arbutusbridge.core.peers.peeractions import SeeHead, SeePiece, SeeWanted
+from arbutusbridge.core.peers.pieces import Ask, window_of
+from arbutusbridge.core.peers.spreadactions import (
     Adopt,
     ReadHead,
     ReadList,
@@ -33,9 +33,9 @@
 if TYPE_CHECKING:
     import random
 
-    from arbutusbridge.core.gossip import Gossip
-    from arbutusbridge.core.peerwire import Piece
-    from arbutusbridge.core.spreadactions import SpreadAction
+    from arbutusbridge.core.peers.gossip import Gossip
+    from arbutusbridge.core.peers.peerwire import Piece
+    from arbutusbridge.core.peers.spreadactions import SpreadAction
 
 WINDOWS_A_TICK = 8
 """Windows of pieces served between two ticks at most."""
--- a/arbutusbridge/core/spreadactions.py
+++ b/arbutusbridge/core/peers/spreadactions.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from arbutusbridge.core.configuration import Head
-from arbutusbridge.core.peeractions import SendPeer
+from arbutusbridge.core.peers.peeractions import SendPeer
 
 
 @dataclass(slots=True)
--- a/arbutusbridge/core/targets.py
+++ b/arbutusbridge/core/peers/targets.py
@@ -7,8 +7,8 @@
 if TYPE_CHECKING:
     import random
 
-    from arbutusbridge.core.members import Member
-    from arbutusbridge.core.membership import Membership
+    from arbutusbridge.core.membership.members import Member
+    from arbutusbridge.core.membership.membership import Membership
 
 HEAL_CHANCE = 0.25
 """Share of rounds that also try an instance that is not live."""
--- a/arbutusbridge/core/admission.py
+++ b/arbutusbridge/core/requests/admission.py
@@ -14,8 +14,8 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from arbutusbridge.core.once import Record
-    from arbutusbridge.core.query import Query
+    from arbutusbridge.core.requests.once import Record
+    from arbutusbridge.core.requests.query import Query
 
 INITIAL_LIMIT = 16.0
 LEAST_LIMIT = 2.0
--- a/arbutusbridge/core/answers.py
+++ b/arbutusbridge/core/requests/answers.py
@@ -7,8 +7,8 @@
 from arbutusbridge.core.messages import Answer, Outcome, Ran
 
 if TYPE_CHECKING:
-    from arbutusbridge.core.coverage import Merge
     from arbutusbridge.core.model import Configuration, Policy
+    from arbutusbridge.core.requests.coverage import Merge
 
 RETRY_AFTER_MS = 1000
 """When a caller is told to come back after a failed search."""
--- a/arbutusbridge/core/canaries.py
+++ b/arbutusbridge/core/requests/canaries.py
@@ -4,13 +4,13 @@
 
 from typing import TYPE_CHECKING
 
-from arbutusbridge.core import extras
+from arbutusbridge.core.requests import extras
 
 if TYPE_CHECKING:
-    from arbutusbridge.core.flights import ShardTask
     from arbutusbridge.core.messages import Action
-    from arbutusbridge.core.query import Query
-    from arbutusbridge.core.tier import Tier
+    from arbutusbridge.core.requests.flights import ShardTask
+    from arbutusbridge.core.requests.query import Query
+    from arbutusbridge.core.requests.tier import Tier
 
 DRAWN_FOR_EACH = 3
 """Shards drawn for each canary, of which the best is taken."""
--- a/arbutusbridge/core/charging.py
+++ b/arbutusbridge/core/requests/charging.py
@@ -11,14 +11,14 @@
     ReplyKind,
     Tell,
 )
-from arbutusbridge.core.quarantine import Verdict
+from arbutusbridge.core.requests.quarantine import Verdict
 
 if TYPE_CHECKING:
-    from arbutusbridge.core.flights import ShardTask
     from arbutusbridge.core.messages import Action, Reply
-    from arbutusbridge.core.once import Record
-    from arbutusbridge.core.query import Query
-    from arbutusbridge.core.tier import Tier
+    from arbutusbridge.core.requests.flights import ShardTask
+    from arbutusbridge.core.requests.once import Record
+    from arbutusbridge.core.requests.query import Query
+    from arbutusbridge.core.requests.tier import Tier
 
 
 def charge_search(
--- a/arbutusbridge/core/extras.py
+++ b/arbutusbridge/core/requests/extras.py
@@ -4,14 +4,14 @@
 
 from typing import TYPE_CHECKING
 
-from arbutusbridge.core.hedging import stragglers
-from arbutusbridge.core.routing import unasked
+from arbutusbridge.core.requests.hedging import stragglers
+from arbutusbridge.core.requests.routing import unasked
 
 if TYPE_CHECKING:
-    from arbutusbridge.core.flights import ShardTask
     from arbutusbridge.core.messages import Action
-    from arbutusbridge.core.query import Query
-    from arbutusbridge.core.tier import Tier
+    from arbutusbridge.core.requests.flights import ShardTask
+    from arbutusbridge.core.requests.query import Query
+    from arbutusbridge.core.requests.tier import Tier
 
 LOOKS_WORTH_WAITING = 3
 """Looks after which a policy for latency gives up a shard without attempt."""
--- a/arbutusbridge/core/flights.py
+++ b/arbutusbridge/core/requests/flights.py
@@ -7,9 +7,9 @@
 
 if TYPE_CHECKING:
     from arbutusbridge.core.model import Shard
-    from arbutusbridge.core.observations import UpstreamView
-    from arbutusbridge.core.once import Record
-    from arbutusbridge.core.query import Query
+    from arbutusbridge.core.requests.observations import UpstreamView
+    from arbutusbridge.core.requests.once import Record
+    from arbutusbridge.core.requests.query import Query
 
 
 @dataclass(slots=True, eq=False)
--- a/arbutusbridge/core/hedging.py
+++ b/arbutusbridge/core/requests/hedging.py
@@ -5,11 +5,11 @@
 from typing import TYPE_CHECKING
 
 from arbutusbridge.core.budget import ExtraBudget
-from arbutusbridge.core.observations import LatencyWindow
+from arbutusbridge.core.latencies import LatencyWindow
 
 if TYPE_CHECKING:
-    from arbutusbridge.core.flights import ShardTask
     from arbutusbridge.core.model import Layout, Policy
+    from arbutusbridge.core.requests.flights import ShardTask
 
 LEAST_LOOK_DELAY_S = 0.002
 """Shortest wait before a query looks for stragglers, in seconds."""
--- a/arbutusbridge/core/intake.py
+++ b/arbutusbridge/core/requests/intake.py
@@ -4,8 +4,6 @@
 
 from typing import TYPE_CHECKING
 
-from arbutusbridge.core import limits
-from arbutusbridge.core.admission import MOST_QUEUED, Admission, Ticket
 from arbutusbridge.core.messages import (
     Answer,
     Decision,
@@ -14,11 +12,17 @@
     Respond,
     Wake,
 )
-from arbutusbridge.core.once import Record
-from arbutusbridge.core.quarantine import Quarantine, fingerprint_of
-from arbutusbridge.core.query import DEADLINE_TOKEN, Query
-from arbutusbridge.core.refusals import key_of, key_refusal, refuse_early
-from arbutusbridge.core.sharing import Sharing
+from arbutusbridge.core.requests import limits
+from arbutusbridge.core.requests.admission import MOST_QUEUED, Admission, Ticket
+from arbutusbridge.core.requests.once import Record
+from arbutusbridge.core.requests.quarantine import Quarantine, fingerprint_of
+from arbutusbridge.core.requests.query import DEADLINE_TOKEN, Query
+from arbutusbridge.core.requests.refusals import (
+    key_of,
+    key_refusal,
+    refuse_early,
+)
+from arbutusbridge.core.requests.sharing import Sharing
 
 if TYPE_CHECKING:
     from arbutusbridge.core.messages import (
@@ -27,8 +31,8 @@
         SearchRequest,
     )
     from arbutusbridge.core.model import Configuration, Policy
-    from arbutusbridge.core.sharing import Member
-    from arbutusbridge.core.tier import Tier
+    from arbutusbridge.core.requests.sharing import Member
+    from arbutusbridge.core.requests.tier import Tier
 
 GIVE_UP_TOKEN = "give_up"
 
--- a/arbutusbridge/core/limits.py
+++ b/arbutusbridge/core/requests/limits.py
@@ -13,19 +13,19 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from arbutusbridge.core.routing import cost, unasked
+from arbutusbridge.core.requests.routing import cost, unasked
 
 if TYPE_CHECKING:
     from collections.abc import Collection
 
-    from arbutusbridge.core.flights import ShardTask
+    from arbutusbridge.core.membership.shares import Allotment
     from arbutusbridge.core.messages import Action
     from arbutusbridge.core.model import Configuration, Upstream
-    from arbutusbridge.core.observations import UpstreamView
-    from arbutusbridge.core.query import Query
-    from arbutusbridge.core.routing import Holders
-    from arbutusbridge.core.shares import Allotment
-    from arbutusbridge.core.tier import Tier
+    from arbutusbridge.core.requests.flights import ShardTask
+    from arbutusbridge.core.requests.observations import UpstreamView
+    from arbutusbridge.core.requests.query import Query
+    from arbutusbridge.core.requests.routing import Holders
+    from arbutusbridge.core.requests.tier import Tier
 
 REPLACED_SHARE = 0.125
 """Instances being replaced at once, as a share of those counted."""
--- a/arbutusbridge/core/once.py
+++ b/arbutusbridge/core/requests/once.py
@@ -5,7 +5,12 @@
 from typing import TYPE_CHECKING, Any
 
 from arbutusbridge.core import keys
-from arbutusbridge.core.claimpage import Change, Claim, ClaimState, Verdict
+from arbutusbridge.core.claims.claimpage import (
+    Change,
+    Claim,
+    ClaimState,
+    Verdict,
+)
 from arbutusbridge.core.messages import (
     NOT_RUN_KINDS,
     Answer,
@@ -17,17 +22,21 @@
     Respond,
     Wake,
 )
-from arbutusbridge.core.quarantine import fingerprint_of
-from arbutusbridge.core.refusals import REMEDIES, RETRY_AFTER_MS, SAME_KEY
+from arbutusbridge.core.requests.quarantine import fingerprint_of
+from arbutusbridge.core.requests.refusals import (
+    REMEDIES,
+    RETRY_AFTER_MS,
+    SAME_KEY,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from arbutusbridge.core.claimpage import OnVerdict
-    from arbutusbridge.core.flights import ShardTask
+    from arbutusbridge.core.claims.claimpage import OnVerdict
     from arbutusbridge.core.messages import Action, RecordRequest, Reply
     from arbutusbridge.core.model import Configuration
-    from arbutusbridge.core.tier import Tier
+    from arbutusbridge.core.requests.flights import ShardTask
+    from arbutusbridge.core.requests.tier import Tier
 
 DEADLINE = "record_deadline"
 
--- a/arbutusbridge/core/query.py
+++ b/arbutusbridge/core/requests/query.py
@@ -4,9 +4,6 @@
 
 from typing import TYPE_CHECKING
 
-from arbutusbridge.core import answers, canaries, charging, extras, limits
-from arbutusbridge.core.coverage import Merge
-from arbutusbridge.core.flights import Flight, ShardTask
 from arbutusbridge.core.messages import (
     CRASH_KINDS,
     NOT_RUN_KINDS,
@@ -17,13 +14,21 @@
     Wake,
 )
 from arbutusbridge.core.model import Preference
-from arbutusbridge.core.sharing import Member, share_key
-from arbutusbridge.core.snapshots import pick_unreported
+from arbutusbridge.core.requests import (
+    answers,
+    canaries,
+    charging,
+    extras,
+    limits,
+)
+from arbutusbridge.core.requests.coverage import Merge
+from arbutusbridge.core.requests.flights import Flight, ShardTask
+from arbutusbridge.core.requests.sharing import Member, share_key
+from arbutusbridge.core.requests.snapshots import pick_unreported
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from arbutusbridge.core.hedging import Pace
     from arbutusbridge.core.messages import (
         Action,
         Answer,
@@ -31,9 +36,10 @@
         SearchRequest,
     )
     from arbutusbridge.core.model import Configuration, Policy
-    from arbutusbridge.core.observations import UpstreamView
-    from arbutusbridge.core.snapshots import Catalogue, Serving
-    from arbutusbridge.core.tier import Tier
+    from arbutusbridge.core.requests.hedging import Pace
+    from arbutusbridge.core.requests.observations import UpstreamView
+    from arbutusbridge.core.requests.snapshots import Catalogue, Serving
+    from arbutusbridge.core.requests.tier import Tier
 
 LOOK_TOKEN = "look"
 DEADLINE_TOKEN = "deadline"
--- a/arbutusbridge/core/routing.py
+++ b/arbutusbridge/core/requests/routing.py
@@ -9,7 +9,7 @@
     import random
     from collections.abc import Callable, Collection
 
-    from arbutusbridge.core.observations import UpstreamView
+    from arbutusbridge.core.requests.observations import UpstreamView
 
     Picker = Callable[
         [
--- a/arbutusbridge/core/sharing.py
+++ b/arbutusbridge/core/requests/sharing.py
@@ -10,7 +10,7 @@
 if TYPE_CHECKING:
     from arbutusbridge.core.messages import SearchRequest, Version
     from arbutusbridge.core.model import Configuration, Policy
-    from arbutusbridge.core.query import Query
+    from arbutusbridge.core.requests.query import Query
 
 JOIN_SHARE = 0.5
 """Share of the first member's time in which others may join it."""
--- a/arbutusbridge/core/snapshots.py
+++ b/arbutusbridge/core/requests/snapshots.py
@@ -5,16 +5,16 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from arbutusbridge.core.routing import Holders
+from arbutusbridge.core.requests.routing import Holders
 
 if TYPE_CHECKING:
     import random
     from collections.abc import Collection, Iterable, Mapping
 
-    from arbutusbridge.core.flights import ShardTask
     from arbutusbridge.core.messages import Version
     from arbutusbridge.core.model import Configuration, Layout, Shard
-    from arbutusbridge.core.observations import UpstreamView
+    from arbutusbridge.core.requests.flights import ShardTask
+    from arbutusbridge.core.requests.observations import UpstreamView
 
 ENOUGH_SPARE_SHARE = 0.5
 """Share of the weight with a second replica that a newer version needs."""
--- a/arbutusbridge/core/tier.py
+++ b/arbutusbridge/core/requests/tier.py
@@ -5,12 +5,7 @@
 import weakref
 from typing import TYPE_CHECKING
 
-from arbutusbridge.core import charging, limits, routing
-from arbutusbridge.core.claims import PAGE_TIMER, ClaimPages
-from arbutusbridge.core.drain import SEPARATOR, Departures
-from arbutusbridge.core.flights import Flight, ShardTask
-from arbutusbridge.core.hedging import Pace
-from arbutusbridge.core.intake import GIVE_UP_TOKEN, Intake
+from arbutusbridge.core.claims.claims import PAGE_TIMER, ClaimPages
 from arbutusbridge.core.messages import (
     CRASH_KINDS,
     Cancel,
@@ -19,15 +14,21 @@
     ReplyKind,
     Tell,
 )
-from arbutusbridge.core.observations import UpstreamView
-from arbutusbridge.core.once import Record
-from arbutusbridge.core.query import DEADLINE_TOKEN, LOOK_TOKEN, Query
-from arbutusbridge.core.refusals import KnownKeys
-from arbutusbridge.core.snapshots import Catalogue
+from arbutusbridge.core.requests import charging, limits, routing
+from arbutusbridge.core.requests.drain import SEPARATOR, Departures
+from arbutusbridge.core.requests.flights import Flight, ShardTask
+from arbutusbridge.core.requests.hedging import Pace
+from arbutusbridge.core.requests.intake import GIVE_UP_TOKEN, Intake
+from arbutusbridge.core.requests.observations import UpstreamView
+from arbutusbridge.core.requests.once import Record
+from arbutusbridge.core.requests.query import DEADLINE_TOKEN, LOOK_TOKEN, Query
+from arbutusbridge.core.requests.refusals import KnownKeys
+from arbutusbridge.core.requests.snapshots import Catalogue
 
 if TYPE_CHECKING:
     import random
 
+    from arbutusbridge.core.membership.shares import Allotment
     from arbutusbridge.core.messages import (
         Action,
         Attempt,
@@ -38,9 +39,8 @@
         StoreResult,
     )
     from arbutusbridge.core.model import Configuration, Shard
-    from arbutusbridge.core.routing import Picker
-    from arbutusbridge.core.shares import Allotment
-    from arbutusbridge.core.snapshots import Serving
+    from arbutusbridge.core.requests.routing import Picker
+    from arbutusbridge.core.requests.snapshots import Serving
 
 AVOID_AFTER_SHED_S = 0.1
 """Time without attempts after an upstream shed one."""
--- a/arbutusbridge/daemon/adoption.py
+++ b/arbutusbridge/daemon/adoption.py
@@ -8,9 +8,9 @@
 
 from arbutusbridge.core.configuration import HEAD_KEY, Head
 from arbutusbridge.core.messages import StoreResult, StoreStatus
-from arbutusbridge.core.peeractions import SendPeer
-from arbutusbridge.core.spread import STORE_SECONDS, Spread
-from arbutusbridge.core.spreadactions import (
+from arbutusbridge.core.peers.peeractions import SendPeer
+from arbutusbridge.core.peers.spread import STORE_SECONDS, Spread
+from arbutusbridge.core.peers.spreadactions import (
     Adopt,
     ReadHead,
     ReadList,
@@ -26,8 +26,12 @@
     import random
 
     from arbutusbridge.core.model import Configuration
-    from arbutusbridge.core.peeractions import SeeHead, SeePiece, SeeWanted
-    from arbutusbridge.core.spreadactions import SpreadAction
+    from arbutusbridge.core.peers.peeractions import (
+        SeeHead,
+        SeePiece,
+        SeeWanted,
+    )
+    from arbutusbridge.core.peers.spreadactions import SpreadAction
     from arbutusbridge.daemon.metrics import Metrics
     from arbutusbridge.daemon.peers import Peers
     from arbutusbridge.daemon.platform import PlatformClient
--- a/arbutusbridge/daemon/entry.py
+++ b/arbutusbridge/daemon/entry.py
@@ -13,7 +13,7 @@
 
 from arbutusbridge.core.keys import made_at_ms
 from arbutusbridge.core.messages import Ran, RecordRequest, SearchRequest
-from arbutusbridge.core.refusals import MAKE_UUID7
+from arbutusbridge.core.requests.refusals import MAKE_UUID7
 from arbutusbridge.daemon.bodies import (
     STATUS_OF_OUTCOME,
     RecordBody,
--- a/arbutusbridge/daemon/expiry.py
+++ b/arbutusbridge/daemon/expiry.py
@@ -6,7 +6,7 @@
 
 from circuits import BaseComponent, handler
 
-from arbutusbridge.core.expiry import (
+from arbutusbridge.core.claims.expiry import (
     CLAIMS_PREFIX,
     decode_groups,
     expired_groups,
--- a/arbutusbridge/daemon/following.py
+++ b/arbutusbridge/daemon/following.py
@@ -30,13 +30,12 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from arbutusbridge.core.messages import StoreResult
+    from arbutusbridge.core.messages import Item, StoreResult
     from arbutusbridge.daemon.dialect import Dialect
     from arbutusbridge.daemon.gatherpeers import GatherPeers
     from arbutusbridge.daemon.platform import PlatformClient
     from arbutusbridge.daemon.storefeed import StoreFeed
     from arbutusbridge.daemon.timers import TimerService
-    from arbutusbridge.forwarding.feed import Item
     from arbutusbridge.forwarding.gather import Peer, PeerBook
 
 logger = get_logger(__name__)
--- a/arbutusbridge/daemon/forwarding.py
+++ b/arbutusbridge/daemon/forwarding.py
@@ -22,13 +22,13 @@
 from arbutusbridge.forwarding.gather import Tell
 
 if TYPE_CHECKING:
+    from arbutusbridge.core.messages import Item
     from arbutusbridge.daemon.forwardmetrics import ForwardMetrics
     from arbutusbridge.daemon.gatherpeers import GatherPeers
     from arbutusbridge.daemon.ingress import Ingress
     from arbutusbridge.daemon.links import UpstreamLinks
     from arbutusbridge.daemon.timers import TimerService
     from arbutusbridge.forwarding import CallerRequest, UpstreamReply
-    from arbutusbridge.forwarding.feed import Item
     from arbutusbridge.forwarding.gather import GatherMessage
     from arbutusbridge.forwarding.wireformat import WireFormat
 
--- a/arbutusbridge/daemon/instance.py
+++ b/arbutusbridge/daemon/instance.py
@@ -8,7 +8,7 @@
 from circuits import BaseComponent, handler
 from circuits.core.pollers import EPoll
 
-from arbutusbridge.core.members import MemberState
+from arbutusbridge.core.membership.members import MemberState
 from arbutusbridge.core.stop import StopPlan
 from arbutusbridge.daemon.adoption import Adoption
 from arbutusbridge.daemon.entry import Entry
--- a/arbutusbridge/daemon/listing.py
+++ b/arbutusbridge/daemon/listing.py
@@ -6,7 +6,7 @@
 
 import orjson
 
-from arbutusbridge.core.members import Identity, Listed
+from arbutusbridge.core.membership.members import Identity, Listed
 
 MAINTENANCE_CHECK = "_service_maintenance"
 """Start of the id of the check that marks a service as being taken away."""
--- a/arbutusbridge/daemon/peers.py
+++ b/arbutusbridge/daemon/peers.py
@@ -8,10 +8,10 @@
 
 from circuits import BaseComponent, handler
 
-from arbutusbridge.core.gossip import Gossip
-from arbutusbridge.core.members import Identity, MemberState
-from arbutusbridge.core.membership import Membership
-from arbutusbridge.core.peeractions import (
+from arbutusbridge.core.membership.members import Identity, MemberState
+from arbutusbridge.core.membership.membership import Membership
+from arbutusbridge.core.peers.gossip import Gossip
+from arbutusbridge.core.peers.peeractions import (
     HearFinding,
     HearNotice,
     SeeHead,
@@ -19,7 +19,7 @@
     SeeWanted,
     SendPeer,
 )
-from arbutusbridge.core.peerwire import (
+from arbutusbridge.core.peers.peerwire import (
     MOST_MESSAGE_BYTES,
     Finding,
     ProtocolMismatchError,
@@ -41,11 +41,11 @@
 if TYPE_CHECKING:
     import pynng
 
-    from arbutusbridge.core.members import Listed
+    from arbutusbridge.core.membership.members import Listed
     from arbutusbridge.core.messages import Notice
     from arbutusbridge.core.model import Configuration, Upstream
-    from arbutusbridge.core.peeractions import GossipAction
-    from arbutusbridge.core.peerwire import PeerMessage
+    from arbutusbridge.core.peers.peeractions import GossipAction
+    from arbutusbridge.core.peers.peerwire import PeerMessage
     from arbutusbridge.daemon.hub import SocketHub
     from arbutusbridge.daemon.metrics import Metrics
     from arbutusbridge.daemon.subrequests import StatusReport
--- a/arbutusbridge/daemon/presence.py
+++ b/arbutusbridge/daemon/presence.py
@@ -25,11 +25,10 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from arbutusbridge.core.messages import StoreResult
+    from arbutusbridge.core.messages import Item, StoreResult
     from arbutusbridge.daemon.dialect import Dialect
     from arbutusbridge.daemon.platform import PlatformClient
     from arbutusbridge.daemon.timers import TimerService
-    from arbutusbridge.forwarding.feed import Item
 
 logger = get_logger(__name__)
 
--- a/arbutusbridge/daemon/queries.py
+++ b/arbutusbridge/daemon/queries.py
@@ -23,15 +23,15 @@
     Tell,
     Wake,
 )
-from arbutusbridge.core.tier import Tier
+from arbutusbridge.core.requests.tier import Tier
 from arbutusbridge.daemon.events import answered, cancel, dispatch
 from arbutusbridge.daemon.logs import get_logger, log_decision
 
 if TYPE_CHECKING:
+    from arbutusbridge.core.membership.shares import Allotment
     from arbutusbridge.core.messages import Notice
     from arbutusbridge.core.model import Configuration
-    from arbutusbridge.core.peerwire import Finding
-    from arbutusbridge.core.shares import Allotment
+    from arbutusbridge.core.peers.peerwire import Finding
     from arbutusbridge.daemon.metrics import Metrics
     from arbutusbridge.daemon.peers import Peers
     from arbutusbridge.daemon.platform import PlatformClient
--- a/arbutusbridge/daemon/upstreams.py
+++ b/arbutusbridge/daemon/upstreams.py
@@ -21,9 +21,9 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from arbutusbridge.core.membership.shares import Allotment
     from arbutusbridge.core.messages import Attempt, Cancel
     from arbutusbridge.core.model import Configuration, Upstream
-    from arbutusbridge.core.shares import Allotment
     from arbutusbridge.daemon.hub import SocketHub
     from arbutusbridge.daemon.timers import TimerService
 
--- a/arbutusbridge/forwarding/feed.py
+++ b/arbutusbridge/forwarding/feed.py
@@ -7,9 +7,13 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from arbutusbridge.core.messages import Item
+
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from arbutusbridge.core.messages import Page
+
 PAUSE_S = 0.8
 """Pause between two watches that returned changes. A watch that returns is a
 priced call; changes must be in force 3 s after the store took them."""
@@ -33,36 +37,6 @@
 """Entries that must end at once for it."""
 
 
-@dataclass(frozen=True, slots=True)
-class Item:
-    """A key of the store.
-
-    Attributes:
-      key: Its name.
-      value: Its value, None once it was deleted.
-      revision: The store's revision of its last change.
-    """
-
-    key: str
-    value: bytes | None
-    revision: int
-
-
-@dataclass(frozen=True, slots=True)
-class Page:
-    """Keys under a prefix, as of about one time.
-
-    Attributes:
-      items: The keys found.
-      more: Whether there are more behind the last one.
-      revision: The store's revision when it answered.
-    """
-
-    items: tuple[Item, ...]
-    more: bool
-    revision: int
-
-
 class CallKind(enum.Enum):
     """What to ask the store for."""
 
--- a/arbutusbridge/forwarding/following.py
+++ b/arbutusbridge/forwarding/following.py
@@ -16,8 +16,8 @@
 
 import msgpack
 
+from arbutusbridge.core.messages import Item
 from arbutusbridge.errors import ProtocolError
-from arbutusbridge.forwarding.feed import Item
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
--- a/arbutusbridge/forwarding/upstreams.py
+++ b/arbutusbridge/forwarding/upstreams.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from arbutusbridge.core.observations import LatencyWindow
+from arbutusbridge.core.latencies import LatencyWindow
 from arbutusbridge.forwarding.messages import AttemptEnd
 
 if TYPE_CHECKING:
--- a/arbutusbridge/platform/standins.py
+++ b/arbutusbridge/platform/standins.py
@@ -12,7 +12,7 @@
 
 import orjson
 
-from arbutusbridge.forwarding.feed import Item
+from arbutusbridge.core.messages import Item
 from arbutusbridge.platform import http
 from arbutusbridge.platform.documents import UPSTREAMS_PREFIX
 from arbutusbridge.soak.record import CallerAnswer, Run
--- a/arbutusbridge/platform/store.py
+++ b/arbutusbridge/platform/store.py
@@ -8,9 +8,8 @@
 
 import orjson
 
-from arbutusbridge.core.messages import StoreResult, StoreStatus
+from arbutusbridge.core.messages import Item, Page, StoreResult, StoreStatus
 from arbutusbridge.daemon.dialect import Dialect, Request
-from arbutusbridge.forwarding.feed import Item, Page
 
 HISTORY_LOST_STATUS = 410
 CONDITION_FAILED_STATUS = 412
--- a/arbutusbridge/replay/fleet.py
+++ b/arbutusbridge/replay/fleet.py
@@ -5,20 +5,20 @@
 import random
 from typing import TYPE_CHECKING
 
-from arbutusbridge.core.gossip import ROUND_SECONDS, Gossip
-from arbutusbridge.core.members import Identity
-from arbutusbridge.core.membership import Membership
+from arbutusbridge.core.membership.members import Identity
+from arbutusbridge.core.membership.membership import Membership
 from arbutusbridge.core.messages import StoreGet, StoreResult
-from arbutusbridge.core.peeractions import (
+from arbutusbridge.core.peers.gossip import ROUND_SECONDS, Gossip
+from arbutusbridge.core.peers.peeractions import (
     HearNotice,
     SeeHead,
     SeePiece,
     SeeWanted,
     SendPeer,
 )
-from arbutusbridge.core.peerwire import derive_key, seal, unseal
-from arbutusbridge.core.spread import STORE_SECONDS, Spread
-from arbutusbridge.core.spreadactions import (
+from arbutusbridge.core.peers.peerwire import derive_key, seal, unseal
+from arbutusbridge.core.peers.spread import STORE_SECONDS, Spread
+from arbutusbridge.core.peers.spreadactions import (
     Adopt,
     ReadHead,
     ReadList,
@@ -35,9 +35,9 @@
 
     from arbutusbridge.core.configuration import Head
     from arbutusbridge.core.messages import Notice
-    from arbutusbridge.core.peeractions import GossipAction
-    from arbutusbridge.core.peerwire import PeerMessage
-    from arbutusbridge.core.spreadactions import SpreadAction
+    from arbutusbridge.core.peers.peeractions import GossipAction
+    from arbutusbridge.core.peers.peerwire import PeerMessage
+    from arbutusbridge.core.peers.spreadactions import SpreadAction
 
 LOCAL_ONE_WAY_S = 0.0003
 REMOTE_ONE_WAY_S = 0.006
--- a/arbutusbridge/replay/platform.py
+++ b/arbutusbridge/replay/platform.py
@@ -22,7 +22,7 @@
     import random
     from collections.abc import Callable
 
-    from arbutusbridge.core.members import Listed
+    from arbutusbridge.core.membership.members import Listed
     from arbutusbridge.daemon.storeclient import StoreStep
     from arbutusbridge.replay.schedule import Schedule
 
--- a/arbutusbridge/replay/world.py
+++ b/arbutusbridge/replay/world.py
@@ -21,7 +21,7 @@
     Tell,
     Wake,
 )
-from arbutusbridge.core.tier import Tier
+from arbutusbridge.core.requests.tier import Tier
 from arbutusbridge.daemon.pool import STALE_IDLE_SECONDS
 from arbutusbridge.replay.schedule import Schedule
 from arbutusbridge.replay.upstream import FakeUpstream, Mode
--- a/tests/test_bench/test_once.py
+++ b/tests/test_bench/test_once.py
@@ -5,12 +5,12 @@
 import testtools
 
 from arbutusbridge.bench import once
-from arbutusbridge.core.claimpage import (
+from arbutusbridge.core.claims.claimpage import (
     ClaimState,
     Verdict,
     apply_change,
 )
-from arbutusbridge.core.once import Record
+from arbutusbridge.core.requests.once import Record
 
 RECORDS = 400
 
--- a/tests/test_bench/test_scatter.py
+++ b/tests/test_bench/test_scatter.py
@@ -8,7 +8,7 @@
 
 from arbutusbridge.bench import coverage, outage, tail
 from arbutusbridge.core.messages import Reply
-from arbutusbridge.core.query import Query
+from arbutusbridge.core.requests.query import Query
 
 
 class ScatterBenchTest(testtools.TestCase):
--- a/tests/test_bench/test_shares.py
+++ b/tests/test_bench/test_shares.py
@@ -6,7 +6,7 @@
 from testtools.matchers import GreaterThan, Not
 
 from arbutusbridge.bench import shares
-from arbutusbridge.core.shares import Allotment, Stage
+from arbutusbridge.core.membership.shares import Allotment, Stage
 
 SEED = 2
 
--- a/tests/test_bench/test_store_calls.py
+++ b/tests/test_bench/test_store_calls.py
@@ -5,7 +5,7 @@
 import testtools
 
 from arbutusbridge.bench.store_calls import SizedFleet
-from arbutusbridge.core.membership import WATCHERS
+from arbutusbridge.core.membership.membership import WATCHERS
 
 
 class StoreCallsTest(testtools.TestCase):
--- a/tests/test_core/fixtures.py
+++ b/tests/test_core/fixtures.py
@@ -4,7 +4,6 @@
 
 import random
 
-from arbutusbridge.core.intake import Intake
 from arbutusbridge.core.messages import (
     Action,
     Answer,
@@ -23,12 +22,13 @@
     Shard,
     Upstream,
 )
-from arbutusbridge.core.quarantine import (
+from arbutusbridge.core.requests.intake import Intake
+from arbutusbridge.core.requests.quarantine import (
     CanaryRule,
     Quarantine,
     canary_for_suspects,
 )
-from arbutusbridge.core.tier import Tier
+from arbutusbridge.core.requests.tier import Tier
 
 SERVICE = "leases"
 
--- a/tests/test_core/registers.py
+++ b/tests/test_core/registers.py
@@ -5,7 +5,7 @@
 import math
 from dataclasses import dataclass
 
-from arbutusbridge.core.claimpage import (
+from arbutusbridge.core.claims.claimpage import (
     Change,
     Claim,
     Verdict,
--- a/tests/test_core/test_admission.py
+++ b/tests/test_core/test_admission.py
@@ -4,12 +4,6 @@
 
 import testtools
 
-from arbutusbridge.core.admission import (
-    MOST_QUEUED,
-    Admission,
-    FixedLimit,
-)
-from arbutusbridge.core.intake import Intake
 from arbutusbridge.core.messages import (
     Outcome,
     Ran,
@@ -18,7 +12,13 @@
     SearchRequest,
 )
 from arbutusbridge.core.model import Policy, Rules, Urgency
-from arbutusbridge.core.tier import Tier
+from arbutusbridge.core.requests.admission import (
+    MOST_QUEUED,
+    Admission,
+    FixedLimit,
+)
+from arbutusbridge.core.requests.intake import Intake
+from arbutusbridge.core.requests.tier import Tier
 from tests.test_core.fixtures import (
     SERVICE,
     answers_of,
--- a/tests/test_core/test_claims.py
+++ b/tests/test_core/test_claims.py
@@ -13,8 +13,8 @@
     run_state_machine_as_test,
 )
 
-from arbutusbridge.core import claims
-from arbutusbridge.core.claimpage import (
+from arbutusbridge.core.claims import claims
+from arbutusbridge.core.claims.claimpage import (
     Change,
     Claim,
     ClaimState,
@@ -22,7 +22,7 @@
     apply_change,
     decode_page,
 )
-from arbutusbridge.core.claims import ClaimPages
+from arbutusbridge.core.claims.claims import ClaimPages
 from arbutusbridge.core.keys import ClaimKey
 from arbutusbridge.core.messages import (
     StoreCas,
--- a/tests/test_core/test_drain.py
+++ b/tests/test_core/test_drain.py
@@ -7,9 +7,9 @@
 import testtools
 
 from arbutusbridge.bench import drain
-from arbutusbridge.core.drain import Departures
 from arbutusbridge.core.messages import Notice, NoticeKind
 from arbutusbridge.core.model import Upstream
+from arbutusbridge.core.requests.drain import Departures
 
 LISTED = Upstream("u", "127.0.0.1", 1, "dc", 2, 25, 1.0)
 
--- a/tests/test_core/test_findings.py
+++ b/tests/test_core/test_findings.py
@@ -7,9 +7,9 @@
 
 import testtools
 
-from arbutusbridge.core.findings import RING_SECONDS, Findings
-from arbutusbridge.core.members import Identity, Listed
-from arbutusbridge.core.membership import Membership
+from arbutusbridge.core.membership.members import Identity, Listed
+from arbutusbridge.core.membership.membership import Membership
+from arbutusbridge.core.peers.findings import RING_SECONDS, Findings
 
 UPSTREAMS = [f"u{number}" for number in range(200)]
 
--- a/tests/test_core/test_gossip.py
+++ b/tests/test_core/test_gossip.py
@@ -6,12 +6,22 @@
 
 import testtools
 
-from arbutusbridge.core.gossip import Gossip
-from arbutusbridge.core.members import Identity, Listed, Member, MemberState
-from arbutusbridge.core.membership import GONE_SECONDS, Membership
+from arbutusbridge.core.membership.members import (
+    Identity,
+    Listed,
+    Member,
+    MemberState,
+)
+from arbutusbridge.core.membership.membership import GONE_SECONDS, Membership
 from arbutusbridge.core.messages import Notice, NoticeKind
-from arbutusbridge.core.peeractions import HearNotice, SendPeer
-from arbutusbridge.core.peerwire import PeerMessage, derive_key, seal, unseal
+from arbutusbridge.core.peers.gossip import Gossip
+from arbutusbridge.core.peers.peeractions import HearNotice, SendPeer
+from arbutusbridge.core.peers.peerwire import (
+    PeerMessage,
+    derive_key,
+    seal,
+    unseal,
+)
 from arbutusbridge.errors import ProtocolError
 
 KEY = derive_key("a secret of enough length", "test")
--- a/tests/test_core/test_limits.py
+++ b/tests/test_core/test_limits.py
@@ -4,10 +4,10 @@
 
 import testtools
 
-from arbutusbridge.core import limits
+from arbutusbridge.core.membership.shares import Allotment, Stage
 from arbutusbridge.core.messages import Reply, ReplyKind
 from arbutusbridge.core.model import Upstream
-from arbutusbridge.core.shares import Allotment, Stage
+from arbutusbridge.core.requests import limits
 from tests.test_core.fixtures import (
     answers_of,
     attempts_of,
--- a/tests/test_core/test_once.py
+++ b/tests/test_core/test_once.py
@@ -6,7 +6,7 @@
 from testtools.matchers import LessThan
 
 from arbutusbridge.core import keys
-from arbutusbridge.core.claimpage import ClaimState, decode_page
+from arbutusbridge.core.claims.claimpage import ClaimState, decode_page
 from arbutusbridge.core.messages import Answer, Outcome, Ran, RecordRequest
 from arbutusbridge.replay import Mode, World
 from tests.test_core.fixtures import SERVICE, make_configuration, make_layout
--- a/tests/test_core/test_quarantine.py
+++ b/tests/test_core/test_quarantine.py
@@ -15,7 +15,7 @@
     ReplyKind,
     Tell,
 )
-from arbutusbridge.core.quarantine import (
+from arbutusbridge.core.requests.quarantine import (
     AMBIGUOUS_SECONDS,
     MOST_ENTRIES,
     QUARANTINE_SECONDS,
--- a/tests/test_core/test_routing.py
+++ b/tests/test_core/test_routing.py
@@ -8,9 +8,9 @@
 import testtools
 
 from arbutusbridge.core.model import Policy
-from arbutusbridge.core.observations import RAMP_S, UpstreamView
-from arbutusbridge.core.routing import Holders, pick_by_cost
-from arbutusbridge.core.snapshots import Catalogue
+from arbutusbridge.core.requests.observations import RAMP_S, UpstreamView
+from arbutusbridge.core.requests.routing import Holders, pick_by_cost
+from arbutusbridge.core.requests.snapshots import Catalogue
 from tests.test_core.fixtures import (
     SERVICE,
     make_configuration,
--- a/tests/test_core/test_scatter.py
+++ b/tests/test_core/test_scatter.py
@@ -15,7 +15,7 @@
     ReplyKind,
 )
 from arbutusbridge.core.model import Configuration, Policy, Preference
-from arbutusbridge.core.tier import Tier
+from arbutusbridge.core.requests.tier import Tier
 from tests.test_core.fixtures import (
     SERVICE,
     answers_of,
--- a/tests/test_core/test_sharing.py
+++ b/tests/test_core/test_sharing.py
@@ -6,7 +6,7 @@
 
 from arbutusbridge.core.messages import Outcome
 from arbutusbridge.core.model import Policy, Rules
-from arbutusbridge.core.tier import Tier
+from arbutusbridge.core.requests.tier import Tier
 from tests.test_core.fixtures import (
     SERVICE,
     answers_of,
--- a/tests/test_core/test_spread.py
+++ b/tests/test_core/test_spread.py
@@ -14,8 +14,8 @@
     digest_of,
     pack,
 )
-from arbutusbridge.core.peeractions import SendPeer
-from arbutusbridge.core.peerwire import Piece
+from arbutusbridge.core.peers.peeractions import SendPeer
+from arbutusbridge.core.peers.peerwire import Piece
 from arbutusbridge.replay.fleet import Fleet, FleetNode
 from arbutusbridge.settings import compile_version
 
--- a/tests/test_daemon/test_expiry.py
+++ b/tests/test_daemon/test_expiry.py
@@ -4,7 +4,7 @@
 
 import testtools
 
-from arbutusbridge.core.expiry import expired_groups, group_key
+from arbutusbridge.core.claims.expiry import expired_groups, group_key
 from arbutusbridge.core.keys import GROUP_MS, KEEP_CLAIMS_MS
 from arbutusbridge.daemon.expiry import ClaimExpiry
 from arbutusbridge.daemon.platform import PlatformClient
--- a/tests/test_daemon/test_following.py
+++ b/tests/test_daemon/test_following.py
@@ -8,13 +8,13 @@
 
 import testtools
 
+from arbutusbridge.core.messages import Item
 from arbutusbridge.daemon.events import announced
 from arbutusbridge.daemon.following import StoreFollowing
 from arbutusbridge.daemon.forwardmetrics import ForwardMetrics
 from arbutusbridge.daemon.gatherpeers import GatherPeers
 from arbutusbridge.daemon.platform import PlatformClient
 from arbutusbridge.daemon.storefeed import StoreFeed
-from arbutusbridge.forwarding.feed import Item
 from arbutusbridge.forwarding.following import (
     FOLLOW_AGAIN_S,
     HEARTBEAT_S,
--- a/tests/test_daemon/test_upstreams.py
+++ b/tests/test_daemon/test_upstreams.py
@@ -10,8 +10,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from arbutusbridge.core.membership.shares import Allotment, Stage
 from arbutusbridge.core.messages import Cancel, ReplyKind
-from arbutusbridge.core.shares import Allotment, Stage
 from arbutusbridge.daemon.events import allotted, cancel, configured, dispatch
 from arbutusbridge.daemon.pool import CONNECT_SECONDS, DRAIN_SECONDS
 from arbutusbridge.daemon.subrequests import (
--- a/tests/test_forwarding/test_feed.py
+++ b/tests/test_forwarding/test_feed.py
@@ -6,14 +6,13 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from arbutusbridge.core.messages import Item, Page
 from arbutusbridge.forwarding.feed import (
     LONGEST_RETRY_S,
     PAUSE_S,
     RETURN_GRACE_S,
     CallKind,
     Feed,
-    Item,
-    Page,
 )
 
 NOW = 100.0
--- a/tests/test_forwarding/test_following.py
+++ b/tests/test_forwarding/test_following.py
@@ -6,8 +6,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from arbutusbridge.core.messages import Item, Page
 from arbutusbridge.errors import ProtocolError
-from arbutusbridge.forwarding.feed import CallKind, Feed, Item, Page
+from arbutusbridge.forwarding.feed import CallKind, Feed
 from arbutusbridge.forwarding.following import (
     FOLLOW_AGAIN_S,
     HEARTBEAT_S,
--- a/tests/test_replay/test_observer.py
+++ b/tests/test_replay/test_observer.py
@@ -16,7 +16,7 @@
     ReplyKind,
     Respond,
 )
-from arbutusbridge.core.query import Query
+from arbutusbridge.core.requests.query import Query
 from arbutusbridge.core.stop import StopPlan, StopStep
 from arbutusbridge.replay import samples
 from arbutusbridge.replay.player import Player, Totals
