Divide the forwarder: shared state apart, no import circle left in forwarding

opening takes a request's first steps, helping the messages of peers, conclusion the timers and the end; what they share is forwarding/shared. Moves alone, behaviour as it was.

--- a/arbutusbridge/cmd/forward.py
+++ b/arbutusbridge/cmd/forward.py
@@ -16,12 +16,12 @@
 from arbutusbridge.daemon.logs import get_logger, start_logging
 from arbutusbridge.errors import SettingsError
 from arbutusbridge.platform import DIALECT, WIRE
-from arbutusbridge.settings.forwarding import ForwardSettings
+from arbutusbridge.settings.forwarding import (
+    SETTINGS_VARIABLE,
+    ForwardSettings,
+)
 from arbutusbridge.settings.loader import load_model
 
-SETTINGS_VARIABLE = "ARBUTUSBRIDGE_SETTINGS"
-"""Environment variable with the path of the settings file."""
-
 EXIT_USAGE = 2
 
 logger = get_logger(__name__)
--- a/arbutusbridge/forwarding/attempts.py
+++ b/arbutusbridge/forwarding/attempts.py
@@ -19,8 +19,8 @@
 
 if TYPE_CHECKING:
     from arbutusbridge.forwarding.exchange import Exchange, Part
-    from arbutusbridge.forwarding.forwarder import Forwarder
     from arbutusbridge.forwarding.messages import UpstreamReply
+    from arbutusbridge.forwarding.shared import Shared
     from arbutusbridge.forwarding.upstreams import Upstream
 
 MOST_SENDS = 4
@@ -54,26 +54,26 @@
 def begin_part(
     exchange: Exchange,
     part: Part,
-    forwarder: Forwarder,
+    shared: Shared,
     now: float,
     out: list[object],
 ) -> None:
     """Sends the first attempt of a part, or gives it up."""
-    forwarder.budget(part.service, now).note_request(now)
-    upstream = pick(exchange, part, forwarder, now)
+    shared.budget(part.service, now).note_request(now)
+    upstream = pick(exchange, part, shared, now)
     if upstream is None:
         part.given_up = True
         return
-    launch(exchange, part, upstream, forwarder, now, out, extra=False)
+    launch(exchange, part, upstream, shared, now, out, extra=False)
     if exchange.route.shards:
-        prepare(exchange, part, upstream, forwarder, now, out)
+        prepare(exchange, part, upstream, shared, now, out)
 
 
 def prepare(
     exchange: Exchange,
     part: Part,
     asked: Upstream,
-    forwarder: Forwarder,
+    shared: Shared,
     now: float,
     out: list[object],
 ) -> None:
@@ -85,20 +85,20 @@
     if asked.second_seen_at + PREPARE_EVERY_S > now:
         return
     asked.second_seen_at = now
-    second = pick(exchange, part, forwarder, now)
+    second = pick(exchange, part, shared, now)
     if second is not None and second.fit(now):
         out.append(Prepare(second.announcement))
 
 
 def pick(
-    exchange: Exchange, part: Part, forwarder: Forwarder, now: float
+    exchange: Exchange, part: Part, shared: Shared, now: float
 ) -> Upstream | None:
     """Returns the best upstream for the next attempt of a part.
 
     One that was not asked yet goes first, as long as the route allows
     another one.
     """
-    usable = forwarder.directory.usable(part.service, now)
+    usable = shared.directory.usable(part.service, now)
     waiting = [attempt.upstream for attempt in part.open]
     options = [one for one in usable if one not in waiting]
     fresh = [one for one in options if one not in part.asked]
@@ -109,10 +109,10 @@
     return cheapest(
         fresh or [one for one in options if one in part.asked],
         exchange.route,
-        forwarder.times,
-        forwarder.place,
+        shared.times,
+        shared.place,
         now,
-        forwarder.rng.random(),
+        shared.rng.random(),
     )
 
 
@@ -120,7 +120,7 @@
     exchange: Exchange,
     part: Part,
     upstream: Upstream,
-    forwarder: Forwarder,
+    shared: Shared,
     now: float,
     out: list[object],
     extra: bool,
@@ -128,8 +128,8 @@
     """Sends one attempt."""
     route = exchange.route
     data_centre = upstream.announcement.data_centre
-    usual = forwarder.times.usual(route, data_centre)
-    attempt_id = forwarder.last_attempt = forwarder.last_attempt + 1
+    usual = shared.times.usual(route, data_centre)
+    attempt_id = shared.last_attempt = shared.last_attempt + 1
     attempt = OpenAttempt(
         attempt_id,
         exchange,
@@ -140,7 +140,7 @@
         usual,
         extra=extra,
     )
-    forwarder.attempts[attempt_id] = attempt
+    shared.attempts[attempt_id] = attempt
     upstream.open[attempt_id] = attempt
     part.open.append(attempt)
     part.look_at = attempt.due_at
@@ -148,7 +148,7 @@
     if upstream not in part.asked:
         part.asked.append(upstream)
     if extra:
-        forwarder.budget(part.service, now).note_extra(now)
+        shared.budget(part.service, now).note_extra(now)
     out.append(
         Send(
             attempt_id,
@@ -164,7 +164,7 @@
     exchange: Exchange,
     part: Part,
     reply: UpstreamReply,
-    forwarder: Forwarder,
+    shared: Shared,
     now: float,
     out: list[object],
 ) -> None:
@@ -176,21 +176,21 @@
     if reply.end is AttemptEnd.RESULT:
         part.reply = reply
         part.look_at = math.inf
-        drop_open(part, False, forwarder, out)
+        drop_open(part, False, shared, out)
         return
     part.failure = reply
     if reply.end is AttemptEnd.FAILED and reply.status < FIRST_SERVER_ERROR:
         # Every upstream would find the same mistake in the request.
         part.given_up = True
-        drop_open(part, False, forwarder, out)
+        drop_open(part, False, shared, out)
     elif not part.open:
-        retry(exchange, part, forwarder, now, out)
+        retry(exchange, part, shared, now, out)
 
 
 def retry(
     exchange: Exchange,
     part: Part,
-    forwarder: Forwarder,
+    shared: Shared,
     now: float,
     out: list[object],
 ) -> None:
@@ -202,7 +202,7 @@
     if part.may_have_run and not exchange.route.idempotent:
         part.given_up = True
         return
-    upstream = pick(exchange, part, forwarder, now)
+    upstream = pick(exchange, part, shared, now)
     late = exchange.give_up_at - now < LEAST_USEFUL_S
     if upstream is None or late or part.sends >= MOST_SENDS:
         part.given_up = True
@@ -213,26 +213,26 @@
         part.look_at = now + RECHECK_S
         return
     extra = part.arrivals > 0
-    if extra and is_too_late(exchange, upstream, forwarder, now):
+    if extra and is_too_late(exchange, upstream, shared, now):
         part.given_up = True
         return
-    budget = forwarder.budget(part.service, now)
-    if extra and budget.left(forwarder.instances, now) < 1.0:
-        forwarder.count("retry_refused")
+    budget = shared.budget(part.service, now)
+    if extra and budget.left(shared.instances, now) < 1.0:
+        shared.count("retry_refused")
         part.look_at = now + RECHECK_S
         if now >= exchange.answer_by:
             # The caller is better off elsewhere than waiting for a budget.
             part.given_up = True
         return
     exchange.retries += 1
-    launch(exchange, part, upstream, forwarder, now, out, extra)
-    out.append(decision("retry", exchange, part, forwarder, now))
+    launch(exchange, part, upstream, shared, now, out, extra)
+    out.append(decision("retry", exchange, part, shared, now))
 
 
 def hedge(
     exchange: Exchange,
     part: Part,
-    forwarder: Forwarder,
+    shared: Shared,
     now: float,
     out: list[object],
 ) -> None:
@@ -241,37 +241,37 @@
     if not exchange.route.idempotent or part.sends >= MOST_SENDS:
         part.look_at = math.inf
         return
-    upstream = pick(exchange, part, forwarder, now)
+    upstream = pick(exchange, part, shared, now)
     if upstream is None or not upstream.fit(now):
         return
     if upstream.slowness >= HEDGE_MOST_SLOWNESS:
         # Two slow upstreams get slower still by work done twice.
         return
-    if is_too_late(exchange, upstream, forwarder, now):
+    if is_too_late(exchange, upstream, shared, now):
         part.look_at = math.inf
         return
-    budget = forwarder.budget(part.service, now)
-    if not budget.allows_hedge(forwarder.instances, now):
-        forwarder.count("hedge_refused")
+    budget = shared.budget(part.service, now)
+    if not budget.allows_hedge(shared.instances, now):
+        shared.count("hedge_refused")
         return
     exchange.hedges += 1
-    launch(exchange, part, upstream, forwarder, now, out, extra=True)
-    out.append(decision("hedge", exchange, part, forwarder, now))
+    launch(exchange, part, upstream, shared, now, out, extra=True)
+    out.append(decision("hedge", exchange, part, shared, now))
 
 
 def is_too_late(
-    exchange: Exchange, upstream: Upstream, forwarder: Forwarder, now: float
+    exchange: Exchange, upstream: Upstream, shared: Shared, now: float
 ) -> bool:
     """Tells whether the answer goes out before an upstream can reply."""
     if not exchange.covers(exchange.answered):
         return False
     data_centre = upstream.announcement.data_centre
-    usual = forwarder.times.usual(exchange.route, data_centre)
+    usual = shared.times.usual(exchange.route, data_centre)
     return now + LEAST_REPLY_SHARE * usual > exchange.answer_by
 
 
 def look(
-    exchange: Exchange, forwarder: Forwarder, now: float, out: list[object]
+    exchange: Exchange, shared: Shared, now: float, out: list[object]
 ) -> None:
     """Helps the parts that are due for a look.
 
@@ -287,17 +287,17 @@
     few = max(LEAST_STRAGGLERS, MOST_STRAGGLERS * len(exchange.parts))
     for part in due:
         if not part.open:
-            retry(exchange, part, forwarder, now, out)
+            retry(exchange, part, shared, now, out)
         elif overdue <= few:
-            hedge(exchange, part, forwarder, now, out)
+            hedge(exchange, part, shared, now, out)
         else:
             part.look_at = now + RECHECK_S
     if overdue > few:
-        forwarder.count("hedge_of_many_refused")
+        shared.count("hedge_of_many_refused")
 
 
 def drop_open(
-    part: Part, at_once: bool, forwarder: Forwarder, out: list[object]
+    part: Part, at_once: bool, shared: Shared, out: list[object]
 ) -> None:
     """Stops waiting for the open attempts of a part."""
     for attempt in part.open:
@@ -310,12 +310,12 @@
     what: str,
     exchange: Exchange,
     part: Part,
-    forwarder: Forwarder,
+    shared: Shared,
     now: float,
 ) -> Decision:
     """Builds the log line of an attempt beyond the first."""
     attempt = part.open[-1]
-    budget = forwarder.budget(part.service, now)
+    budget = shared.budget(part.service, now)
     failure = part.failure
     return Decision(
         exchange.request.request_id,
@@ -327,6 +327,6 @@
             "after": failure.end.value if failure else "overdue",
             "detail": failure.detail if failure else "",
             "age_ms": round((now - exchange.request.arrived) * 1000),
-            "budget_left": round(budget.left(forwarder.instances, now), 1),
+            "budget_left": round(budget.left(shared.instances, now), 1),
         },
     )
--- a/arbutusbridge/forwarding/conclusion.py
+++ b/arbutusbridge/forwarding/conclusion.py
@@ -13,11 +13,13 @@
     Refusal,
     Refused,
     Relayed,
+    WakeAt,
 )
 
 if TYPE_CHECKING:
     from arbutusbridge.forwarding.exchange import Exchange
-    from arbutusbridge.forwarding.forwarder import Forwarder
+    from arbutusbridge.forwarding.model import CallerRequest
+    from arbutusbridge.forwarding.shared import Shared
 
 UNSERVABLE_RETRY_S = 0.5
 """When to come back while too few upstreams are known; announcements of new
@@ -28,20 +30,42 @@
 then."""
 
 
+def follow_up(
+    exchange: Exchange, shared: Shared, now: float, out: list[object]
+) -> None:
+    """Answers a request if it is time, or sets its next timer."""
+    conclude(exchange, shared, now, out)
+    if exchange.finished:
+        return
+    times = [part.look_at for part in exchange.parts if part.pending]
+    times += [
+        group.look_at
+        for group in exchange.groups
+        if not group.given_up and group.gather_id in shared.gather.groups
+    ]
+    times.append(exchange.give_up_at)
+    if exchange.answer_by > now:
+        times.append(exchange.answer_by)
+    earliest = min(times)
+    if earliest < exchange.wake_at:
+        exchange.wake_at = earliest
+        out.append(WakeAt(earliest, exchange.request))
+
+
 def conclude(
-    exchange: Exchange, forwarder: Forwarder, now: float, out: list[object]
+    exchange: Exchange, shared: Shared, now: float, out: list[object]
 ) -> None:
     """Answers once nothing is left that is worth the wait."""
     if exchange.finished:
         return
     if exchange.route.shards:
-        conclude_sharded(exchange, forwarder, now, out)
+        conclude_sharded(exchange, shared, now, out)
     else:
-        conclude_whole(exchange, forwarder, now, out)
+        conclude_whole(exchange, shared, now, out)
 
 
 def conclude_sharded(
-    exchange: Exchange, forwarder: Forwarder, now: float, out: list[object]
+    exchange: Exchange, shared: Shared, now: float, out: list[object]
 ) -> None:
     """Answers a request to many shards when it can't get better in time."""
     answered = exchange.answered
@@ -49,15 +73,15 @@
     enough = exchange.covers(answered) or exchange.gather is not None
     overdue = now >= exchange.answer_by
     if (answered == exchange.attainable and enough) or (enough and overdue):
-        merge(exchange, forwarder, now, out)
+        merge(exchange, shared, now, out)
     elif not exchange.covers(exchange.attainable):
-        refuse(exchange, forwarder, now, out)
+        refuse(exchange, shared, now, out)
     elif now >= exchange.give_up_at:
-        refuse(exchange, forwarder, now, out, timed_out=True)
+        refuse(exchange, shared, now, out, timed_out=True)
 
 
 def conclude_whole(
-    exchange: Exchange, forwarder: Forwarder, now: float, out: list[object]
+    exchange: Exchange, shared: Shared, now: float, out: list[object]
 ) -> None:
     """Answers a request to one service with its upstream's response."""
     part = exchange.parts[0]
@@ -68,19 +92,19 @@
         reply = failure
     if reply is not None:
         out.append(Relayed(exchange.request, reply))
-        finish(exchange, forwarder, now, out, "relayed", status=reply.status)
+        finish(exchange, shared, now, out, "relayed", status=reply.status)
     elif part.given_up:
-        refuse(exchange, forwarder, now, out)
+        refuse(exchange, shared, now, out)
     elif now >= exchange.give_up_at:
-        refuse(exchange, forwarder, now, out, timed_out=True)
+        refuse(exchange, shared, now, out, timed_out=True)
 
 
 def merge(
-    exchange: Exchange, forwarder: Forwarder, now: float, out: list[object]
+    exchange: Exchange, shared: Shared, now: float, out: list[object]
 ) -> None:
     """Answers with the records of the shards that replied."""
     replies = [part.reply for part in exchange.parts if part.reply is not None]
-    missing = describe_missing(exchange, forwarder)
+    missing = describe_missing(exchange, shared)
     bodies = [reply.body for reply in replies] + exchange.gathered
     body = greatest(bodies, exchange.route.most_records)
     outcome = "partial" if missing else "complete"
@@ -89,12 +113,10 @@
     else:
         stamps = [reply.stamp for reply in replies]
         out.append(Merged(exchange.request, stamps, len(missing), body))
-    finish(exchange, forwarder, now, out, outcome, missing=missing)
+    finish(exchange, shared, now, out, outcome, missing=missing)
 
 
-def describe_missing(
-    exchange: Exchange, forwarder: Forwarder
-) -> dict[str, str]:
+def describe_missing(exchange: Exchange, shared: Shared) -> dict[str, str]:
     """Returns what became of each part without a reply, for the log.
 
     Open attempts come with the milliseconds since the request arrived.
@@ -114,7 +136,7 @@
             missing[part.service] = "open " + " ".join(attempts)
         elif part.failure is not None:
             missing[part.service] = part.failure.end.value
-        elif forwarder.directory.services.get(part.service):
+        elif shared.directory.services.get(part.service):
             missing[part.service] = "not_sent"
         else:
             missing[part.service] = "no_upstream"
@@ -123,7 +145,7 @@
 
 def refuse(
     exchange: Exchange,
-    forwarder: Forwarder,
+    shared: Shared,
     now: float,
     out: list[object],
     timed_out: bool = False,
@@ -135,7 +157,7 @@
         refusal, retry = Refusal.TIMED_OUT, FAILED_RETRY_S
     else:
         refusal, retry = Refusal.LOST, FAILED_RETRY_S
-    missing = describe_missing(exchange, forwarder)
+    missing = describe_missing(exchange, shared)
     if exchange.gather is not None:
         # What its shards have replied is of use to the peer in any case.
         bodies = [part.reply.body for part in exchange.parts if part.reply]
@@ -143,12 +165,12 @@
         regional.reply(exchange, body, out)
     else:
         out.append(Refused(exchange.request, refusal, retry))
-    finish(exchange, forwarder, now, out, refusal.value, missing=missing)
+    finish(exchange, shared, now, out, refusal.value, missing=missing)
 
 
 def finish(
     exchange: Exchange,
-    forwarder: Forwarder,
+    shared: Shared,
     now: float,
     out: list[object],
     outcome: str,
@@ -164,10 +186,10 @@
         for part in exchange.parts
         if part.asked
     )
-    forwarder.let_go(exchange, out)
+    regional.let_go(exchange, shared, out)
     for part in exchange.parts:
-        drop_open(part, False, forwarder, out)
-    del forwarder.exchanges[exchange.request]
+        drop_open(part, False, shared, out)
+    del shared.exchanges[exchange.request]
     if exchange.groups:
         detail["peers"] = [group.describe() for group in exchange.groups]
     if exchange.gather is not None:
@@ -185,9 +207,29 @@
                 "answered": exchange.answered,
                 "retries": exchange.retries,
                 "hedges": exchange.hedges,
-                "store_age_ms": forwarder.store_age_ms(now),
+                "store_age_ms": shared.store_age_ms(now),
                 "chosen": chosen,
                 **detail,
             },
         )
     )
+
+
+def abandon(request: CallerRequest, shared: Shared, now: float) -> list[object]:
+    """Takes the end of a caller's connection.
+
+    Work that may be repeated is stopped at once; what runs once is let
+    run, since it can't be undone.
+    """
+    out: list[object] = []
+    exchange = shared.exchanges.pop(request, None)
+    if exchange is None:
+        return out
+    exchange.finished = True
+    regional.let_go(exchange, shared, out)
+    for part in exchange.parts:
+        drop_open(part, exchange.route.idempotent, shared, out)
+    age_ms = round((now - request.arrived) * 1000)
+    detail = {"route": exchange.route.name, "age_ms": age_ms}
+    out.append(Decision(request.request_id, "caller_left", detail))
+    return out
--- a/arbutusbridge/forwarding/exchange.py
+++ b/arbutusbridge/forwarding/exchange.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from arbutusbridge.forwarding.gather import GatherAsk, Group
+    from arbutusbridge.forwarding.gather import GatherAsk, Peer
     from arbutusbridge.forwarding.messages import UpstreamReply
     from arbutusbridge.forwarding.model import CallerRequest, Route
     from arbutusbridge.forwarding.upstreams import OpenAttempt, Upstream
@@ -165,3 +165,43 @@
         least = self.route.least_coverage * len(self.parts)
         # Rounding must not ask for one shard more than the route does.
         return parts > 0 and parts >= least - 1e-9
+
+
+@dataclass(slots=True, eq=False)
+class Group:
+    """Shards of a request that a peer asks.
+
+    Attributes:
+      gather_id: Names the message.
+      exchange: The request.
+      peer: Who asks them.
+      parts: The shards.
+      sent_at: When the message was sent.
+      look_at: When to give the peer up.
+      acknowledged: Whether the peer has taken the request.
+      given_up: Whether the shards are asked directly meanwhile.
+      superseded: Whether other peers ask them meanwhile, so that its reply
+        must not count beside theirs.
+      replied_at: When the reply came, infinite until then.
+    """
+
+    gather_id: int
+    exchange: Exchange
+    peer: Peer
+    parts: list[Part]
+    sent_at: float
+    look_at: float
+    acknowledged: bool = False
+    given_up: bool = False
+    superseded: bool = False
+    replied_at: float = math.inf
+
+    def describe(self) -> dict[str, object]:
+        """Returns what the log says of it."""
+        took = self.replied_at - self.sent_at
+        return {
+            "peer": self.peer.name,
+            "parts": len(self.parts),
+            "acknowledged": self.acknowledged,
+            "ms": None if math.isinf(took) else round(took * 1000, 1),
+        }
--- a/arbutusbridge/forwarding/gather.py
+++ b/arbutusbridge/forwarding/gather.py
@@ -8,7 +8,6 @@
 
 from __future__ import annotations
 
-import math
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -18,7 +17,6 @@
 if TYPE_CHECKING:
     import random
 
-    from arbutusbridge.forwarding.exchange import Exchange, Part
 
 LEAST_GROUP = 3
 """Shards in another region from which one message is cheaper than several."""
@@ -218,65 +216,3 @@
             if peer.unfit_until <= now
         ]
         return rng.choice(fit) if fit else None
-
-
-@dataclass(slots=True, eq=False)
-class Group:
-    """Shards of a request that a peer asks.
-
-    Attributes:
-      gather_id: Names the message.
-      exchange: The request.
-      peer: Who asks them.
-      parts: The shards.
-      sent_at: When the message was sent.
-      look_at: When to give the peer up.
-      acknowledged: Whether the peer has taken the request.
-      given_up: Whether the shards are asked directly meanwhile.
-      superseded: Whether other peers ask them meanwhile, so that its reply
-        must not count beside theirs.
-      replied_at: When the reply came, infinite until then.
-    """
-
-    gather_id: int
-    exchange: Exchange
-    peer: Peer
-    parts: list[Part]
-    sent_at: float
-    look_at: float
-    acknowledged: bool = False
-    given_up: bool = False
-    superseded: bool = False
-    replied_at: float = math.inf
-
-    def describe(self) -> dict[str, object]:
-        """Returns what the log says of it."""
-        took = self.replied_at - self.sent_at
-        return {
-            "peer": self.peer.name,
-            "parts": len(self.parts),
-            "acknowledged": self.acknowledged,
-            "ms": None if math.isinf(took) else round(took * 1000, 1),
-        }
-
-
-@dataclass(slots=True)
-class GatherState:
-    """Requests of other instances, and of this one to others.
-
-    Attributes:
-      book: The other instances.
-      own: This instance, None if it takes no messages.
-      groups: Own groups without a final reply, by id.
-      taken: Requests taken for others, by their address and id.
-      accepting: Whether requests of others are taken.
-    """
-
-    book: PeerBook = field(default_factory=PeerBook)
-    own: Peer | None = None
-    groups: dict[int, Group] = field(default_factory=dict)
-    taken: dict[tuple[tuple[str, int], int], Exchange] = field(
-        default_factory=dict
-    )
-    accepting: bool = True
-    last_id: int = 0
--- a/arbutusbridge/platform/standins.py
+++ b/arbutusbridge/platform/standins.py
@@ -15,8 +15,8 @@
 from arbutusbridge.core.messages import Item
 from arbutusbridge.platform import http
 from arbutusbridge.platform.documents import UPSTREAMS_PREFIX
-from arbutusbridge.soak.record import CallerAnswer, Run
 from arbutusbridge.standins.server import StandInServer
+from arbutusbridge.standins.sightings import CallerAnswer, Run
 
 if TYPE_CHECKING:
     from arbutusbridge.daemon.hub import SocketHub
--- a/arbutusbridge/settings/forwarding.py
+++ b/arbutusbridge/settings/forwarding.py
@@ -9,6 +9,9 @@
 from arbutusbridge.settings.base import BorderModel, Name
 from arbutusbridge.settings.instance import Address
 
+SETTINGS_VARIABLE = "ARBUTUSBRIDGE_SETTINGS"
+"""Environment variable with the path of the settings file."""
+
 
 def split_address(value: Any) -> Any:
     """Turns ``IP:PORT`` into the fields of an address."""
--- a/arbutusbridge/soak/world.py
+++ b/arbutusbridge/soak/world.py
@@ -15,7 +15,6 @@
 from circuits import BaseComponent, handler
 from circuits.core.pollers import EPoll
 
-from arbutusbridge.cmd.forward import SETTINGS_VARIABLE
 from arbutusbridge.daemon.hub import SocketHub
 from arbutusbridge.daemon.timers import TimerService
 from arbutusbridge.forwarding.model import (
@@ -32,6 +31,7 @@
     encode_announcement,
     encode_configuration,
 )
+from arbutusbridge.settings.forwarding import SETTINGS_VARIABLE
 from arbutusbridge.soak.callers import Caller
 from arbutusbridge.soak.proxy import Proxy
 from arbutusbridge.soak.record import Disturbance, Record
--- a/tests/test_soak/test_observers.py
+++ b/tests/test_soak/test_observers.py
@@ -13,7 +13,8 @@
     WeightedService,
 )
 from arbutusbridge.soak import Record, check
-from arbutusbridge.soak.record import Asked, CallerAnswer, Disturbance, Run
+from arbutusbridge.soak.record import Asked, Disturbance
+from arbutusbridge.standins.sightings import CallerAnswer, Run
 
 SHARDS = ("s0", "s1", "s2", "s3")
 BODIES = {shard: bytes([n] * 16) for n, shard in enumerate(SHARDS)}
