--- a/Makefile
+++ b/Makefile
@@ -21,6 +21,7 @@
 	$(VENV)/bin/ruff format --check arbutusbridge tests
 	$(VENV)/bin/ruff check arbutusbridge tests
 	$(VENV)/bin/mypy
+	$(VENV)/bin/lint-imports --no-logo
 
 format: venv
 	$(VENV)/bin/ruff format arbutusbridge tests
--- a/arbutusbridge/core/requests/flights.py
+++ b/arbutusbridge/core/requests/flights.py
@@ -48,3 +48,16 @@
     task: ShardTask
     view: UpstreamView
     sent_at: float
+
+
+@dataclass(slots=True)
+class Waiting:
+    """A shard of a query that waits for room at one of its replicas."""
+
+    query: Query
+    task: ShardTask
+
+    @property
+    def live(self) -> bool:
+        """Whether the shard still wants an attempt."""
+        return self.task.waiting and not self.query.finished
--- a/arbutusbridge/core/requests/limits.py
+++ b/arbutusbridge/core/requests/limits.py
@@ -13,6 +13,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from arbutusbridge.core.requests.flights import Waiting
 from arbutusbridge.core.requests.routing import cost, unasked
 
 if TYPE_CHECKING:
@@ -136,19 +137,6 @@
     return None
 
 
-@dataclass(slots=True)
-class Waiting:
-    """A shard of a query that waits for room at one of its replicas."""
-
-    query: Query
-    task: ShardTask
-
-    @property
-    def live(self) -> bool:
-        """Whether the shard still wants an attempt."""
-        return self.task.waiting and not self.query.finished
-
-
 def fit_others(
     holders: Holders, but: Collection[UpstreamView], now: float
 ) -> list[UpstreamView]:
--- a/arbutusbridge/core/requests/observations.py
+++ b/arbutusbridge/core/requests/observations.py
@@ -10,7 +10,7 @@
     import random
 
     from arbutusbridge.core.messages import Version
-    from arbutusbridge.core.requests.limits import Waiting
+    from arbutusbridge.core.requests.flights import Waiting
 
 LATENCY_SMOOTHING = 0.1
 """Share of a new sample in the smoothed latency."""
