Use the reported pace, notice settings that change without a signal

The fourth load figure was read and not used; an upstream that says its work is slow now costs that much more. The settings file is looked at each 5 s.

--- a/arbutusbridge/cmd/forward.py
+++ b/arbutusbridge/cmd/forward.py
@@ -46,7 +46,16 @@
             logger.error("settings not taken", extra={"error": str(err)})
             return None
 
-    instance = ForwardInstance.from_config(checked, WIRE, DIALECT, reload)
+    def changed_at() -> int:
+        try:
+            return settings.stat().st_mtime_ns
+        except OSError as err:
+            logger.warning("settings not found", extra={"error": str(err)})
+            return 0
+
+    instance = ForwardInstance.from_config(
+        checked, WIRE, DIALECT, reload, changed_at
+    )
     signal.signal(signal.SIGHUP, instance._signal_handler)
     instance.run()
     handler.close()
--- a/arbutusbridge/daemon/forwardinstance.py
+++ b/arbutusbridge/daemon/forwardinstance.py
@@ -49,6 +49,13 @@
 
 logger = get_logger(__name__)
 
+RELOAD = "reload"
+LOOK = "look"
+
+LOOK_S = 5.0
+"""Time between two looks whether the settings file has changed without a
+signal."""
+
 PEER_CHANNELS: dict[type, str] = {
     **dict.fromkeys(get_args(GatherMessage), Forwarding.channel),
     Follow: StoreFollowing.channel,
@@ -63,7 +70,9 @@
     Attributes:
       settings: What the process learnt from its settings file.
       metrics: Its instruments.
-      reload: Reads the settings file again; called on SIGHUP.
+      reload: Reads the settings file again.
+      changed_at: Returns when that file was last changed.
+      read_at: What it returned when the file was last read.
     """
 
     channel = "instance"
@@ -74,14 +83,18 @@
         wire: WireFormat,
         dialect: Dialect,
         reload: Callable[[], ForwardSettings | None],
+        changed_at: Callable[[], int],
     ) -> None:
         super().__init__()
         self.settings = settings
         self.reload = reload
+        self.changed_at = changed_at
+        self.read_at = changed_at()
         self.metrics = ForwardMetrics()
         # circuits' default poller fails above descriptor 1,023.
         self.poller = EPoll().register(self)
         self.timers = TimerService().register(self)
+        self.timers.after(LOOK_S, self.channel, LOOK)
         self.hub = SocketHub().register(self)
         self.forwarding = Forwarding(
             Place(settings.data_centre, settings.regions),
@@ -168,9 +181,10 @@
         wire: WireFormat,
         dialect: Dialect,
         reload: Callable[[], ForwardSettings | None],
+        changed_at: Callable[[], int],
     ) -> ForwardInstance:
         """Builds the instance that the settings describe."""
-        return cls(settings, wire, dialect, reload)
+        return cls(settings, wire, dialect, reload, changed_at)
 
     def begin_feed(self, dialect: Dialect) -> StoreFollowing | None:
         """Begins to read the store, through a peer if there are any."""
@@ -209,7 +223,7 @@
     def _signal_handler(self, number: int, _frame: Any) -> None:
         """Takes the place of circuits' handler, which cuts callers off."""
         if number == signal.SIGHUP:
-            self.timers.after(0.0, self.channel, "reload")
+            self.timers.after(0.0, self.channel, RELOAD)
         else:
             self.lifecycle.request_stop()
 
@@ -233,8 +247,14 @@
         )
 
     @handler("due")
-    def on_due(self, _tokens: list[Any]) -> None:
-        """Reads the settings file again."""
+    def on_due(self, tokens: list[Any]) -> None:
+        """Reads the settings file again, if told or if it has changed."""
+        if LOOK in tokens:
+            self.timers.after(LOOK_S, self.channel, LOOK)
+        changed = self.changed_at()
+        if RELOAD not in tokens and changed == self.read_at:
+            return
+        self.read_at = changed
         settings = self.reload()
         if settings is None:
             return
--- a/arbutusbridge/forwarding/choice.py
+++ b/arbutusbridge/forwarding/choice.py
@@ -75,7 +75,7 @@
     data_centre = upstream.announcement.data_centre
     usual = times.usual(route, data_centre)
     upstream.fade(now)
-    factor = upstream.slowness
+    factor = max(upstream.slowness, upstream.pace(now))
     if upstream.warm_at > now:
         factor = max(factor, 1.0 + COLD_FACTOR)
     cost = usual * (factor + upstream.queue(now))
--- a/arbutusbridge/forwarding/upstreams.py
+++ b/arbutusbridge/forwarding/upstreams.py
@@ -158,11 +158,21 @@
             and not self.overdue(now)
         )
 
+    def load_is_fresh(self, now: float) -> bool:
+        """Tells whether the reported load still says something."""
+        return now - self.load_at < LOAD_FRESH_S
+
+    def pace(self, now: float) -> float:
+        """Returns how much longer work takes there, as it said lately."""
+        if self.load is None or not self.load_is_fresh(now):
+            return 1.0
+        return self.load.pace
+
     def queue(self, now: float) -> float:
         """Returns the requests ahead of a new one, per slot."""
         slots = max(1, self.announcement.slots)
         ahead = len(self.open)
-        if self.load is not None and now - self.load_at < LOAD_FRESH_S:
+        if self.load is not None and self.load_is_fresh(now):
             ahead = max(ahead, self.load.running + self.load.waiting - 1)
         return max(0.0, (ahead + 1 - slots) / slots)
 
--- /dev/null
+++ b/tests/test_daemon/test_forwardinstance.py
@@ -0,0 +1,55 @@
+"""Tests of the assembly of a forwarding instance."""
+
+from __future__ import annotations
+
+import testtools
+
+from arbutusbridge.daemon.forwardinstance import LOOK, RELOAD, ForwardInstance
+from arbutusbridge.platform import DIALECT, WIRE
+from arbutusbridge.settings.forwarding import ForwardSettings
+from arbutusbridge.standins.deployment import LOOPBACK, free_ports
+
+
+class ReloadTest(testtools.TestCase):
+    """Settings that change while the process runs."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        ports = free_ports(3)
+        self.given = {
+            "name": "n-0",
+            "data_centre": "north",
+            "callers": f"{LOOPBACK}:{ports[0]}",
+            "operators": f"{LOOPBACK}:{ports[1]}",
+            "store": f"{LOOPBACK}:{ports[2]}",
+        }
+        self.changed_at = 1
+        self.instance = ForwardInstance.from_config(
+            ForwardSettings.model_validate(self.given),
+            WIRE,
+            DIALECT,
+            self.reload,
+            lambda: self.changed_at,
+        )
+        self.addCleanup(self.instance.ingress.stop_listening)
+
+    def reload(self) -> ForwardSettings:
+        """The settings as they are now."""
+        return ForwardSettings.model_validate(self.given)
+
+    def slack(self) -> float:
+        """The bound on extra arrivals in force."""
+        return self.instance.forwarding.forwarder.bounds.slack
+
+    def test_change_without_a_signal_is_noticed(self) -> None:
+        self.given["extras"] = {"slack": 7.0}
+        self.instance.on_due([LOOK])
+        self.assertEqual(50.0, self.slack())
+        self.changed_at = 2
+        self.instance.on_due([LOOK])
+        self.assertEqual(7.0, self.slack())
+
+    def test_signal_reads_them_in_any_case(self) -> None:
+        self.given["extras"] = {"slack": 7.0}
+        self.instance.on_due([RELOAD])
+        self.assertEqual(7.0, self.slack())
--- a/tests/test_daemon/test_links.py
+++ b/tests/test_daemon/test_links.py
@@ -206,6 +206,17 @@
         self.bench.now += 2.5
         self.assertIs(AttemptEnd.LOST, self.reply().end)
 
+    def test_prepared_connection_carries_the_next_request(self) -> None:
+        self.links.prepare(self.upstream)
+        self.bench.turn()
+        self.links.prepare(self.upstream)
+        self.bench.turn()
+        self.assertEqual(1, self.links.pools["i-1"].size)
+        self.assertEqual(1, self.links.protocol.connects)
+        self.send(1)
+        self.bench.turn()
+        self.assertEqual(1, self.links.protocol.connects)
+
     def test_share_bounds_the_connections(self) -> None:
         self.links.share({"records": 26}, 8, 0)
         for number in range(1, 6):
--- a/tests/test_forwarding/test_scatter.py
+++ b/tests/test_forwarding/test_scatter.py
@@ -7,11 +7,13 @@
 from arbutusbridge.forwarding import (
     AttemptEnd,
     Drop,
+    Load,
     Merged,
+    Prepare,
     Refusal,
     Refused,
 )
-from arbutusbridge.forwarding.attempts import MOST_SENDS
+from arbutusbridge.forwarding.attempts import MOST_SENDS, PREPARE_EVERY_S
 from arbutusbridge.forwarding.exchange import ANSWER_MARGIN_S, MERGE_S_A_PART
 from tests.test_forwarding.fixtures import (
     TARGET_S,
@@ -40,7 +42,8 @@
             [sharded(SHARDS)], shard_upstreams(SHARDS)
         )
         self.request = request(at=NOW)
-        self.sends = sends_of(self.forwarder.arrive(self.request, NOW))
+        self.first = self.forwarder.arrive(self.request, NOW)
+        self.sends = sends_of(self.first)
 
     def exchange(self):
         return self.forwarder.exchanges[self.request]
@@ -86,6 +89,46 @@
             first.isdisjoint(send.upstream.upstream for send in sends)
         )
 
+    def test_upstream_that_reports_slow_work_is_avoided(self) -> None:
+        forwarder = make_forwarder([sharded(SHARDS)], shard_upstreams(SHARDS))
+        for one in forwarder.directory.by_name.values():
+            near = one.name.endswith("north")
+            one.load = Load(1, 0, 2, 4.0 if near else 1.0)
+            one.load_at = NOW
+        slow = {n for n in forwarder.directory.by_name if "north" in n}
+        sends = sends_of(forwarder.arrive(request(9), NOW))
+        asked = {one.upstream.upstream for one in sends}
+        self.assertEqual(set(), asked & slow)
+
+    def test_connection_to_the_second_choice_is_prepared(self) -> None:
+        sent = {one.upstream.service: one.upstream for one in self.sends}
+        prepared = [
+            one.upstream for one in self.first if isinstance(one, Prepare)
+        ]
+        self.assertEqual(set(sent), {one.service for one in prepared})
+        for one in prepared:
+            self.assertNotEqual(sent[one.service].upstream, one.upstream)
+
+    def test_prepared_connection_is_looked_after_now_and_then(self) -> None:
+        replies = [result(one, 1) for one in self.sends]
+        self.forwarder.replies(replies, NOW + 0.01)
+        for at, expected in ((NOW + 0.1, 0), (NOW + PREPARE_EVERY_S + 1, 4)):
+            out = self.forwarder.arrive(request(int(at), at=at), at)
+            made = [one for one in out if isinstance(one, Prepare)]
+            self.assertEqual(expected, len(made))
+            replies = [result(one, 1) for one in sends_of(out)]
+            self.forwarder.replies(replies, at + 0.01)
+
+    def test_nothing_is_asked_that_the_answer_can_t_wait_for(self) -> None:
+        exchange = self.exchange()
+        replies = [result(send, 1) for send in self.sends[:-1]]
+        self.forwarder.replies(replies, NOW + 0.03)
+        exchange.parts[-1].look_at = exchange.answer_by - 0.005
+        out = self.forwarder.wake(exchange.request, exchange.answer_by - 0.005)
+        self.assertEqual([], sends_of(out))
+        out = self.forwarder.wake(exchange.request, exchange.answer_by)
+        self.assertEqual(1, only(out, Merged).missing)
+
     def test_enough_shards_are_answered_at_the_target(self) -> None:
         replies = [result(send, 1) for send in self.sends[:3]]
         self.forwarder.replies(replies, NOW + 0.03)
