--- /dev/null
+++ b/arbutusbridge/bench/_rounds.py
@@ -0,0 +1,117 @@
+"""Measured rounds side by side, as a table and as a picture."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from arbutusbridge.errors import SettingsError
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    from arbutusbridge.platform.journal import PlayedDay, Round
+
+LEAST_PRICE = 0.005
+"""Smallest price of a matter that is worth a row."""
+
+PICTURE_SIZE_IN = (9.0, 4.0)
+PICTURE_DPI = 100
+
+
+def choose(rounds: list[Round], entries: list[str]) -> list[Round]:
+    """Returns the rounds with these ids, in this order; the last two if none.
+
+    Raises:
+      SettingsError: An id is unknown.
+    """
+    if not entries:
+        return rounds[-2:]
+    known = {one.entry: one for one in rounds}
+    missing = [entry for entry in entries if entry not in known]
+    if missing:
+        raise SettingsError(
+            f"No round {', '.join(missing)}.",
+            "Name entries of the journal that played days.",
+        )
+    return [known[entry] for entry in entries]
+
+
+def table(rounds: list[Round]) -> list[str]:
+    """Returns the lines of a table: a row a day and figure."""
+    lines = [
+        f"{one.entry}  {one.at}  {one.deployment}  {one.why}" for one in rounds
+    ]
+    head = "".join(f"{one.entry:>12}" for one in rounds)
+    lines += ["", f"{'day':<12}{'figure':<34}{head}"]
+    for name in day_names(rounds):
+        days = [find_day(one, name) for one in rounds]
+        rows: dict[str, list[float | None]] = {
+            "worth": [day.worth if day else None for day in days],
+            "served": [day.served if day else None for day in days],
+            "failed": [day.failed if day else None for day in days],
+        }
+        for matter in matters(days):
+            rows[f"price of {matter}"] = [
+                day.prices.get(matter) if day else None for day in days
+            ]
+        for figure, values in rows.items():
+            cells = "".join(f"{cell(value):>12}" for value in values)
+            lines.append(f"{name:<12}{figure:<34}{cells}")
+    return lines
+
+
+def day_names(rounds: list[Round]) -> list[str]:
+    """Returns the days of all rounds, in the order of their first play."""
+    return list(dict.fromkeys(day.name for one in rounds for day in one.days))
+
+
+def find_day(one: Round, name: str) -> PlayedDay | None:
+    """Returns a round's day of a name."""
+    return next((day for day in one.days if day.name == name), None)
+
+
+def matters(days: list[PlayedDay | None]) -> list[str]:
+    """Returns what costs enough on some day to be told."""
+    found = {
+        matter: None
+        for day in days
+        if day is not None
+        for matter, price in day.prices.items()
+        if price >= LEAST_PRICE
+    }
+    return list(found)
+
+
+def cell(value: float | None) -> str:
+    """Returns a figure as text."""
+    return "-" if value is None else f"{value:.3f}"
+
+
+def draw(rounds: list[Round], path: Path) -> None:
+    """Draws the worth of each day, a bar a round.
+
+    Raises:
+      SettingsError: The plotting library is not installed.
+    """
+    try:
+        from matplotlib.figure import Figure
+    except ImportError as err:
+        raise SettingsError(
+            "Pictures need matplotlib.", "pip install arbutusbridge[report]"
+        ) from err
+    names = day_names(rounds)
+    figure = Figure(figsize=PICTURE_SIZE_IN, dpi=PICTURE_DPI)
+    axes = figure.subplots()
+    width = 0.8 / len(rounds)
+    for place, one in enumerate(rounds):
+        days = [find_day(one, name) for name in names]
+        axes.bar(
+            [number + place * width for number in range(len(names))],
+            [day.worth if day else 0.0 for day in days],
+            width,
+            label=f"{one.entry} {one.why[:40]}",
+        )
+    axes.set_xticks(range(len(names)), names)
+    axes.set_ylabel("worth")
+    axes.legend(fontsize="small")
+    figure.savefig(path)
--- a/arbutusbridge/cmd/main.py
+++ b/arbutusbridge/cmd/main.py
@@ -19,6 +19,7 @@
     forward,
     key,
     replay,
+    rounds,
     serve,
     soak,
     standin,
@@ -53,6 +54,7 @@
     "key": key.key,
     "replay": replay.replay,
     "bench": bench.bench,
+    "rounds": rounds.rounds,
     "soak": soak.soak,
     "standin": {
         "platform": standin.platform,
--- a/arbutusbridge/platform/standins.py
+++ b/arbutusbridge/platform/standins.py
@@ -327,12 +327,15 @@
         self.ran(run)
         if self.fault is UpstreamFault.HANGING:
             return
+        # A request may run here twice at once; each run has its signature.
+        stamp = f"{run.upstream}.{run.request_id}.{self.runs}"
         work_s = self.rng.uniform(0.5, 1.5) * self.work_s
-        self.later(work_s, lambda: self.finish(connection, run))
+        self.later(work_s, lambda: self.finish(connection, run, stamp))
 
-    def finish(self, connection: ServerConnection, run: Run) -> None:
+    def finish(
+        self, connection: ServerConnection, run: Run, stamp: str
+    ) -> None:
         """Answers one request."""
-        stamp = f"{run.upstream}.{run.request_id}.{self.runs}"
         body = self.rng.randbytes(RECORD_BYTES * self.rng.randint(1, 6))
         headers = f"X-Request-Id: {run.request_id}\r\n"
         signed = f"{headers}X-Server-Stamp: {stamp}\r\n"
