--- a/arbutusbridge/cmd/confirmation.py
+++ b/arbutusbridge/cmd/confirmation.py
@@ -12,12 +12,15 @@
 
 if TYPE_CHECKING:
     from arbutusbridge.settings import InstanceSettings
+    from arbutusbridge.settings.forwarding import ForwardSettings
 
 POLL_SECONDS = 0.5
 """Time between two questions for the status."""
 
 
-def read_status(settings: InstanceSettings) -> dict[str, Any]:
+def read_status(
+    settings: InstanceSettings | ForwardSettings,
+) -> dict[str, Any]:
     """Returns an instance's status.
 
     Raises:
--- a/arbutusbridge/daemon/forwardinstance.py
+++ b/arbutusbridge/daemon/forwardinstance.py
@@ -267,6 +267,8 @@
         forwarder = self.forwarding.forwarder
         table = forwarder.table
         feed = self.feed.feed
+        following = self.following
+        source = following.following.source if following else None
         return {
             "name": self.settings.name,
             "data_centre": self.settings.data_centre,
@@ -283,7 +285,12 @@
                 "failures": feed.failures,
                 "reloads": feed.reloads,
                 "keys": len(feed.items),
-                "age_s": round(self.timers.clock() - feed.confirmed_at, 1),
+                "age_s": round(self.timers.clock() - self.feed.heard_at, 1),
+                "source": "{}:{}".format(*source) if source else None,
+                "followers": len(following.followers.seen) if following else 0,
+                "ends_in_doubt": len(feed.held),
+                "own_key": self.presence.key,
+                "own_lease": self.presence.presence.lease,
             },
         }
 
--- a/tests/test_daemon/test_forwardinstance.py
+++ b/tests/test_daemon/test_forwardinstance.py
@@ -10,8 +10,8 @@
 from arbutusbridge.standins.deployment import LOOPBACK, free_ports
 
 
-class ReloadTest(testtools.TestCase):
-    """Settings that change while the process runs."""
+class InstanceTest(testtools.TestCase):
+    """One instance without peers, not turned."""
 
     def setUp(self) -> None:
         super().setUp()
@@ -49,6 +49,13 @@
         self.instance.on_due([LOOK])
         self.assertEqual(7.0, self.slack())
 
+    def test_status_tells_what_it_keeps_in_the_store(self) -> None:
+        store = self.instance.status()["store"]
+        self.assertEqual("arbutusbridge/instances/-/n-0", store["own_key"])
+        self.assertEqual(0, store["own_lease"])
+        self.assertIsNone(store["source"])
+        self.assertTrue(store["asked_from_here"])
+
     def test_signal_reads_them_in_any_case(self) -> None:
         self.given["extras"] = {"slack": 7.0}
         self.instance.on_due([RELOAD])
