--- a/arbutusbridge/soak/run.py
+++ b/arbutusbridge/soak/run.py
@@ -85,15 +85,14 @@
 
     def begin_faults() -> None:
         planned.extend(faults.plan(world, fault_count, fault_s))
+        world.later(fault_s + AFTER_S, finish)
 
     def finish() -> None:
         world.record.ended = world.clock()
         world.end()
         world.stop()
 
-    world.begin()
-    world.later(READY_S + faults.FIRST_S, begin_faults)
-    world.later(READY_S + faults.FIRST_S + fault_s + AFTER_S, finish)
+    world.begin(lambda: world.later(faults.FIRST_S, begin_faults))
     try:
         world.run()
     finally:
--- a/arbutusbridge/soak/world.py
+++ b/arbutusbridge/soak/world.py
@@ -4,9 +4,11 @@
 
 import dataclasses
 import json
+import math
 import os
 import random
 import signal
+import socket
 import subprocess
 import sys
 from collections.abc import Callable
@@ -48,7 +50,11 @@
 """Time past it in which a process may still end."""
 
 READY_S = 3.0
-"""Time that an instance may take to start on a busy machine."""
+"""Time that an instance usually takes to start at most; a run waits longer if
+it must."""
+
+PROBE_S = 0.1
+"""Time between two looks whether an instance that starts takes callers."""
 
 LOOK_S = 0.25
 """Time between two looks at leases and processes."""
@@ -84,12 +90,20 @@
     """One real process.
 
     Attributes:
+      callers: Where it takes callers.
       process: The process, None while there is none.
       ending: Whether it was told to end.
     """
 
-    def __init__(self, name: str, settings: Path, log: Path) -> None:
+    def __init__(
+        self,
+        name: str,
+        callers: tuple[str, int],
+        settings: Path,
+        log: Path,
+    ) -> None:
         self.name = name
+        self.callers = callers
         self.settings = settings
         self.log = log
         self.process: subprocess.Popen[bytes] | None = None
@@ -112,6 +126,15 @@
         if self.process is not None and self.process.poll() is None:
             self.process.send_signal(number)
 
+    @property
+    def listens(self) -> bool:
+        """Whether it takes callers."""
+        try:
+            socket.create_connection(self.callers, PROBE_S).close()
+        except OSError:
+            return False
+        return True
+
     @property
     def ended(self) -> bool:
         """Whether the process has ended."""
@@ -317,14 +340,22 @@
             path.write_text(json.dumps(settings))
             self.proxy("caller", name, (ip, ports[0]))
             log = self.folder / f"{name}.log"
-            instances[name] = Instance(name, path, log)
+            instances[name] = Instance(name, (ip, ports[0]), path, log)
         return instances
 
-    def begin(self) -> None:
-        """Starts the processes, and a little later the callers."""
+    def begin(self, ready: Callable[[], None]) -> None:
+        """Starts the processes; calls back once all take callers."""
         for instance in self.instances.values():
             instance.start()
-        self.later(READY_S, self.begin_callers)
+
+        def look() -> None:
+            if all(one.listens for one in self.instances.values()):
+                self.begin_callers()
+                ready()
+            else:
+                self.later(PROBE_S, look)
+
+        self.later(PROBE_S, look)
 
     def begin_callers(self) -> None:
         """Starts the callers."""
@@ -352,11 +383,12 @@
             for number in range(self.shape.callers)
         ]
 
-    def disturb(self, kind: str, target: str, seconds: float) -> None:
+    def disturb(self, kind: str, target: str, seconds: float) -> Disturbance:
         """Notes something that is done now and lasts so long."""
         now = self.clock()
         done = Disturbance(kind, target, now, now + seconds)
         self.record.disturbances.append(done)
+        return done
 
     def look(self) -> None:
         """Ends what has lapsed; notes processes that ended unasked."""
@@ -389,7 +421,7 @@
         instance.signal(signal.SIGCONT)
         instance.signal(power)
         wait_s = down_s if kind == "kill" else STOP_S + STOP_SLACK_S
-        self.disturb(kind, name, wait_s + READY_S)
+        done = self.disturb(kind, name, math.inf)
 
         def again() -> None:
             if not instance.ended:
@@ -397,5 +429,12 @@
                 self.record.unexpected.append(detail)
                 instance.end()
             instance.start()
+            look()
+
+        def look() -> None:
+            if instance.listens:
+                done.until = self.clock()
+            else:
+                self.later(PROBE_S, look)
 
         self.later(wait_s, again)
