Give the instances that ask for others most of the fixed allowance

Cause: after all 81 instances were ended at once, a fresh instance's part of the fixed allowance was 0.4 of one attempt, though a few of them ask each shard; searches with 85 of 90 shards were given up for want of one retry. Change: half of a shard's allowance goes to the instances that ask it most of the time, the rest to all alike. Whether a request is wide is judged by the weakest instance. Tests of the sum of the shares and of the first retry.

--- a/arbutusbridge/daemon/forwarding.py
+++ b/arbutusbridge/daemon/forwarding.py
@@ -187,13 +187,13 @@
 
     def share(self, instances: int) -> None:
         """Shares connections and extra attempts among so many instances."""
-        self.forwarder.instances = instances
+        self.forwarder.recount(instances)
         table = self.forwarder.table
         if table is not None:
             self.links.share(
                 table.configuration.connections,
                 self.forwarder.instances,
-                self.forwarder.askers(),
+                self.forwarder.askers,
             )
 
     def finish_all(self) -> None:
--- a/arbutusbridge/forwarding/attempts.py
+++ b/arbutusbridge/forwarding/attempts.py
@@ -217,7 +217,7 @@
         part.given_up = True
         return
     budget = shared.budget(part.service, now)
-    if extra and budget.left(shared.instances, now) < 1.0:
+    if extra and budget.left(shared.allowance(part.service), now) < 1.0:
         shared.count("retry_refused")
         part.look_at = now + RECHECK_S
         if now >= exchange.answer_by:
@@ -251,7 +251,7 @@
         part.look_at = math.inf
         return
     budget = shared.budget(part.service, now)
-    if not budget.allows_hedge(shared.instances, now):
+    if not budget.allows_hedge(shared.allowance(part.service), now):
         shared.count("hedge_refused")
         return
     exchange.hedges += 1
@@ -327,6 +327,8 @@
             "after": failure.end.value if failure else "overdue",
             "detail": failure.detail if failure else "",
             "age_ms": round((now - exchange.request.arrived) * 1000),
-            "budget_left": round(budget.left(shared.instances, now), 1),
+            "budget_left": round(
+                budget.left(shared.allowance(part.service), now), 1
+            ),
         },
     )
--- a/arbutusbridge/forwarding/budget.py
+++ b/arbutusbridge/forwarding/budget.py
@@ -40,6 +40,26 @@
 """Resolution of the window."""
 
 
+ASKERS_PART = 0.5
+"""Part of the fixed allowance of a shard that goes to the few instances that
+ask it most of the time; the rest is every instance's alike."""
+
+
+def allowance_share(instances: int, askers: int, data_centres: int) -> float:
+    """Returns an instance's part of the fixed allowance of a shard.
+
+    Args:
+      instances: All instances.
+      askers: Instances of this data centre that ask the shard most of the
+        time, 0 if this is none of them.
+      data_centres: Data centres in which others do the same.
+    """
+    share = (1.0 - ASKERS_PART) / max(1, instances)
+    if askers:
+        share += ASKERS_PART / (askers * max(1, data_centres))
+    return share
+
+
 class ServiceBudget:
     """Requests and extra arrivals at one service in the last window.
 
@@ -80,24 +100,28 @@
         self.advance(now)[2] += arrivals
         self.extras += arrivals
 
-    def left(self, instances: int, now: float) -> float:
+    def left(self, share: float, now: float) -> float:
         """Returns the extra arrivals that this instance may still cause."""
-        return self.most(instances, now) - self.extras
+        return self.most(share, now) - self.extras
 
-    def allows_hedge(self, instances: int, now: float) -> bool:
+    def allows_hedge(self, share: float, now: float) -> bool:
         """Tells whether a hedge leaves enough for retries, which help more."""
-        most = self.most(instances, now)
+        most = self.most(share, now)
         left = most - self.extras
         return left >= 1.0 and left >= most * RETRY_SHARE
 
-    def most(self, instances: int, now: float) -> float:
+    def most(self, share: float, now: float) -> float:
         """Returns the extra arrivals that it may cause in one window.
 
         The fixed allowance of a new instance grows over one window, since
         the instance that it follows may have spent the same allowance.
+
+        Args:
+          share: This instance's part of the fixed allowance, 0 to 1.
+          now: The time.
         """
         self.advance(now)
         bounds = self.bounds
         age = FRESH_SHARE + (now - self.started) / bounds.window_s
-        allowance = bounds.slack / max(1, instances) * min(1.0, age)
+        allowance = bounds.slack * share * min(1.0, age)
         return (bounds.ratio * self.requests + allowance) * SAFETY
--- a/arbutusbridge/forwarding/forwarder.py
+++ b/arbutusbridge/forwarding/forwarder.py
@@ -193,34 +193,37 @@
                 likely += division.helpers(members, name, shards, now)
         return likely
 
-    def askers(self) -> int:
-        """Returns how many instances ask each shard of a wide request.
+    def recount(self, instances: int) -> None:
+        """Takes the number of instances; finds who asks wide requests."""
+        self.instances = instances
+        self.wide = self.find_wide()
+        self.askers = 0
+        own = self.gather.own
+        if own is not None and self.wide:
+            held = self.held_shards(own.data_centre)
+            members = [*self.gather.book.members(own.data_centre), own]
+            self.askers = division.helper_count(members, own.name, held)
 
-        It is 0 if this instance does not, or if no request is wide.
-        """
+    def find_wide(self) -> frozenset[str]:
+        """Returns the shards of the widest route if any instance divides it."""
         own = self.gather.own
-        if own is None:
-            return 0
-        shards = self.held_shards(own.data_centre)
-        members = [*self.gather.book.members(own.data_centre), own]
-        return division.helper_count(members, own.name, shards)
+        if own is None or self.table is None:
+            return frozenset()
+        known = [own, *self.gather.book.peers.values()]
+        weakest = min(one.capacity for one in known)
+        shards = self.table.widest_shards
+        wide = division.is_wide(len(shards), weakest)
+        return frozenset(shards) if wide else frozenset()
 
     def held_shards(self, data_centre: str) -> int:
-        """Returns how many shards a data centre holds of the widest route.
-
-        It is 0 if no route is wide.
-        """
-        own = self.gather.own
-        shards = self.table.widest_shards if self.table else ()
-        if own is None or not division.is_wide(len(shards), own.capacity):
-            return 0
+        """Returns how many of the wide shards a data centre holds."""
         services = self.directory.services
         return sum(
             any(
                 one.announcement.data_centre == data_centre
                 for one in services.get(service, {}).values()
             )
-            for service in shards
+            for service in self.wide
         )
 
     def hear(self, message: GatherMessage, now: float) -> list[object]:
--- a/arbutusbridge/forwarding/shared.py
+++ b/arbutusbridge/forwarding/shared.py
@@ -6,7 +6,11 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from arbutusbridge.forwarding.budget import ExtraBounds, ServiceBudget
+from arbutusbridge.forwarding.budget import (
+    ExtraBounds,
+    ServiceBudget,
+    allowance_share,
+)
 from arbutusbridge.forwarding.gather import Peer, PeerBook
 from arbutusbridge.forwarding.upstreams import Directory, ReplyTimes
 
@@ -56,6 +60,9 @@
       exchanges: Requests without a final answer.
       gather: What instances ask of each other.
       instances: Instances that the extra arrivals are shared with.
+      askers: Instances of this data centre that ask each shard of wide
+        requests, 0 if this is none of them.
+      wide: Shards of the widest route, if it is too wide for one instance.
       counts: Decisions by name, for the metrics.
       lag_s: Smoothed time by which timers come late, a measure of how busy
         this instance is.
@@ -81,6 +88,8 @@
         self.exchanges: dict[CallerRequest, Exchange] = {}
         self.gather = GatherState()
         self.instances = 1
+        self.askers = 0
+        self.wide: frozenset[str] = frozenset()
         self.counts: Counter[str] = Counter()
         self.confirmed: Callable[[], float] = lambda: started
         self.lag_s = 0.0
@@ -102,6 +111,16 @@
             self.budgets[service] = budget
         return budget
 
+    def allowance(self, service: str) -> float:
+        """Returns this instance's part of a service's fixed allowance."""
+        if service not in self.wide:
+            return 1.0 / max(1, self.instances)
+        places = {
+            one.announcement.data_centre
+            for one in self.directory.services.get(service, {}).values()
+        }
+        return allowance_share(self.instances, self.askers, len(places))
+
     def rebound(self, bounds: ExtraBounds) -> None:
         """Takes another bound on extra arrivals."""
         self.bounds = bounds
--- a/arbutusbridge/soak/run.py
+++ b/arbutusbridge/soak/run.py
@@ -89,6 +89,7 @@
 
     def finish() -> None:
         world.record.ended = world.clock()
+        world.note_missing()
         world.end()
         world.stop()
 
--- a/arbutusbridge/soak/world.py
+++ b/arbutusbridge/soak/world.py
@@ -402,6 +402,14 @@
                 instance.ending = True
         self.later(LOOK_S, self.look)
 
+    def note_missing(self) -> None:
+        """Notes instances that did not take callers again."""
+        for done in self.record.disturbances:
+            if math.isinf(done.until):
+                detail = f"{done.target} did not come back"
+                self.record.unexpected.append(detail)
+                done.until = self.clock()
+
     def end(self) -> None:
         """Ends every process that was started here, by its id."""
         for caller in self.callers:
--- a/tests/test_forwarding/test_budget.py
+++ b/tests/test_forwarding/test_budget.py
@@ -6,7 +6,11 @@
 
 import testtools
 
-from arbutusbridge.forwarding.budget import ExtraBounds, ServiceBudget
+from arbutusbridge.forwarding.budget import (
+    ExtraBounds,
+    ServiceBudget,
+    allowance_share,
+)
 
 BOUNDS = ExtraBounds(0.2, 56.0, 10.0)
 INSTANCES = 8
@@ -33,7 +37,7 @@
                 if rng.random() < REQUESTS_PER_STEP:
                     budget.note_request(now)
                     requests.append(now)
-                while budget.left(INSTANCES, now) >= 1.0:
+                while budget.left(1 / INSTANCES, now) >= 1.0:
                     budget.note_extra(now)
                     extras.append(now)
             now += STEP_S
@@ -65,14 +69,30 @@
         budget = ServiceBudget(ExtraBounds(0.2, 202.0, 10.0), -100.0)
         for number in range(5):
             budget.note_request(2.0 * number)
-        self.assertTrue(budget.allows_hedge(81, 10.0))
+        self.assertTrue(budget.allows_hedge(1 / 81, 10.0))
         budget.note_extra(10.0)
         budget.note_extra(10.0)
-        self.assertFalse(budget.allows_hedge(81, 10.0))
+        self.assertFalse(budget.allows_hedge(1 / 81, 10.0))
+
+    def test_shares_of_the_allowance_make_up_the_whole(self) -> None:
+        instances, askers, places = 81, 4, 3
+        asking = allowance_share(instances, askers, places)
+        other = allowance_share(instances, 0, places)
+        others = instances - askers * places
+        total = asking * askers * places + other * others
+        self.assertAlmostEqual(1.0, total)
+
+    def test_instance_that_asks_for_others_may_retry_once_it_starts(self):
+        # After all 81 were ended at once, a share each was no retry at all.
+        bounds = ExtraBounds(0.2, 202.0, 10.0)
+        budget = ServiceBudget(bounds, 0.0)
+        share = allowance_share(81, 4, 3)
+        self.assertGreaterEqual(budget.left(share, 0.1), 1.0)
+        self.assertLess(budget.left(1 / 81, 0.1), 1.0)
 
     def test_what_leaves_the_window_is_free_again(self) -> None:
         budget = ServiceBudget(BOUNDS, -100.0)
-        before = budget.left(INSTANCES, 0.0)
+        before = budget.left(1 / INSTANCES, 0.0)
         budget.note_extra(0.0, 5)
-        self.assertAlmostEqual(before - 5, budget.left(INSTANCES, 1.0))
-        self.assertAlmostEqual(before, budget.left(INSTANCES, 11.0))
+        self.assertAlmostEqual(before - 5, budget.left(1 / INSTANCES, 1.0))
+        self.assertAlmostEqual(before, budget.left(1 / INSTANCES, 11.0))
--- a/tests/test_forwarding/test_division.py
+++ b/tests/test_forwarding/test_division.py
@@ -133,6 +133,26 @@
         self.assertEqual(SHARDS, len(answer.stamps))
         self.assertEqual([len(asks) - 1] * 3, records(answer.body))
 
+    def test_helpers_get_most_of_the_allowance(self) -> None:
+        self.entry.recount(81)
+        strong = self.helpers[self.peers[0].address]
+        strong.gather.book.take(self.peers[1:])
+        strong.recount(81)
+        self.assertEqual(0, self.entry.askers)
+        self.assertGreater(strong.askers, 0)
+        shares = [one.allowance("s0") for one in (self.entry, strong)]
+        self.assertGreater(shares[1], 3 * shares[0])
+        self.assertEqual(1 / 81, strong.allowance("records"))
+
+    def test_strong_instance_knows_that_others_divide(self) -> None:
+        # It would ask so few shards alone, and is asked for them all the same.
+        route = sharded(30)
+        strong = make_forwarder([route], shard_upstreams(30), "north")
+        strong.gather.own = self.peers[0]
+        strong.gather.book.take(self.peers[1:])
+        strong.recount(13)
+        self.assertEqual(frozenset(route.shards), strong.wide)
+
     def test_silent_helper_s_shards_go_to_another(self) -> None:
         asks = self.asks()
         exchange = self.entry.exchanges[self.arrived]
