--- a/arbutusbridge/core/requests/tier.py
+++ b/arbutusbridge/core/requests/tier.py
@@ -14,7 +14,7 @@
     ReplyKind,
     Tell,
 )
-from arbutusbridge.core.requests import charging, limits, routing
+from arbutusbridge.core.requests import charging, limits, routing, standing
 from arbutusbridge.core.requests.drain import SEPARATOR, Departures
 from arbutusbridge.core.requests.flights import Flight, ShardTask
 from arbutusbridge.core.requests.hedging import Pace
@@ -42,15 +42,6 @@
     from arbutusbridge.core.requests.routing import Picker
     from arbutusbridge.core.requests.snapshots import Serving
 
-AVOID_AFTER_SHED_S = 0.1
-"""Time without attempts after an upstream shed one."""
-
-MOST_VERSIONS_HELD = 16
-"""Versions of a service that one upstream is known to serve at most."""
-
-LOSS_KINDS = (ReplyKind.LOST, ReplyKind.NOT_SENT, ReplyKind.INVALID)
-"""Replies after which an upstream is left out for a while."""
-
 
 class Tier:
     """Core of one instance: requests and replies in, actions out.
@@ -110,10 +101,10 @@
             local = upstream.data_centre == self.data_centre
             self.views.setdefault(name, UpstreamView(name, local))
         for name in self.departures.configure(configuration.upstreams):
-            self.note_back(self.views[name])
+            standing.note_back(self, self.views[name])
         for name in self.departures.left:
             if name in self.views:
-                self.note_leaving(self.views[name])
+                standing.note_leaving(self, self.views[name])
         self.forget_removed(configuration)
         self.catalogue = Catalogue.build(configuration, self.views)
         self.catalogues.add(self.catalogue)
@@ -130,7 +121,7 @@
         """
         listed = configuration.upstreams
         for name in [name for name in self.views if name not in listed]:
-            self.note_leaving(self.views.pop(name))
+            standing.note_leaving(self, self.views.pop(name))
 
     def recount(self, instances: int) -> None:
         """Shares the upstreams out over a new count of live instances."""
@@ -202,13 +193,13 @@
             flight = flights.get(reply.attempt_id)
             if flight is None or flight.view.name != reply.upstream:
                 self.late_replies += 1
-                self.observe_late(reply, now)
+                standing.observe_late(self, reply, now)
                 continue
             del flights[reply.attempt_id]
             owner = flight.owner
             task = flight.task
             task.open.remove(flight)
-            self.observe(reply, flight, now)
+            standing.observe(self, reply, flight, now)
             owner.on_reply(reply, task, self, now, out)
             if reply.kind is ReplyKind.LOST and isinstance(owner, Record):
                 charging.charge_record(owner, task, reply, self, now, out)
@@ -265,87 +256,6 @@
         self.follow_up(now, out)
         return out
 
-    def observe(self, reply: Reply, flight: Flight, now: float) -> None:
-        """Takes what the reply to an open attempt says of its upstream."""
-        view = flight.view
-        at_limit = view.in_flight >= view.limit
-        view.in_flight -= 1
-        if view.backlog:
-            self.freed.append(view)
-        service = flight.owner.request.service
-        if reply.held is not None and reply.held != view.held.get(service):
-            self.note_held(view, service, reply.held)
-        if reply.kind is ReplyKind.RESULT:
-            if reply.load is not None:
-                view.reported_load = reply.load
-            seconds = now - flight.sent_at
-            view.observe(seconds)
-            if at_limit:
-                limits.on_result(view)
-            self.paces[service].window.add(seconds)
-        else:
-            self.observe_refusal(reply, view, now)
-
-    def observe_late(self, reply: Reply, now: float) -> None:
-        """Takes what a reply that nobody waits for says of its upstream."""
-        view = self.views.get(reply.upstream)
-        if view is not None and reply.kind is not ReplyKind.RESULT:
-            self.observe_refusal(reply, view, now)
-
-    def observe_refusal(
-        self, reply: Reply, view: UpstreamView, now: float
-    ) -> None:
-        """Takes a refusal or loss into the view of an upstream."""
-        if reply.kind is ReplyKind.NOT_HELD:
-            view.heard_at = now
-        elif reply.kind is ReplyKind.LEAVING:
-            if self.departures.sign(view.name, reply.incarnation):
-                self.note_leaving(view)
-        elif reply.kind is ReplyKind.SHED:
-            wait_ms = reply.retry_after_ms or AVOID_AFTER_SHED_S * 1000
-            view.back_off(now + wait_ms / 1000)
-            limits.on_refusal(view)
-        elif reply.kind in LOSS_KINDS and view.ejected_until <= now:
-            view.eject(now)
-
-    def note_held(
-        self,
-        view: UpstreamView,
-        service: str,
-        held: tuple[tuple[int, int], ...],
-    ) -> None:
-        """Notes the versions of a service that an upstream now serves.
-
-        An upstream may repeat a version, or list more than can be of use.
-        """
-        held = tuple(sorted(set(held), reverse=True)[:MOST_VERSIONS_HELD])
-        before = view.held.get(service, ())
-        view.held[service] = held
-        if view.leaving:
-            return
-        gone = [version for version in before if version not in held]
-        new = [version for version in held if version not in before]
-        for catalogue in self.catalogues:
-            catalogue.remove(service, view, gone)
-            catalogue.add(service, view, new)
-
-    def note_leaving(self, view: UpstreamView) -> None:
-        """Takes an upstream out of use."""
-        if view.leaving:
-            return
-        view.leaving = True
-        view.backlog.clear()
-        for catalogue in self.catalogues:
-            for service, held in view.held.items():
-                catalogue.remove(service, view, held)
-
-    def note_back(self, view: UpstreamView) -> None:
-        """Takes an upstream into use again that left under the same name."""
-        view.leaving = False
-        held, view.held = view.held, {}
-        for service, versions in held.items():
-            self.note_held(view, service, versions)
-
     def report(
         self,
         upstream: str,
@@ -366,16 +276,16 @@
         if not view.held and self.last_attempt:
             view.ramp(now)
         if self.departures.see(upstream, incarnation):
-            self.note_back(view)
+            standing.note_back(self, view)
         for service, versions in held.items():
             if versions != view.held.get(service):
-                self.note_held(view, service, versions)
+                standing.note_held(self, view, service, versions)
         view.heard_at = now
         view.reported(now)
         view.reported_load = load
         view.relax()
         if leaving and self.departures.sign(upstream, incarnation):
-            self.note_leaving(view)
+            standing.note_leaving(self, view)
 
     def hear(self, notice: Notice, now: float) -> list[Action]:
         """Takes a finding of another instance."""
@@ -383,7 +293,7 @@
         if notice.kind is NoticeKind.LEAVING:
             name = self.departures.hear(notice)
             if name in self.views:
-                self.note_leaving(self.views[name])
+                standing.note_leaving(self, self.views[name])
         else:
             charging.hear(notice, self, now, out)
         self.follow_up(now, out)
--- a/tests/test_core/test_routing.py
+++ b/tests/test_core/test_routing.py
@@ -11,6 +11,7 @@
 from arbutusbridge.core.requests.observations import RAMP_S, UpstreamView
 from arbutusbridge.core.requests.routing import Holders, pick_by_cost
 from arbutusbridge.core.requests.snapshots import Catalogue
+from arbutusbridge.core.requests.standing import note_leaving
 from tests.test_core.fixtures import (
     SERVICE,
     make_configuration,
@@ -102,7 +103,7 @@
 
     def test_leaving_upstream_holds_nothing(self) -> None:
         tier = make_tier(make_configuration(make_layout(1, 2)))
-        tier.note_leaving(tier.views["u0-0"])
+        note_leaving(tier, tier.views["u0-0"])
         serving = tier.best_serving(SERVICE)
         assert serving is not None
         holders = serving.holders["s0"]
