--- a/arbutusbridge/daemon/platform.py
+++ b/arbutusbridge/daemon/platform.py
@@ -20,17 +20,21 @@
     StoreStatus,
 )
 from arbutusbridge.daemon.connection import Connection
+from arbutusbridge.daemon.dialect import Request
 from arbutusbridge.daemon.events import store_regained
 from arbutusbridge.daemon.listing import list_path
+from arbutusbridge.daemon.logs import get_logger
 from arbutusbridge.daemon.wire import encode_request
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from arbutusbridge.daemon.dialect import Decoder, Request
+    from arbutusbridge.daemon.dialect import Decoder
     from arbutusbridge.daemon.hub import SocketHub
     from arbutusbridge.daemon.timers import TimerService
 
+logger = get_logger(__name__)
+
 CALL_SECONDS = 2.0
 """Time that a store call may take."""
 
@@ -96,7 +100,8 @@
     ) -> None:
         """Reads a key."""
         path = f"/v1/kv/{self.namespace}/{key}"
-        self.call("GET", path, b"", token, on_done, decode_read, seconds)
+        request = Request("GET", path, b"", decode_read)
+        self.ask(request, token, on_done, seconds)
 
     def list_instances(
         self,
@@ -106,7 +111,8 @@
     ) -> None:
         """Reads the instance list; the result's value is its JSON."""
         path = list_path(self.namespace)
-        self.call("GET", path, b"", token, on_done, decode_plain, seconds)
+        request = Request("GET", path, b"", decode_plain)
+        self.ask(request, token, on_done, seconds)
 
     def list_keys(
         self,
@@ -116,7 +122,8 @@
     ) -> None:
         """Reads the keys one level below a prefix, as a JSON list."""
         path = f"/v1/kv/{self.namespace}/{prefix}?keys&separator=/"
-        self.call("GET", path, b"", token, on_done, decode_plain)
+        request = Request("GET", path, b"", decode_plain)
+        self.ask(request, token, on_done)
 
     def delete_tree(
         self,
@@ -126,7 +133,8 @@
     ) -> None:
         """Deletes every key that starts with a prefix."""
         path = f"/v1/kv/{self.namespace}/{prefix}?recurse"
-        self.call("DELETE", path, b"", token, on_done, decode_plain)
+        request = Request("DELETE", path, b"", decode_plain)
+        self.ask(request, token, on_done)
 
     def watch(
         self,
@@ -140,15 +148,8 @@
         path = (
             f"/v1/kv/{self.namespace}/{key}?index={index}&wait={WATCH_SECONDS}s"
         )
-        self.call(
-            "GET",
-            path,
-            b"",
-            token,
-            on_done,
-            decode_read,
-            WATCH_SECONDS + seconds,
-        )
+        request = Request("GET", path, b"", decode_read)
+        self.ask(request, token, on_done, WATCH_SECONDS + seconds)
 
     def cas(
         self,
@@ -160,30 +161,32 @@
     ) -> None:
         """Writes a key if its index is still the one given."""
         body = encode_cas(f"{self.namespace}/{key}", value, index)
-        self.call("PUT", "/v1/txn", body, token, on_done, decode_write)
+        request = Request("PUT", "/v1/txn", body, decode_write)
+        self.ask(request, token, on_done)
 
-    def call(
+    def ask(
         self,
-        method: str,
-        path: str,
-        body: bytes,
+        request: Request,
         token: tuple[str, str],
         on_done: Callable[[StoreResult], None],
-        decode: Decoder,
         seconds: float = CALL_SECONDS,
     ) -> int:
-        """Sends one request; returns its number."""
+        """Sends one call; returns its number."""
         self.calls_made += 1
-        call = Call(token, on_done, self.calls_made, decode)
+        call = Call(token, on_done, self.calls_made, request.decode)
         try:
             connection = self.idle.pop() if self.idle else self.connect()
-        except OSError:
+        except OSError as err:
+            logger.warning("store not reached", extra={"error": str(err)})
             on_done(StoreResult(token, StoreStatus.UNAVAILABLE))
             return call.number
         self.busy[connection] = call
         self.open[call.number] = (call, connection)
         self.timers.after(seconds, self.channel, call.number)
-        connection.start(encode_request(method, path, body, "platform"))
+        data = encode_request(
+            request.method, request.path, request.body, "platform"
+        )
+        connection.start(data)
         return call.number
 
     def forget(self, number: int) -> None:
@@ -193,24 +196,6 @@
             self.busy.pop(found[1], None)
             found[1].close()
 
-    def ask(
-        self,
-        request: Request,
-        token: tuple[str, str],
-        on_done: Callable[[StoreResult], None],
-        seconds: float = CALL_SECONDS,
-    ) -> int:
-        """Sends a call that a dialect has written; returns its number."""
-        return self.call(
-            request.method,
-            request.path,
-            request.body,
-            token,
-            on_done,
-            request.decode,
-            seconds,
-        )
-
     def connect(self) -> Connection:
         """Opens a connection, to each address in turn."""
         address = self.addresses[self.next_address % len(self.addresses)]
@@ -280,7 +265,11 @@
     """Reads a response; anything off the protocol counts as unavailable."""
     try:
         return call.decode(call.token, status, body)
-    except (ValueError, LookupError, TypeError):
+    except (ValueError, LookupError, TypeError) as err:
+        logger.warning(
+            "store reply not understood",
+            extra={"call": call.token, "status": status, "error": repr(err)},
+        )
         return StoreResult(call.token, StoreStatus.UNAVAILABLE)
 
 
