--- a/arbutusbridge/forwarding/gather.py
+++ b/arbutusbridge/forwarding/gather.py
@@ -40,9 +40,13 @@
 MOST_UNFIT_S = 24.0
 """Longest such time."""
 
-DECLINED_S = 10.0
-"""Time for which a peer that declined is left out; it is about to end, and
-its key in the store is gone after that time."""
+STOPPING_S = 10.0
+"""Time for which a peer that is about to end is left out; its key in the store
+is gone after that time."""
+
+BEHIND_S = 0.5
+"""Time for which a peer that does not know the shards yet is left out; a new
+version is in force everywhere within seconds."""
 
 ALIKE_SHARE = 0.8
 """Part of the most shards near one data centre from which another data centre
@@ -89,10 +93,13 @@
     Attributes:
       gather_id: The request.
       declined: Whether the shards have to be asked by another.
+      stopping: Whether it is about to end; else it declined what its
+        configuration does not know.
     """
 
     gather_id: int
     declined: bool
+    stopping: bool = False
 
 
 @dataclass(slots=True)
--- a/arbutusbridge/forwarding/helping.py
+++ b/arbutusbridge/forwarding/helping.py
@@ -9,7 +9,8 @@
 from arbutusbridge.forwarding.conclusion import abandon, follow_up
 from arbutusbridge.forwarding.exchange import Exchange, Part
 from arbutusbridge.forwarding.gather import (
-    DECLINED_S,
+    BEHIND_S,
+    STOPPING_S,
     GatherAsk,
     GatherCancel,
     GatherReply,
@@ -33,7 +34,8 @@
         return
     if message.declined:
         # It said so at once, and nothing was sent for this request.
-        group.peer.unfit_until = now + DECLINED_S
+        pause = STOPPING_S if message.stopping else BEHIND_S
+        group.peer.unfit_until = now + pause
         if not group.given_up:
             regional.give_up(group, regional.DECLINED, shared, now, out)
             follow_up(group.exchange, shared, now, out)
@@ -101,7 +103,8 @@
     table = shared.table
     route = table.find(message.host, message.target) if table else None
     known = route is not None and set(message.services) <= set(route.shards)
-    taken = GatherTaken(message.gather_id, not (known and gather.accepting))
+    stopping = not gather.accepting
+    taken = GatherTaken(message.gather_id, not known or stopping, stopping)
     out.append(Tell(message.reply_to, taken))
     if taken.declined or route is None or table is None:
         return
--- a/tests/test_forwarding/test_division.py
+++ b/tests/test_forwarding/test_division.py
@@ -196,6 +196,20 @@
         out = helper.wake(exchange.request, exchange.wake_at)
         self.assertEqual([], sends_of(out))
 
+    def test_helper_that_is_behind_is_asked_again_soon(self) -> None:
+        ask = self.asks()[0]
+        helper = self.helpers[ask.address]
+        ask.message.services = ["of-another-version"]
+        out = helper.hear(ask.message, NOW + 0.01)
+        taken = self.tells(out)[0].message
+        self.assertEqual((True, False), (taken.declined, taken.stopping))
+        self.entry.hear(taken, NOW + 0.01)
+        peer = next(p for p in self.peers if p.address == ask.address)
+        self.assertLess(peer.unfit_until, NOW + 1.0)
+        helper.gather.accepting = False
+        taken = self.tells(helper.hear(ask.message, NOW + 1.0))[0].message
+        self.assertTrue(taken.stopping)
+
     def test_declined_part_goes_to_another_without_an_attempt(self) -> None:
         asks = self.asks()
         wide = max(asks, key=lambda ask: len(ask.message.services))
