--- a/arbutusbridge/cmd/soak.py
+++ b/arbutusbridge/cmd/soak.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 
 from arbutusbridge.daemon.logs import start_logging
-from arbutusbridge.soak.run import Verdict, play
+from arbutusbridge.soak.run import LARGE, Verdict, play
 
 EXIT_USAGE = 2
 
@@ -17,6 +17,7 @@
     folder: Path | None = None,
     faults: int = 10,
     seconds: float = 12.0,
+    large: bool = False,
 ) -> int:
     """Play runs of real instances under faults, one for each seed.
 
@@ -25,6 +26,7 @@
       folder: Where settings and logs go; a temporary one if not given.
       faults: Faults of each run.
       seconds: Time within which they begin.
+      large: Play deployments of 200 instances, about 10 GB of memory.
 
     Returns:
       0 where every promise held, 1 where not, 2 for wrong use.
@@ -38,7 +40,8 @@
         with tempfile.TemporaryDirectory() as temporary:
             where = Path(temporary) if folder is None else folder / str(seed)
             where.mkdir(parents=True, exist_ok=True)
-            verdict = play(seed, where, faults, seconds)
+            shape = LARGE if large else None
+            verdict = play(seed, where, faults, seconds, shape)
         report(verdict)
         held = held and not verdict.breaches
     handler.close()
--- a/arbutusbridge/daemon/peerlinks.py
+++ b/arbutusbridge/daemon/peerlinks.py
@@ -14,8 +14,9 @@
 
     from arbutusbridge.daemon.hub import SocketHub
 
-MOST_LINKS = 64
-"""Connections to peers kept; the one used longest ago is closed first."""
+MOST_LINKS = 256
+"""Connections to peers kept; the one used longest ago is closed first. One that
+watches the store for its data centre has one to each of 95 others there."""
 
 LINK_QUEUE = 16
 """Messages queued for a peer that does not take them at once."""
--- a/arbutusbridge/soak/run.py
+++ b/arbutusbridge/soak/run.py
@@ -40,6 +40,16 @@
 large data centres whose instances share searches and follow each other."""
 
 
+LARGE = Shape(
+    {"north": 70, "central": 70, "south": 60},
+    callers=40,
+    shards=(30, 40),
+    capacity=0.1,
+    changes_ms=5000,
+)
+"""A run at the limits of one machine."""
+
+
 @dataclass(frozen=True, slots=True)
 class Verdict:
     """How a run went.
