--- a/arbutusbridge/forwarding/division.py
+++ b/arbutusbridge/forwarding/division.py
@@ -67,7 +67,7 @@
     return shards * SHARD_S / SHARE_S
 
 
-def core_of(team: Sequence[Peer], shards: int) -> list[Peer]:
+def members_asked(team: Sequence[Peer], shards: int) -> list[Peer]:
     """Returns the members of a team that are asked as long as all are fit."""
     chosen: list[Peer] = []
     missing = capacity_for(shards)
@@ -104,17 +104,17 @@
         for peer in team
         if peer.unfit_until <= now
     ]
-    return core_of(queue, shards)
+    return members_asked(queue, shards)
 
 
 def helper_count(peers: Sequence[Peer], own_name: str, shards: int) -> int:
     """Returns how many instances ask each shard, 0 if this is none of them."""
     if not shards:
         return 0
-    cores = [core_of(team, shards) for team in teams(peers, shards)]
-    if not any(one.name == own_name for core in cores for one in core):
+    asked = [members_asked(team, shards) for team in teams(peers, shards)]
+    if not any(one.name == own_name for members in asked for one in members):
         return 0
-    return sum(len(core) for core in cores)
+    return sum(len(members) for members in asked)
 
 
 def divide(
--- a/arbutusbridge/soak/world.py
+++ b/arbutusbridge/soak/world.py
@@ -5,12 +5,8 @@
 import dataclasses
 import json
 import math
-import os
 import random
 import signal
-import socket
-import subprocess
-import sys
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
@@ -33,8 +29,8 @@
     encode_announcement,
     encode_configuration,
 )
-from arbutusbridge.settings.forwarding import SETTINGS_VARIABLE
 from arbutusbridge.soak.callers import Caller
+from arbutusbridge.soak.processes import PROBE_S, Instance
 from arbutusbridge.soak.proxy import Proxy
 from arbutusbridge.soak.record import Disturbance, Record
 from arbutusbridge.standins.deployment import LOOPBACK, free_ports
@@ -53,9 +49,6 @@
 """Time that an instance usually takes to start at most; a run waits longer if
 it must."""
 
-PROBE_S = 0.1
-"""Time between two looks whether an instance that starts takes callers."""
-
 LOOK_S = 0.25
 """Time between two looks at leases and processes."""
 
@@ -86,68 +79,6 @@
     changes_ms: int = 3000
 
 
-class Instance:
-    """One real process.
-
-    Attributes:
-      callers: Where it takes callers.
-      process: The process, None while there is none.
-      ending: Whether it was told to end.
-    """
-
-    def __init__(
-        self,
-        name: str,
-        callers: tuple[str, int],
-        settings: Path,
-        log: Path,
-    ) -> None:
-        self.name = name
-        self.callers = callers
-        self.settings = settings
-        self.log = log
-        self.process: subprocess.Popen[bytes] | None = None
-        self.ending = False
-
-    def start(self) -> None:
-        """Starts the process."""
-        self.ending = False
-        environment = {**os.environ, SETTINGS_VARIABLE: str(self.settings)}
-        with self.log.open("ab") as log:
-            self.process = subprocess.Popen(
-                [sys.executable, "-m", "arbutusbridge.cmd.forward"],
-                env=environment,
-                stdout=log,
-                stderr=log,
-            )
-
-    def signal(self, number: int) -> None:
-        """Sends a signal to the process, if it runs."""
-        if self.process is not None and self.process.poll() is None:
-            self.process.send_signal(number)
-
-    @property
-    def listens(self) -> bool:
-        """Whether it takes callers."""
-        try:
-            socket.create_connection(self.callers, PROBE_S).close()
-        except OSError:
-            return False
-        return True
-
-    @property
-    def ended(self) -> bool:
-        """Whether the process has ended."""
-        return self.process is None or self.process.poll() is not None
-
-    def end(self) -> None:
-        """Ends the process at once, also while it is paused."""
-        self.ending = True
-        if self.process is not None:
-            self.process.kill()
-            self.process.wait()
-
-
 class World(BaseComponent):
     """Everything of one run under one circuits manager.
 
--- a/tests/test_forwarding/test_division.py
+++ b/tests/test_forwarding/test_division.py
@@ -71,7 +71,7 @@
 
     def test_askers_of_a_shard_are_counted_by_themselves_alone(self) -> None:
         peers = fleet()
-        core = division.core_of(division.teams(peers, SHARDS)[0], SHARDS)
+        core = division.members_asked(division.teams(peers, SHARDS)[0], SHARDS)
         for peer in peers:
             count = division.helper_count(peers, peer.name, SHARDS)
             self.assertEqual(len(core) if peer in core else 0, count)
--- /dev/null
+++ b/tests/test_soak/test_proxy.py
@@ -0,0 +1,83 @@
+"""Tests of the loopback proxy: what it does to bytes, and what it leaves."""
+
+from __future__ import annotations
+
+import socket
+
+import testtools
+
+from arbutusbridge.soak.proxy import Proxy
+from arbutusbridge.standins.deployment import LOOPBACK
+from tests.test_daemon.fixtures import MOST_WAIT_SECONDS, Bench, RawUpstream
+
+
+class ProxyTest(testtools.TestCase):
+    """One connection through a proxy, both of whose ends the test holds."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.bench = Bench()
+        self.raw = RawUpstream()
+        self.later = []
+        self.proxy = Proxy(
+            self.bench.hub,
+            (LOOPBACK, 0),
+            (LOOPBACK, self.raw.port),
+            lambda: self.bench.now,
+            lambda seconds, function: self.later.append((seconds, function)),
+        )
+        self.addCleanup(self.proxy.close)
+        self.caller = socket.create_connection(self.proxy.address)
+        self.caller.settimeout(MOST_WAIT_SECONDS)
+        self.bench.turn()
+        self.upstream = self.raw.accept()
+
+    def nothing_comes(self, sock: socket.socket) -> None:
+        """Asserts that a socket has nothing to read."""
+        self.bench.turn()
+        sock.setblocking(False)
+        self.assertRaises(BlockingIOError, sock.recv, 100)
+        sock.settimeout(MOST_WAIT_SECONDS)
+
+    def test_bytes_pass_both_ways_and_so_does_the_end(self) -> None:
+        self.caller.sendall(b"ask")
+        self.bench.turn()
+        self.assertEqual(b"ask", self.upstream.recv(100))
+        self.upstream.sendall(b"answer")
+        self.upstream.close()
+        self.bench.turn()
+        self.assertEqual(b"answer", self.caller.recv(100))
+        self.assertEqual(b"", self.caller.recv(100))
+
+    def test_stalled_direction_waits_and_the_other_passes(self) -> None:
+        self.proxy.set_stalled("out")
+        self.caller.sendall(b"ask")
+        self.nothing_comes(self.upstream)
+        self.upstream.sendall(b"unasked")
+        self.bench.turn()
+        self.assertEqual(b"unasked", self.caller.recv(100))
+        self.proxy.set_stalled()
+        self.assertEqual(b"ask", self.upstream.recv(100))
+
+    def test_delayed_bytes_come_in_order(self) -> None:
+        self.proxy.delay_s = 0.5
+        self.caller.sendall(b"one")
+        self.nothing_comes(self.upstream)
+        self.proxy.delay_s = 0.0
+        self.caller.sendall(b"two")
+        self.nothing_comes(self.upstream)
+        self.bench.now += 0.6
+        seconds, function = self.later[0]
+        self.assertEqual(0.5, seconds)
+        function()
+        self.assertEqual(b"onetwo", self.upstream.recv(100))
+
+    def test_reset_reaches_both_ends_and_new_ones_are_refused(self) -> None:
+        self.proxy.refusing = True
+        self.proxy.reset_all()
+        self.assertRaises(ConnectionResetError, self.caller.recv, 100)
+        self.assertRaises(ConnectionResetError, self.upstream.recv, 100)
+        other = socket.create_connection(self.proxy.address)
+        other.settimeout(MOST_WAIT_SECONDS)
+        self.bench.turn()
+        self.assertRaises(ConnectionResetError, other.recv, 100)
