--- a/arbutusbridge/forwarding/helping.py
+++ b/arbutusbridge/forwarding/helping.py
@@ -24,6 +24,10 @@
 if TYPE_CHECKING:
     from arbutusbridge.forwarding.shared import Shared
 
+NO_REPLY_S = 0.1
+"""Time past an answer's in which a busy peer may still reply; the shards that
+it has taken can't be asked by another."""
+
 
 def on_taken(
     message: GatherTaken, shared: Shared, now: float, out: list[object]
@@ -42,8 +46,9 @@
         return
     group.acknowledged = True
     group.peer.acknowledged(now - group.sent_at)
-    # Its reply is due by then, unless it ends meanwhile.
-    group.look_at = math.inf if group.given_up else group.exchange.answer_by
+    # Its reply is due by the answer's time, unless it ends meanwhile.
+    due = group.exchange.answer_by + NO_REPLY_S
+    group.look_at = math.inf if group.given_up else due
     if group.given_up:
         # Both ask the shards now, which was not known before.
         shared.count("peer_late")
--- a/arbutusbridge/forwarding/regional.py
+++ b/arbutusbridge/forwarding/regional.py
@@ -186,19 +186,21 @@
     now: float,
     out: list[object],
 ) -> None:
-    """Asks a group's shards directly.
+    """Takes a group's shards back from its peer.
 
-    A peer without a reply may have ended after it asked them. One that is
-    silent has most likely ended, and has asked none of them.
+    A peer that is silent has most likely ended, and has asked none of them.
     One that is only late is told to stop; it may have asked one upstream of
-    each shard by then. A reply that crosses this is still taken.
+    each shard by then, so that others may ask one less. A peer that has taken
+    the shards and does not reply may have asked all the upstreams that the
+    route allows: they are asked no more. A reply that crosses this is still
+    taken.
     """
     group.look_at = math.inf
     group.given_up = True
     exchange = group.exchange
+    own = shared.gather.own
+    assert own is not None
     if why != DECLINED:
-        own = shared.gather.own
-        assert own is not None
         stop = GatherCancel(group.gather_id, own.address)
         out.append(Tell(group.peer.address, stop))
     detail = {"why": why, **group.describe()}
@@ -215,17 +217,15 @@
         if why == NO_REPLY:
             part.arrivals += 1
             part.may_have_run = True
-    own = shared.gather.own
-    if why != NO_REPLY and own and division.is_wide(len(left), own.capacity):
+            part.given_up = True
+    if why == NO_REPLY:
+        return
+    if division.is_wide(len(left), own.capacity):
         group.superseded = True
         near, far = by_place(left, shared, now)
         divide(exchange, near or far, shared, now, out)
     for part in left:
-        if part.group is not None:
-            continue
-        if why == NO_REPLY:
-            attempts.retry(exchange, part, shared, now, out)
-        else:
+        if part.group is None:
             attempts.begin_part(exchange, part, shared, now, out)
 
 
