--- a/arbutusbridge/forwarding/attempts.py
+++ b/arbutusbridge/forwarding/attempts.py
@@ -296,6 +296,13 @@
         shared.count("hedge_of_many_refused")
 
 
+def look_later(exchange: Exchange, now: float) -> None:
+    """Puts off the look at parts that are due for one."""
+    for part in exchange.parts:
+        if part.look_at <= now:
+            part.look_at = now + RECHECK_S
+
+
 def drop_open(
     part: Part, at_once: bool, shared: Shared, out: list[object]
 ) -> None:
--- a/arbutusbridge/forwarding/forwarder.py
+++ b/arbutusbridge/forwarding/forwarder.py
@@ -41,6 +41,10 @@
 LAG_WEIGHT = 0.1
 """Part of a new timer's lateness in the smoothed one."""
 
+BUSY_S = 0.02
+"""Lateness of a timer from which an instance asks nothing more for a peer until
+it has read what the peer says meanwhile; it may have turned to another."""
+
 MOST_LAG_S = 0.1
 """Largest lateness that counts; a longer one is a pause of the process."""
 
@@ -167,6 +171,8 @@
         if exchange is None or now < exchange.wake_at:
             return out
         late = min(now - exchange.wake_at, MOST_LAG_S)
+        if exchange.gather is not None and late > BUSY_S:
+            attempts.look_later(exchange, now)
         self.lag_s += (late - self.lag_s) * LAG_WEIGHT
         regional.look(exchange, self, now, out)
         attempts.look(exchange, self, now, out)
--- a/tests/test_forwarding/test_division.py
+++ b/tests/test_forwarding/test_division.py
@@ -5,6 +5,7 @@
 import testtools
 
 from arbutusbridge.forwarding import Merged, division
+from arbutusbridge.forwarding.forwarder import BUSY_S
 from arbutusbridge.forwarding.gather import GatherTaken, Peer, Tell
 from tests.test_forwarding.fixtures import (
     make_forwarder,
@@ -210,6 +211,20 @@
         taken = self.tells(helper.hear(ask.message, NOW + 1.0))[0].message
         self.assertTrue(taken.stopping)
 
+    def test_busy_helper_hears_its_peer_before_it_asks_more(self) -> None:
+        # The peer may have given it up, and another helper asks by now.
+        ask = self.asks()[0]
+        helper = self.helpers[ask.address]
+        sends = sends_of(helper.hear(ask.message, NOW + 0.01))
+        exchange = next(iter(helper.exchanges.values()))
+        helper.replies([result(one, 1) for one in sends[1:]], NOW + 0.02)
+        late = exchange.wake_at + 2 * BUSY_S
+        self.assertEqual([], sends_of(helper.wake(exchange.request, late)))
+        again = exchange.wake_at
+        self.assertGreater(again, late)
+        out = helper.wake(exchange.request, again)
+        self.assertNotEqual([], sends_of(out))
+
     def test_declined_part_goes_to_another_without_an_attempt(self) -> None:
         asks = self.asks()
         wide = max(asks, key=lambda ask: len(ask.message.services))
