--- a/arbutusbridge/soak/observers.py
+++ b/arbutusbridge/soak/observers.py
@@ -22,6 +22,11 @@
 LATE_S = 0.5
 """Time past a caller's deadline in which an answer still counts as given."""
 
+MOST_OVER = 3
+"""Requests of a run that may be run by more upstreams than their route allows,
+as the users count; an instance that was cut off may not hear in time that
+another asks its shards."""
+
 RECOVER_S = 6.0
 """Time after the last disturbance after which requests are served again; the
 users allow 12 s."""
@@ -236,6 +241,25 @@
                 break
 
 
+def upstreams_are_bounded(record: Record) -> Iterator[Breach]:
+    """No more upstreams run a shard of a request than its route allows."""
+    ran: dict[tuple[str, str], set[str]] = defaultdict(set)
+    for run in record.runs:
+        if not run.shed:
+            ran[run.request_id, run.service].add(run.upstream)
+    over = {}
+    for (request_id, service), upstreams in ran.items():
+        asked = record.asked.get(request_id)
+        if asked is None:
+            continue
+        most = route_of(record, asked).most_upstreams
+        if len(upstreams) > most:
+            over[request_id] = f"{len(upstreams)} of {most} at {service}"
+    if len(over) > MOST_OVER:
+        for request_id, detail in over.items():
+            yield Breach("upstreams_bounded", request_id, detail)
+
+
 def recovers(record: Record) -> Iterator[Breach]:
     """After the last disturbance requests are served again."""
     ends = (one.until for one in record.disturbances)
@@ -270,6 +294,7 @@
     version_is_in_force,
     leaving_upstream_is_left,
     extra_arrivals_are_bounded,
+    upstreams_are_bounded,
     recovers,
     processes_live,
 )
--- a/tests/test_soak/test_observers.py
+++ b/tests/test_soak/test_observers.py
@@ -207,6 +207,17 @@
         self.again("desk-1", at=11.0)
         self.assertEqual({"extra_arrivals"}, self.broken())
 
+    def test_third_upstream_of_more_than_three_requests(self) -> None:
+        for number in range(4):
+            self.again(f"early-{number}", upstream="i-2")
+            self.again(f"early-{number}", upstream="i-2")
+        self.assertEqual(set(), self.broken())
+        for number in range(3):
+            self.again(f"early-{number}", upstream="i-3")
+        self.assertEqual(set(), self.broken())
+        self.again("early-3", upstream="i-3")
+        self.assertEqual({"upstreams_bounded"}, self.broken())
+
     def test_no_recovery(self) -> None:
         self.disturb("kill", "n-1", 22.0)
         self.answer("desk-2").status = 502
