--- a/arbutusbridge/forwarding/attempts.py
+++ b/arbutusbridge/forwarding/attempts.py
@@ -202,6 +202,9 @@
     if part.may_have_run and not exchange.route.idempotent:
         part.given_up = True
         return
+    if part.may_have_run and now < exchange.second_from:
+        part.look_at = exchange.second_from
+        return
     upstream = pick(exchange, part, shared, now)
     late = exchange.give_up_at - now < LEAST_USEFUL_S
     if upstream is None or late or part.sends >= MOST_SENDS:
@@ -238,6 +241,9 @@
 ) -> None:
     """Sends a second attempt beside one that is overdue, if it may help."""
     part.look_at = now + RECHECK_S
+    if now < exchange.second_from:
+        part.look_at = exchange.second_from
+        return
     if not exchange.route.idempotent or part.sends >= MOST_SENDS:
         part.look_at = math.inf
         return
--- a/arbutusbridge/forwarding/exchange.py
+++ b/arbutusbridge/forwarding/exchange.py
@@ -83,6 +83,7 @@
       gather: The peer's message that it comes from, None for a caller's.
       groups: Shards that peers ask.
       gathered: Merged records that came from peers.
+      second_from: When a second upstream of a shard may be asked.
     """
 
     request: CallerRequest
@@ -98,6 +99,7 @@
     gather: GatherAsk | None = None
     groups: list[Group] = field(default_factory=list)
     gathered: list[bytes] = field(default_factory=list)
+    second_from: float = -math.inf
 
     @classmethod
     def begin(
--- a/arbutusbridge/forwarding/gather.py
+++ b/arbutusbridge/forwarding/gather.py
@@ -70,6 +70,8 @@
       answer_in_s: Time after which a reply that covers enough is sent.
       give_up_in_s: Time after which the reply is sent as it is.
       asked_already: Upstreams of each shard that may have been asked before.
+      alone_s: Time in which the instance that asks may yet turn to another
+        peer; until then only one upstream of each shard may be asked.
     """
 
     gather_id: int
@@ -84,6 +86,7 @@
     answer_in_s: float
     give_up_in_s: float
     asked_already: int = 0
+    alone_s: float = 0.0
 
 
 @dataclass(slots=True)
--- a/arbutusbridge/forwarding/gatherwire.py
+++ b/arbutusbridge/forwarding/gatherwire.py
@@ -18,7 +18,7 @@
     GatherTaken,
 )
 
-PROTOCOL = b"\x12"
+PROTOCOL = b"\x13"
 """First byte of every message; another number is another protocol."""
 
 MOST_MESSAGE_BYTES = 4_194_304
--- a/arbutusbridge/forwarding/helping.py
+++ b/arbutusbridge/forwarding/helping.py
@@ -135,6 +135,7 @@
         now + message.answer_in_s,
         give_up_at,
         gather=message,
+        second_from=now + message.alone_s,
     )
     gather.taken[message.reply_to, message.gather_id] = exchange
     start(exchange, shared, now, out)
--- a/arbutusbridge/forwarding/regional.py
+++ b/arbutusbridge/forwarding/regional.py
@@ -34,6 +34,10 @@
 its way."""
 
 
+CANCEL_S = 0.02
+"""Time in which a peer that was given up is told so."""
+
+
 def hand_out(
     exchange: Exchange, shared: Shared, now: float, out: list[object]
 ) -> None:
@@ -120,6 +124,7 @@
                 max(0.0, exchange.answer_by - now - 2 * way),
                 max(0.0, exchange.give_up_at - now - 2 * way),
                 max(part.asked_elsewhere for part in parts),
+                group.look_at - now + CANCEL_S,
             ),
         )
     )
--- a/tests/test_forwarding/test_division.py
+++ b/tests/test_forwarding/test_division.py
@@ -4,10 +4,11 @@
 
 import testtools
 
-from arbutusbridge.forwarding import Merged, division
+from arbutusbridge.forwarding import AttemptEnd, Merged, division
 from arbutusbridge.forwarding.forwarder import BUSY_S
 from arbutusbridge.forwarding.gather import GatherTaken, Peer, Tell
 from tests.test_forwarding.fixtures import (
+    ended,
     make_forwarder,
     records,
     request,
@@ -225,6 +226,24 @@
         out = helper.wake(exchange.request, again)
         self.assertNotEqual([], sends_of(out))
 
+    def test_helper_asks_one_upstream_while_it_may_be_given_up(self) -> None:
+        # Its acknowledgement may be late, and another helper asks one too.
+        ask = self.asks()[0]
+        exchange = self.entry.exchanges[self.arrived]
+        self.assertGreater(ask.message.alone_s, exchange.wake_at - NOW)
+        helper = self.helpers[ask.address]
+        sends = sends_of(helper.hear(ask.message, NOW))
+        helper.replies([result(one, 1) for one in sends[1:-1]], NOW + 0.01)
+        lost = ended(sends[-1], AttemptEnd.LOST)
+        self.assertEqual([], sends_of(helper.replies([lost], NOW + 0.01)))
+        own = next(iter(helper.exchanges.values()))
+        alone_until = NOW + ask.message.alone_s
+        while own.wake_at < alone_until:
+            out = helper.wake(own.request, own.wake_at)
+            self.assertEqual([], sends_of(out))
+        out = helper.wake(own.request, own.wake_at)
+        self.assertEqual(2, len(sends_of(out)))
+
     def test_declined_part_goes_to_another_without_an_attempt(self) -> None:
         asks = self.asks()
         wide = max(asks, key=lambda ask: len(ask.message.services))
