--- a/arbutusbridge/forwarding/division.py
+++ b/arbutusbridge/forwarding/division.py
@@ -27,11 +27,12 @@
 a peer and its reply take about a tenth of it."""
 
 SHARE_S = 0.01
-"""Processing time aimed at for each instance that takes a part."""
+"""Processing time aimed at for each instance that takes a part; a tenth of the
+shortest target of the users' grown deployments."""
 
 TEAM_REQUESTS = 2.5
 """Requests at once that a team has room for. Larger teams are fewer, so that
-fewer instances speak with each upstream."""
+fewer instances speak with each upstream; measured, see docs/design/wide.md."""
 
 LEAST_SHARE = 4
 """Shards from which a part is worth its three messages."""
