Say once what the forwarding change said twice

Seen in a reading of the whole change; behaviour as it was. - The feed decides whether ends are in doubt in one function, and takes changes with the time until which they are; a relayed change passes none, in place of an infinite time and a flag that undid the reckoning. first_call is gone: next_call begins with the first page where nothing is known. - One function tells a peer to stop, for a peer given up and for a finished request. Shards of a peer without a reply are given up, so what was counted for asking them again is gone. - Capacity and the time for changes are properties of the settings. - The soak has one alias and one time-out for what its proxy and callers share. - Tests take free_ports, which stood already, and one opening of the store.

--- a/arbutusbridge/daemon/forwardinstance.py
+++ b/arbutusbridge/daemon/forwardinstance.py
@@ -120,7 +120,7 @@
                 own, self.hub, self.metrics, PEER_CHANNELS
             ).register(self)
             self.forwarding.forwarder.gather.own = Peer(
-                settings.name, settings.data_centre, own, capacity_of(settings)
+                settings.name, settings.data_centre, own, settings.capacity
             )
         self.forwarding.attach(self.ingress, self.links, self.peers)
         self.store = PlatformClient(
@@ -198,7 +198,7 @@
             own,
             self.forwarding.forwarder.gather.book,
             seeds,
-            self.settings.changes_ms / 1000,
+            self.settings.changes_s,
             self.feed,
             self.peers,
             self.store,
@@ -209,7 +209,7 @@
     @property
     def lease_s(self) -> float:
         """Length of the own lease in the store."""
-        follows = self.settings.changes_ms / 1000 >= LEAST_BOUND_S
+        follows = self.settings.changes_s >= LEAST_BOUND_S
         return FOLLOWER_LEASE_S if follows else LEASE_S
 
     def on_instances(self, count: int, peers: list[Peer]) -> None:
@@ -336,10 +336,5 @@
         settings.data_centre,
         settings.peers.ip,
         settings.peers.port,
-        capacity_of(settings),
+        settings.capacity,
     )
-
-
-def capacity_of(settings: ForwardSettings) -> float:
-    """Returns the processor that the instance may use, in cores."""
-    return settings.processor.share * settings.processor.speed
--- a/arbutusbridge/daemon/storefeed.py
+++ b/arbutusbridge/daemon/storefeed.py
@@ -84,11 +84,8 @@
         if self.asking:
             return
         self.asking = True
-        if self.feed.revision is None:
-            call = self.feed.first_call()
-        else:
-            call = self.feed.next_call()
-        self.timers.after(0.0, self.channel, (self.round, call))
+        call = (self.round, self.feed.next_call())
+        self.timers.after(0.0, self.channel, call)
 
     def doubt(self) -> None:
         """Takes the word that ends may have been missed; loads all again."""
--- a/arbutusbridge/forwarding/feed.py
+++ b/arbutusbridge/forwarding/feed.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import enum
-import math
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -87,10 +86,6 @@
     confirmed_at: float = 0.0
     reloads: int = 0
 
-    def first_call(self) -> Call:
-        """Returns the call to begin with."""
-        return Call(CallKind.PAGE)
-
     def next_call(self, delay_s: float = 0.0) -> Call:
         """Returns the call that goes on from what is known."""
         if self.revision is None:
@@ -143,7 +138,7 @@
         self.confirmed_at = confirmed_at
         if self.revision is not None:
             self.revision = max(self.revision, revision)
-        return self.apply(list(items), math.inf, sure=True)
+        return self.apply(items, None)
 
     def known(self) -> list[Item]:
         """Returns the keys in force, without those whose end is in doubt."""
@@ -187,7 +182,7 @@
         self.load_revision = None
         self.loading = {}
         self.confirmed_at = confirmed_at
-        return self.apply(changes, now)
+        return self.apply(changes, self.doubt_until(changes, now))
 
     def on_changes(self, page: Page, now: float) -> tuple[list[Item], Call]:
         """Takes the changes that a watch returned."""
@@ -196,7 +191,8 @@
         if self.revision is not None:
             self.revision = max(self.revision, page.revision)
         delay = PAUSE_S if page.items else 0.0
-        return self.apply(list(page.items), now), self.next_call(delay)
+        acted = self.apply(page.items, self.doubt_until(page.items, now))
+        return acted, self.next_call(delay)
 
     def note_contact(self, now: float) -> None:
         """Notes a good reply, which may be the first after an outage."""
@@ -204,22 +200,23 @@
             self.failures = 0
             self.regained_at = now
 
+    def doubt_until(self, changes: Sequence[Item], now: float) -> float | None:
+        """Returns until when ends are not believed, None if they are now."""
+        ends = sum(item.value is None for item in changes)
+        many = ends >= max(LEAST_MASS_LOSS, MASS_LOSS_SHARE * len(self.items))
+        if many or now - self.regained_at < RETURN_GRACE_S:
+            return now + RETURN_GRACE_S
+        return None
+
     def apply(
-        self, changes: list[Item], now: float, sure: bool = False
+        self, changes: Sequence[Item], doubt_until: float | None
     ) -> list[Item]:
         """Takes changes in; returns those to act on now.
 
         Args:
           changes: Changes of keys.
-          now: The time.
-          sure: Whether ends are believed in any case.
+          doubt_until: Until when ends are not believed, None if they are now.
         """
-        ends = [item for item in changes if item.value is None]
-        unsure = now - self.regained_at < RETURN_GRACE_S or (
-            len(ends) >= LEAST_MASS_LOSS
-            and len(ends) >= MASS_LOSS_SHARE * len(self.items)
-        )
-        unsure = unsure and not sure
         acted = []
         for item in changes:
             known = self.items.get(item.key)
@@ -230,9 +227,8 @@
                 self.items[item.key] = item
                 acted.append(item)
             elif known is not None:
-                if unsure:
-                    until = now + RETURN_GRACE_S
-                    self.held.setdefault(item.key, until)
+                if doubt_until is not None:
+                    self.held.setdefault(item.key, doubt_until)
                 else:
                     self.end(item.key)
                     acted.append(item)
--- a/arbutusbridge/forwarding/regional.py
+++ b/arbutusbridge/forwarding/regional.py
@@ -33,7 +33,6 @@
 """Time before an answer is due at which a peer's reply must be sent, besides
 its way."""
 
-
 CANCEL_S = 0.02
 """Time in which a peer that was given up is told so."""
 
@@ -203,11 +202,8 @@
     group.look_at = math.inf
     group.given_up = True
     exchange = group.exchange
-    own = shared.gather.own
-    assert own is not None
     if why != DECLINED:
-        stop = GatherCancel(group.gather_id, own.address)
-        out.append(Tell(group.peer.address, stop))
+        tell_to_stop(group, shared, out)
     detail = {"why": why, **group.describe()}
     detail["age_ms"] = round((now - exchange.request.arrived) * 1000)
     out.append(Decision(exchange.request.request_id, "peer_given_up", detail))
@@ -218,13 +214,15 @@
     ]
     for part in left:
         part.group = None
-        part.asked_elsewhere += why != DECLINED
         if why == NO_REPLY:
-            part.arrivals += 1
             part.may_have_run = True
             part.given_up = True
+        elif why == SILENT:
+            part.asked_elsewhere += 1
     if why == NO_REPLY:
         return
+    own = shared.gather.own
+    assert own is not None
     if division.is_wide(len(left), own.capacity):
         group.superseded = True
         near, far = by_place(left, shared, now)
@@ -234,22 +232,23 @@
             attempts.begin_part(exchange, part, shared, now, out)
 
 
-def cancel(exchange: Exchange, shared: Shared, out: list[object]) -> None:
-    """Tells peers that nobody waits for their replies any more."""
-    gather = shared.gather
-    for group in exchange.groups:
-        if gather.groups.pop(group.gather_id, None) is not None:
-            assert gather.own is not None
-            message = GatherCancel(group.gather_id, gather.own.address)
-            out.append(Tell(group.peer.address, message))
+def tell_to_stop(group: Group, shared: Shared, out: list[object]) -> None:
+    """Tells a peer that nobody waits for its reply any more."""
+    own = shared.gather.own
+    assert own is not None
+    message = GatherCancel(group.gather_id, own.address)
+    out.append(Tell(group.peer.address, message))
 
 
 def let_go(exchange: Exchange, shared: Shared, out: list[object]) -> None:
     """Takes a finished request out of what peers do for each other."""
-    cancel(exchange, shared, out)
+    gather = shared.gather
+    for group in exchange.groups:
+        if gather.groups.pop(group.gather_id, None) is not None:
+            tell_to_stop(group, shared, out)
     ask = exchange.gather
     if ask is not None:
-        shared.gather.taken.pop((ask.reply_to, ask.gather_id), None)
+        gather.taken.pop((ask.reply_to, ask.gather_id), None)
 
 
 def reply(exchange: Exchange, body: bytes, out: list[object]) -> None:
--- a/arbutusbridge/settings/forwarding.py
+++ b/arbutusbridge/settings/forwarding.py
@@ -93,3 +93,13 @@
     extras: ExtraLimits = ExtraLimits()
     processor: Processor = Processor()
     log_level: Literal["debug", "info", "notice", "warning", "error"] = "info"
+
+    @property
+    def changes_s(self) -> float:
+        """The same time in seconds."""
+        return self.changes_ms / 1000
+
+    @property
+    def capacity(self) -> float:
+        """The processor that it may use, in cores."""
+        return self.processor.share * self.processor.speed
--- a/arbutusbridge/soak/callers.py
+++ b/arbutusbridge/soak/callers.py
@@ -11,14 +11,15 @@
 
 from arbutusbridge.daemon.hub import READABLE
 from arbutusbridge.platform.standins import decode_answer, encode_call
+from arbutusbridge.soak.proxy import CONNECT_S
 from arbutusbridge.soak.record import Asked
 
 if TYPE_CHECKING:
     from arbutusbridge.daemon.hub import SocketHub
+    from arbutusbridge.platform.standins import Later
     from arbutusbridge.soak.record import Record
 
 READ_BYTES = 65_536
-CONNECT_S = 0.2
 PAUSE_S = 0.08
 """Mean pause of a caller between an answer and its next request."""
 
@@ -53,7 +54,7 @@
         record: Record,
         hub: SocketHub,
         clock: Callable[[], float],
-        later: Callable[[float, Callable[[], None]], None],
+        later: Later,
         rng: random.Random,
     ) -> None:
         self.name = name
--- a/tests/test_daemon/test_following.py
+++ b/tests/test_daemon/test_following.py
@@ -4,11 +4,10 @@
 
 import base64
 import json
-import socket
 
 import testtools
 
-from arbutusbridge.core.messages import Item
+from arbutusbridge.core.messages import Item, Page
 from arbutusbridge.daemon.events import announced
 from arbutusbridge.daemon.following import StoreFollowing
 from arbutusbridge.daemon.forwardmetrics import ForwardMetrics
@@ -26,7 +25,7 @@
 from arbutusbridge.forwarding.gather import Peer, PeerBook
 from arbutusbridge.forwarding.gatherwire import PeerCard, encode_card
 from arbutusbridge.platform import DIALECT
-from arbutusbridge.standins.deployment import LOOPBACK
+from arbutusbridge.standins.deployment import LOOPBACK, free_ports
 from tests.test_daemon.fixtures import Bench, RawUpstream
 
 ITEMS = [Item(f"servers/{number}", b"value", number) for number in range(3)]
@@ -36,12 +35,6 @@
 }
 
 
-def free_port() -> int:
-    """A port that nothing listens at."""
-    with socket.create_server((LOOPBACK, 0)) as listener:
-        return listener.getsockname()[1]
-
-
 class Starter:
     """An instance that starts, as far as its first load goes."""
 
@@ -54,7 +47,7 @@
     ) -> None:
         self.bench = Bench()
         self.raw = RawUpstream()
-        address = (LOOPBACK, free_port())
+        address = (LOOPBACK, free_ports(1)[0])
         self.peer = Peer(name, "north", address, capacity)
         store = PlatformClient(
             self.bench.hub, self.bench.timers, [(LOOPBACK, self.raw.port)]
@@ -209,6 +202,12 @@
 
         self.follower.bench.turn_until(both)
 
+    def learn(self, item: Item) -> None:
+        """Lets the source's watch return a change."""
+        page = Page((item,), False, item.revision)
+        changes, _ = self.source.feed.feed.on_changes(page, 200.0)
+        self.source.feed.report(changes)
+
     def advance(self, seconds: float) -> None:
         """Lets time pass for both."""
         self.source.bench.now += seconds
@@ -217,10 +216,10 @@
     def test_follower_leaves_the_store_alone_and_learns_changes(self) -> None:
         self.assertFalse(self.follower.feed.asking)
         new = Item("servers/9", b"value", 41)
-        self.source.feed.report(self.source.feed.feed.apply([new], 200.0))
+        self.learn(new)
         self.turn_until(lambda: new.key in self.follower.feed.feed.items)
         ended = Item(ITEMS[0].key, None, 42)
-        self.source.feed.report(self.source.feed.feed.apply([ended], 200.0))
+        self.learn(ended)
         self.turn_until(lambda: ended.key not in self.follower.feed.feed.items)
 
     def test_follower_of_a_source_that_ended_watches_itself(self) -> None:
--- a/tests/test_daemon/test_storefeed.py
+++ b/tests/test_daemon/test_storefeed.py
@@ -13,6 +13,9 @@
 from arbutusbridge.standins.deployment import LOOPBACK
 from tests.test_daemon.fixtures import Bench, RawUpstream
 
+EMPTY = {"items": [], "has_more": False, "current_rev": 7}
+"""A page of a store that holds nothing."""
+
 
 class SilentStoreTest(testtools.TestCase):
     """A store that takes calls and answers none for a while."""
@@ -35,18 +38,22 @@
         sock.sendall(head.encode() + data)
         self.bench.turn()
 
+    def load(self):
+        """Answers the first load; returns the connection to the store."""
+        self.bench.turn()
+        sock = self.raw.accept()
+        self.bench.turn()
+        self.assertIn(b"/kv-range", sock.recv(4096))
+        self.answer(sock, EMPTY)
+        return sock
+
     def ask(self) -> None:
         token = ("test", "count")
         request = DIALECT.page("x/", "")
         self.store.ask(request, token, lambda _result: None, 1.0)
 
     def test_watch_is_asked_anew_once_another_call_is_answered(self) -> None:
-        page = {"items": [], "has_more": False, "current_rev": 7}
-        self.bench.turn()
-        sock = self.raw.accept()
-        self.bench.turn()
-        self.assertIn(b"/kv-range", sock.recv(4096))
-        self.answer(sock, page)
+        sock = self.load()
         self.assertIn(b"/kv-watch", sock.recv(4096))
         self.ask()
         self.bench.turn()
@@ -60,7 +67,7 @@
         other = self.raw.accept()
         self.bench.turn()
         other.recv(4096)
-        self.answer(other, page)
+        self.answer(other, EMPTY)
         # The silent watch is cut, and one from the same revision is open.
         self.assertEqual(b"", sock.recv(4096))
         self.assertIn(b"after=7", other.recv(4096))
@@ -68,12 +75,7 @@
     def test_watch_that_was_swallowed_is_asked_anew_in_time(self) -> None:
         # Seed 39 of the soak: no other call met the outage of two seconds,
         # and a version was in force 9.5 s after the store had taken it.
-        page = {"items": [], "has_more": False, "current_rev": 7}
-        self.bench.turn()
-        sock = self.raw.accept()
-        self.bench.turn()
-        sock.recv(4096)
-        self.answer(sock, page)
+        sock = self.load()
         self.assertIn(b"/kv-watch", sock.recv(4096))
         for _ in range(9):
             self.bench.now += 0.5
@@ -83,14 +85,9 @@
         self.assertIn(b"after=7", other.recv(4096))
 
     def test_history_lost_loads_all_again(self) -> None:
-        page = {"items": [], "has_more": False, "current_rev": 7}
-        self.bench.turn()
-        sock = self.raw.accept()
-        self.bench.turn()
-        sock.recv(4096)
-        self.answer(sock, page)
+        sock = self.load()
         sock.recv(4096)
         self.answer(sock, {}, "410 Gone")
         self.assertIn(b"/kv-range", sock.recv(4096))
-        self.answer(sock, page)
+        self.answer(sock, EMPTY)
         self.assertEqual(2, self.feed.feed.reloads)
