--- /dev/null
+++ b/tests/test_forwarding/fleet.py
@@ -0,0 +1,357 @@
+"""Fleet of forwarders and upstreams on virtual time, without a network.
+
+Upstreams run a request for some milliseconds, except for a request that crashes
+every upstream that begins to run it: the upstream loses all of its requests and
+refuses connections until it is back under a new incarnation.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import heapq
+import itertools
+import random
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from arbutusbridge.forwarding import (
+    Announcement,
+    AttemptEnd,
+    CallerRequest,
+    DropAttempt,
+    Forwarder,
+    Locality,
+    MergedAnswer,
+    RefusedAnswer,
+    RelayedAnswer,
+    Route,
+    RoutingConfiguration,
+    SendAttempt,
+    SetRequestTimer,
+    UpstreamReply,
+)
+from arbutusbridge.forwarding.gather import Peer, SendGatherMessage
+from arbutusbridge.forwarding.gatherwire import decode_message, encode_message
+from tests.test_forwarding.fixtures import BOUNDS, HOST, REGIONS
+
+ONE_WAY_S = 0.001
+"""Network delay within a region, one way."""
+
+REGION_ONE_WAY_S = 0.012
+"""Network delay between regions, one way."""
+
+WORK_RANGE_S = (0.003, 0.012)
+"""Processing time of a request that crashes nothing."""
+
+DOWN_S = 4.0
+"""Time after which a crashed upstream is back."""
+
+ANNOUNCE_DELAY_S = 0.8
+"""Delay until the announcement of an upstream reaches the instances."""
+
+CRASHING = "crash"
+"""Part of the target of requests that crash the upstreams that run them."""
+
+
+@dataclass
+class SimulatedUpstream:
+    """Upstream that crashes on some requests.
+
+    Attributes:
+      announcement: Its current announcement.
+      running: Attempts that it runs, as instance and attempt id.
+      down: Whether it has crashed and is not back yet.
+    """
+
+    announcement: Announcement
+    running: set[tuple[str, int]] = field(default_factory=set)
+    down: bool = False
+
+
+@dataclass
+class Arrival:
+    """Arrival of an attempt at an upstream that was up."""
+
+    at: float
+    request: CallerRequest
+    upstream: str
+    instance: str
+
+
+class Fleet:
+    """Instances, upstreams and callers.
+
+    Attributes:
+      instances: Forwarders by name.
+      upstreams: Upstreams by name.
+      arrivals: Attempts that reached an upstream.
+      crashes: Times at which a request crashed an upstream, with its target.
+      answers: Answers by request id, each with its time.
+      sent: Requests by id.
+      lost_reports: Function that ends each running attempt, by instance and
+        attempt id.
+    """
+
+    def __init__(
+        self,
+        routes: list[Route],
+        upstreams: list[Announcement],
+        places: dict[str, int],
+        seed: int = 1,
+    ) -> None:
+        self.rng = random.Random(seed)
+        self.now = 100.0
+        self.events: list[tuple[float, int, Callable[[], None]]] = []
+        self.numbers = itertools.count()
+        self.ids = itertools.count(1)
+        self.configuration = RoutingConfiguration(1, tuple(routes))
+        self.places: dict[str, str] = {}
+        self.instances: dict[str, Forwarder] = {}
+        self.upstreams = {
+            one.upstream: SimulatedUpstream(one) for one in upstreams
+        }
+        self.arrivals: list[Arrival] = []
+        self.crashes: list[tuple[float, str]] = []
+        self.answers: dict[str, tuple[float, Any]] = {}
+        self.sent: dict[str, CallerRequest] = {}
+        self.lost_reports: dict[tuple[str, int], Callable[..., None]] = {}
+        names = [
+            (f"{place}-{number}", place)
+            for place, count in places.items()
+            for number in range(count)
+        ]
+        for name, place in names:
+            self.places[name] = place
+        for name in self.places:
+            self.start(name)
+
+    def address_of(self, name: str) -> tuple[str, int]:
+        """Returns the address at which an instance accepts messages."""
+        return ("10.8.0.1", 1000 + list(self.places).index(name))
+
+    def start(self, name: str) -> None:
+        """Starts an instance with an empty memory."""
+        place = self.places[name]
+        forwarder = Forwarder(
+            Locality(place, REGIONS), BOUNDS, random.Random(name), self.now
+        )
+        forwarder.configure(self.configuration)
+        for upstream in self.upstreams.values():
+            forwarder.announce(upstream.announcement, self.now)
+        peers = [
+            Peer(other, self.places[other], self.address_of(other))
+            for other in self.places
+        ]
+        forwarder.gather.own_peer = next(p for p in peers if p.name == name)
+        forwarder.gather.peer_table.update(
+            [peer for peer in peers if peer.name != name]
+        )
+        forwarder.update_instance_count(len(self.places))
+        self.instances[name] = forwarder
+
+    def at(self, when: float, function: Callable[[], None]) -> None:
+        """Schedules a function."""
+        heapq.heappush(self.events, (when, next(self.numbers), function))
+
+    def after(self, seconds: float, function: Callable[[], None]) -> None:
+        """Schedules a function after a delay."""
+        self.at(self.now + seconds, function)
+
+    def run_until(self, end: float) -> None:
+        """Runs all events up to a time."""
+        while self.events and self.events[0][0] <= end:
+            self.now, _, function = heapq.heappop(self.events)
+            function()
+        self.now = end
+
+    def send(
+        self, name: str, target: str, method: str = "GET", body: bytes = b""
+    ) -> str:
+        """Sends a caller's request to an instance and returns its id."""
+        request_id = f"r{next(self.ids)}"
+        request = CallerRequest(
+            request_id,
+            method,
+            target,
+            HOST,
+            [],
+            body,
+            self.now + 2.0,
+            self.now,
+        )
+        self.sent[request_id] = request
+        forwarder = self.instances[name]
+        self.carry_out(name, forwarder.handle_request(request, self.now))
+        return request_id
+
+    def send_series(
+        self, target: Callable[[int], str], interval_s: float, until: float
+    ) -> None:
+        """Sends requests to random instances at an interval."""
+        count = itertools.count()
+
+        def send_one() -> None:
+            self.send(
+                self.rng.choice(list(self.instances)), target(next(count))
+            )
+            if self.now + interval_s <= until:
+                self.after(interval_s, send_one)
+
+        self.after(interval_s, send_one)
+
+    def carry_out(self, name: str, actions: list[Any]) -> None:
+        """Performs the actions of an instance."""
+        forwarder = self.instances[name]
+        for action in actions:
+            match action:
+                case SendAttempt():
+                    self.send_attempt(name, forwarder, action)
+                case SendGatherMessage():
+                    self.send_message(name, action)
+                case SetRequestTimer():
+                    self.set_timer(name, forwarder, action)
+                case RelayedAnswer() | MergedAnswer() | RefusedAnswer():
+                    self.answers.setdefault(
+                        action.request.request_id, (self.now, action)
+                    )
+                case DropAttempt():
+                    pass
+
+    def set_timer(
+        self, name: str, forwarder: Forwarder, action: SetRequestTimer
+    ) -> None:
+        """Sets the timer of a request, which ends with its instance."""
+
+        def due() -> None:
+            if self.instances[name] is forwarder:
+                self.carry_out(
+                    name, forwarder.handle_timer(action.request, self.now)
+                )
+
+        self.at(action.at, due)
+
+    def delay(self, place: str, other: str) -> float:
+        """Returns the network delay between two data centres, one way."""
+        return ONE_WAY_S if place == other else REGION_ONE_WAY_S
+
+    def send_message(self, name: str, action: SendGatherMessage) -> None:
+        """Delivers a message to a peer through its encoding."""
+        data = encode_message(action.message)
+        (peer,) = [
+            p for p in self.places if self.address_of(p) == action.address
+        ]
+
+        def arrive() -> None:
+            forwarder = self.instances[peer]
+            message = decode_message(data)
+            self.carry_out(
+                peer, forwarder.handle_peer_message(message, self.now)
+            )
+
+        self.after(self.delay(self.places[name], self.places[peer]), arrive)
+
+    def send_attempt(
+        self, name: str, forwarder: Forwarder, action: SendAttempt
+    ) -> None:
+        """Delivers an attempt to its upstream, which runs it."""
+        upstream = self.upstreams[action.upstream.upstream]
+        way_s = self.delay(self.places[name], action.upstream.data_centre)
+        key = (name, action.attempt_id)
+
+        def report(end: AttemptEnd, **fields: Any) -> None:
+            reply = UpstreamReply(action.attempt_id, end, **fields)
+
+            def deliver() -> None:
+                if self.instances[name] is forwarder:
+                    self.carry_out(name, forwarder.replies([reply], self.now))
+
+            self.after(way_s, deliver)
+
+        def arrive() -> None:
+            if upstream.down:
+                report(AttemptEnd.NOT_SENT, detail="not_sent")
+                return
+            self.arrivals.append(
+                Arrival(
+                    self.now,
+                    action.request,
+                    action.upstream.upstream,
+                    name,
+                )
+            )
+            upstream.running.add(key)
+            self.lost_reports[key] = report
+            if CRASHING in action.request.target:
+                self.crash(upstream, action.request.target)
+                return
+            self.after(self.rng.uniform(*WORK_RANGE_S), finish)
+
+        def finish() -> None:
+            if key not in upstream.running:
+                return
+            upstream.running.discard(key)
+            self.lost_reports.pop(key, None)
+            stamp = f"{action.upstream.upstream}.{key[1]}"
+            report(AttemptEnd.RESULT, status=200, body=b"", stamp=stamp)
+
+        self.after(way_s, arrive)
+
+    def crash(self, upstream: SimulatedUpstream, target: str = "") -> None:
+        """Crashes an upstream and restarts it after a time."""
+        if target:
+            self.crashes.append((self.now, target))
+        upstream.down = True
+        running, upstream.running = upstream.running, set()
+        for key in sorted(running):
+            self.lost_reports.pop(key)(AttemptEnd.LOST, detail="lost")
+        self.after(DOWN_S, lambda: self.restart(upstream))
+
+    def restart(self, upstream: SimulatedUpstream) -> None:
+        """Starts a crashed upstream again as a new incarnation."""
+        upstream.down = False
+        upstream.announcement = dataclasses.replace(
+            upstream.announcement,
+            started_ms=upstream.announcement.started_ms + 1,
+        )
+        announcement = upstream.announcement
+
+        def announce() -> None:
+            for forwarder in self.instances.values():
+                forwarder.announce(announcement, self.now)
+
+        self.after(ANNOUNCE_DELAY_S, announce)
+
+    def late_sends(self, target: str, contact_s: float) -> int:
+        """Returns the sends of a target after its third crash is known.
+
+        Args:
+          target: Target of the request that crashes upstreams.
+          contact_s: Time after the third crash in which sends do not count.
+        """
+        times = sorted(at for at, of in self.crashes if of == target)
+        if len(times) < 3:
+            return 0
+        return sum(
+            arrival.request.target == target
+            and arrival.at > times[2] + contact_s
+            for arrival in self.arrivals
+        )
+
+    def crash_count(self, target: str) -> int:
+        """Returns how many upstreams a target has crashed."""
+        return sum(of == target for _, of in self.crashes)
+
+    def outcomes(self, prefix: str) -> Counter[str]:
+        """Counts the answers to the requests under a prefix by their kind."""
+        found: Counter[str] = Counter()
+        for request_id, request in self.sent.items():
+            if not request.target.startswith(prefix):
+                continue
+            _, answer = self.answers.get(request_id, (0.0, None))
+            if isinstance(answer, RefusedAnswer):
+                found[answer.refusal.value] += 1
+            else:
+                found["served" if answer is not None else "none"] += 1
+        return found
