Log each lost connection with the fingerprint of its request

Each attempt that ends without a valid reply now logs connection_lost with the fingerprint (method, host, target, body), the upstream, its start and the other open attempts there; the decisions counter counts it. The fingerprint reads at most 64 KiB of a body.

The test failed before (no such line). No decision is changed.

--- a/arbutusbridge/forwarding/forwarder.py
+++ b/arbutusbridge/forwarding/forwarder.py
@@ -166,6 +166,8 @@
             upstream.load_reported_at = now
         exchange = attempt.owner
         assert isinstance(exchange, Exchange)
+        if reply.end is AttemptEnd.LOST and not attempt.dropped:
+            out.append(build_loss_decision(attempt, exchange, reply, now))
         if reply.end is AttemptEnd.RESULT:
             data_centre = upstream.announcement.data_centre
             self.reply_times.add(
@@ -278,3 +280,23 @@
             exchange.partial_answer_at = exchange.give_up_at = now
             conclusion.conclude(exchange, self, now, out)
         return out
+
+
+def build_loss_decision(
+    attempt: OpenAttempt, exchange: Exchange, reply: UpstreamReply, now: float
+) -> Decision:
+    """Returns the log entry of an attempt that ended without a valid reply."""
+    announcement = attempt.upstream.announcement
+    return Decision(
+        exchange.request.request_id,
+        "connection_lost",
+        {
+            "fingerprint": exchange.request.fingerprint,
+            "service": announcement.service,
+            "upstream": announcement.upstream,
+            "started_ms": announcement.started_ms,
+            "detail": reply.detail,
+            "after_ms": round((now - attempt.sent_at) * 1000, 1),
+            "others_open": len(attempt.upstream.open_attempts),
+        },
+    )
--- a/arbutusbridge/forwarding/model.py
+++ b/arbutusbridge/forwarding/model.py
@@ -5,8 +5,15 @@
 
 from __future__ import annotations
 
+import hashlib
 from dataclasses import dataclass, field
 
+from arbutusbridge.core.requests.quarantine import fingerprint_of
+
+FINGERPRINT_SAMPLE_BYTES = 32_768
+"""Number of bytes at each end of a body that its fingerprint covers, together
+with its length, so that the cost of a fingerprint is bounded."""
+
 
 @dataclass(frozen=True, slots=True)
 class WeightedService:
@@ -131,6 +138,7 @@
       arrived: When its first byte was read.
       network_delay_s: Time on the network of the request, its answer and any
         connection opened for them, 0 if unknown.
+      cached_fingerprint: Fingerprint, empty until it is first needed.
     """
 
     request_id: str
@@ -142,3 +150,27 @@
     deadline: float
     arrived: float
     network_delay_s: float = 0.0
+    cached_fingerprint: str = ""
+
+    @property
+    def fingerprint(self) -> str:
+        """Digest of the content, equal for a request that is sent again.
+
+        It covers host, method, target and body. The id and the headers differ
+        between two attempts of a caller.
+        """
+        if not self.cached_fingerprint:
+            sample = hashlib.blake2b(
+                self.body[:FINGERPRINT_SAMPLE_BYTES], digest_size=16
+            )
+            sample.update(
+                self.body[FINGERPRINT_SAMPLE_BYTES:][-FINGERPRINT_SAMPLE_BYTES:]
+            )
+            content = (
+                self.method,
+                self.target,
+                len(self.body),
+                sample.hexdigest(),
+            )
+            self.cached_fingerprint = fingerprint_of(self.host, content)
+        return self.cached_fingerprint
--- a/tests/test_forwarding/test_plain.py
+++ b/tests/test_forwarding/test_plain.py
@@ -10,6 +10,7 @@
 
 import testtools
 
+from arbutusbridge.core.messages import Decision
 from arbutusbridge.forwarding import (
     AttemptEnd,
     DropAttempt,
@@ -199,3 +200,25 @@
         reply = result(send, 1)
         out = forwarder.replies([reply], NOW + 0.01)
         self.assertIs(reply, only(out, RelayedAnswer).reply)
+
+
+class LossRecordTest(testtools.TestCase):
+    """Log lines of attempts that end without a reply."""
+
+    # Guards against losses that cannot be connected: resends of one request
+    # have different ids, and a single send is followed by no retry line.
+    def test_loss_is_logged_with_the_content_of_its_request(self) -> None:
+        forwarder = make_forwarder([plain(idempotent=False)], TWO)
+        fingerprints = []
+        for number in (1, 2):
+            (sent,) = sends_of(arrive(forwarder, number))
+            lost = ended(sent, AttemptEnd.LOST, detail="lost")
+            (line,) = [
+                one
+                for one in forwarder.replies([lost], NOW + 0.1)
+                if isinstance(one, Decision) and one.what == "connection_lost"
+            ]
+            self.assertEqual(f"r{number}", line.request_id)
+            self.assertEqual(sent.upstream.upstream, line.detail["upstream"])
+            fingerprints.append(line.detail["fingerprint"])
+        self.assertEqual(fingerprints[0], fingerprints[1])
