--- a/arbutusbridge/daemon/connection.py
+++ b/arbutusbridge/daemon/connection.py
@@ -33,6 +33,9 @@
 """Socket options that close a connection whose peer has not responded for 3 s,
 because store changes must take effect within 3 s after the end of a fault."""
 
+REFUSED_ERRORS = frozenset({errno.ECONNREFUSED, errno.ECONNRESET})
+"""Errors of a connect to a host that answers, but where nothing listens."""
+
 MIN_FINAL_STATUS = 200
 """Lowest status of a final response; lower ones are informational."""
 
@@ -50,6 +53,7 @@
       on_established: Called with the connection when it is established.
       connected: Whether the connection is established.
       alive: Whether the connection is not closed yet.
+      refused: Whether the peer refused the connection.
       response_started: Whether any byte arrived since the current request was
         sent.
       idle_since: Time at which the owner last marked the connection idle, on
@@ -78,6 +82,7 @@
         self.on_established: Callable[[Connection], None] | None = None
         self.connected = False
         self.alive = True
+        self.refused = False
         self.pending = b""
         self.bytes_sent = 0
         self.response_started = False
@@ -158,6 +163,8 @@
         """Handles readiness of the socket."""
         if not self.connected:
             if mask & HANGUP_OR_ERROR:
+                error = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+                self.refused = error in REFUSED_ERRORS
                 self.close()
                 return
             self.on_connected()
--- a/arbutusbridge/daemon/events.py
+++ b/arbutusbridge/daemon/events.py
@@ -24,6 +24,14 @@
     """Upstreams that closed idle connections: ``closed_idle(names)``."""
 
 
+class upstream_checked(Event):  # noqa: N801
+    """Check of a lost upstream: ``upstream_checked(upstream, accepted)``."""
+
+
+class quarantine_changed(Event):  # noqa: N801
+    """Changed keys of quarantines: ``quarantine_changed(items)``."""
+
+
 class status_reports(Event):  # noqa: N801
     """Status reports of upstreams: ``status_reports(reports)``."""
 
--- a/arbutusbridge/daemon/forwarding.py
+++ b/arbutusbridge/daemon/forwarding.py
@@ -15,15 +15,19 @@
 from arbutusbridge.core.messages import Decision
 from arbutusbridge.daemon.logs import get_logger, log_decision
 from arbutusbridge.forwarding import (
+    CheckUpstream,
     DropAttempt,
     Forwarder,
     Locality,
     PrepareConnection,
+    RefusedAnswer,
     RetryBudgetLimits,
     SendAttempt,
     SetRequestTimer,
+    WithdrawAttempt,
 )
 from arbutusbridge.forwarding.gather import SendGatherMessage
+from arbutusbridge.forwarding.notices import EXCHANGE_INTERVAL_S
 
 if TYPE_CHECKING:
     from arbutusbridge.core.messages import StoreItem
@@ -32,12 +36,19 @@
     from arbutusbridge.daemon.peermessenger import PeerMessenger
     from arbutusbridge.daemon.relaypools import RelayPools
     from arbutusbridge.daemon.timers import TimerService
-    from arbutusbridge.forwarding import CallerRequest, UpstreamReply
+    from arbutusbridge.forwarding import (
+        Announcement,
+        CallerRequest,
+        UpstreamReply,
+    )
     from arbutusbridge.forwarding.gather import GatherMessage
+    from arbutusbridge.forwarding.quarantinemessages import QuarantineNotice
     from arbutusbridge.forwarding.wireformat import WireFormat
 
 logger = get_logger(__name__)
 
+EXCHANGE_NOTICES = "exchange_notices"
+
 
 class ForwardingDriver(BaseComponent):
     """Drives the forwarder of one instance.
@@ -68,6 +79,7 @@
         self.ingress: Ingress
         self.pools: RelayPools
         self.peers: PeerMessenger | None = None
+        timers.after(EXCHANGE_INTERVAL_S, self.channel, EXCHANGE_NOTICES)
 
     def attach(
         self, ingress: Ingress, pools: RelayPools, peers: PeerMessenger | None
@@ -101,8 +113,23 @@
             self.metrics.ends.labels(reply.end.value).inc()
         self.carry_out(self.forwarder.replies(replies, self.timers.clock()))
 
+    @handler("upstream_checked")
+    def on_upstream_checked(
+        self, upstream: Announcement, accepted: bool
+    ) -> None:
+        """Handles whether an upstream that lost a request still accepts."""
+        now = self.timers.clock()
+        self.carry_out(self.forwarder.handle_check(upstream, accepted, now))
+
+    @handler("closed_idle")
+    def on_closed_idle(self, upstreams: list[Announcement]) -> None:
+        """Handles upstreams that closed connections in recent use."""
+        self.forwarder.handle_idle_closes(upstreams, self.timers.clock())
+
     @handler("peer_message")
-    def on_peer_message(self, message: GatherMessage) -> None:
+    def on_peer_message(
+        self, message: GatherMessage | QuarantineNotice
+    ) -> None:
         """Handles a message from another instance."""
         self.carry_out(
             self.forwarder.handle_peer_message(message, self.timers.clock())
@@ -110,11 +137,16 @@
 
     @handler("due")
     def on_due(self, requests: list[Any]) -> None:
-        """Handles due timers of requests."""
+        """Handles due timers of requests and of the notices to peers."""
         for request in requests:
-            self.carry_out(
-                self.forwarder.handle_timer(request, self.timers.clock())
-            )
+            now = self.timers.clock()
+            if request == EXCHANGE_NOTICES:
+                self.carry_out(self.forwarder.exchange_notices(now))
+                self.timers.after(
+                    EXCHANGE_INTERVAL_S, self.channel, EXCHANGE_NOTICES
+                )
+            else:
+                self.carry_out(self.forwarder.handle_timer(request, now))
 
     @handler("routing_changed", channel="*")
     def on_routing_changed(self, items: list[StoreItem]) -> None:
@@ -172,6 +204,9 @@
                 self.withdraw(name, item.revision)
                 continue
             announcement = decoded.ok_value
+            self.carry_out(
+                self.forwarder.handle_upstream_end(name, announcement, now)
+            )
             is_new = self.forwarder.announce(announcement, now)
             if is_new:
                 self.pools.retire(name)
@@ -191,6 +226,8 @@
         """Removes an upstream whose announcement is gone or invalid."""
         if name not in self.forwarder.directory.by_name:
             return
+        now = self.timers.clock()
+        self.carry_out(self.forwarder.handle_upstream_end(name, None, now))
         self.forwarder.withdraw(name)
         self.pools.retire(name)
         logger.info(
@@ -221,6 +258,10 @@
                     self.pools.send(action)
                 case DropAttempt():
                     self.pools.drop(action)
+                case CheckUpstream():
+                    self.pools.check(action.upstream)
+                case WithdrawAttempt():
+                    self.pools.withdraw(action.attempt_id)
                 case PrepareConnection():
                     self.pools.ensure_connected(action.upstream)
                 case SendGatherMessage():
@@ -231,6 +272,9 @@
                 case Decision():
                     self.record_decision(action)
                 case _:
+                    if isinstance(action, RefusedAnswer):
+                        reason = action.refusal.value
+                        self.metrics.refusals.labels(reason).inc()
                     self.ingress.answer(action)
         self.pools.flush()
 
--- a/arbutusbridge/daemon/forwardinstance.py
+++ b/arbutusbridge/daemon/forwardinstance.py
@@ -11,6 +11,7 @@
 from arbutusbridge.core.stop import StopPlan
 from arbutusbridge.daemon.events import (
     instances_changed,
+    quarantine_changed,
     routing_changed,
     upstreams_changed,
 )
@@ -25,6 +26,7 @@
 from arbutusbridge.daemon.peermessenger import PeerMessenger
 from arbutusbridge.daemon.platform import PlatformClient
 from arbutusbridge.daemon.presence import InstancePresence
+from arbutusbridge.daemon.quarantinestore import QuarantineStore
 from arbutusbridge.daemon.relaypools import RelayPools
 from arbutusbridge.daemon.storefeed import StoreFeed
 from arbutusbridge.daemon.timers import TimerService
@@ -43,6 +45,8 @@
     LEASE_DURATION_S,
     RENEW_INTERVAL_S,
 )
+from arbutusbridge.forwarding.quarantinemessages import QuarantineNotice
+from arbutusbridge.forwarding.quarantinerecord import QUARANTINE_PREFIX
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -62,6 +66,7 @@
 
 PEER_CHANNELS: dict[type, str] = {
     **dict.fromkeys(get_args(GatherMessage), ForwardingDriver.channel),
+    QuarantineNotice: ForwardingDriver.channel,
     FollowRequest: StoreFollower.channel,
     StoreUpdate: StoreFollower.channel,
 }
@@ -139,6 +144,7 @@
                 (wire.configuration_key, routing_changed),
                 (wire.upstreams_prefix, upstreams_changed),
                 (INSTANCES_PREFIX, instances_changed),
+                (QUARANTINE_PREFIX, quarantine_changed),
             ],
             self.store,
             dialect,
@@ -162,6 +168,9 @@
                 else FOLLOWER_RENEW_INTERVAL_S
             ),
         ).register(self)
+        self.quarantine_store = QuarantineStore(
+            settings.name, self.forwarding, self.store, dialect, self.timers
+        ).register(self)
         self.lifecycle = Lifecycle(
             StopPlan(settings.balancer_lag_seconds, settings.stop_seconds),
             self.hub,
@@ -212,6 +221,9 @@
             return None
         port = own.address[1]
         seeds = [(seed.ip, port) for seed in self.settings.seeds]
+        self.forwarding.forwarder.seed_addresses = [
+            seed for seed in seeds if seed != own.address
+        ]
         return StoreFollower(
             own,
             self.forwarding.forwarder.gather.peer_table,
@@ -304,6 +316,7 @@
             "upstreams": len(forwarder.directory.by_name),
             "requests_open": len(forwarder.exchanges),
             "attempts_open": len(forwarder.attempts),
+            "quarantine": forwarder.quarantine.count_states(),
             "store": {
                 "revision": key_feed.revision,
                 "asked_from_here": self.feed.reading,
@@ -333,6 +346,8 @@
             metrics.sync_total(metrics.callers_refused.labels(reason), count)
         for what, count in forwarder.decision_counts.items():
             metrics.sync_total(metrics.silent.labels(what), count)
+        for state, number in forwarder.quarantine.count_states().items():
+            metrics.fingerprints.labels(state).set(number)
         metrics.upstreams.set(len(forwarder.directory.by_name))
         metrics.store_age.set(self.timers.clock() - self.feed.last_confirmed_at)
 
--- a/arbutusbridge/daemon/forwardmetrics.py
+++ b/arbutusbridge/daemon/forwardmetrics.py
@@ -70,6 +70,17 @@
             "Version of the routing configuration in force.",
             registry=self.registry,
         )
+        self.refusals = self.counter(
+            "forward_refusals",
+            "Requests answered by the instance itself, by reason.",
+            ["reason"],
+        )
+        self.fingerprints = Gauge(
+            "arbutusbridge_forward_fingerprints",
+            "Requests suspected of crashing upstreams, or quarantined.",
+            ["state"],
+            registry=self.registry,
+        )
         self.upstreams = Gauge(
             "arbutusbridge_forward_upstreams",
             "Upstreams announced.",
--- a/arbutusbridge/daemon/pool.py
+++ b/arbutusbridge/daemon/pool.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING, Any
 
 from arbutusbridge.core.messages import ReplyKind
-from arbutusbridge.daemon.connection import Connection
+from arbutusbridge.daemon.connection import REFUSED_ERRORS, Connection
 
 if TYPE_CHECKING:
     from arbutusbridge.daemon.hub import SocketHub
@@ -83,6 +83,8 @@
         failure.
       handle_idle_close: Called with an upstream that closed its last connection
         although that was in use shortly before.
+      handle_connect: Called with an upstream and whether it accepted a new
+        connection.
       connect: Opens a connection.
       connects: Number of connection attempts since the start of the process.
     """
@@ -91,6 +93,7 @@
     handle_response: Callable[[Job, Connection, int, bytes], bool]
     handle_failure: Callable[[Job, ReplyKind], None]
     handle_idle_close: Callable[[Any], None] = lambda _upstream: None
+    handle_connect: Callable[[Any, bool], None] = lambda _upstream, _ok: None
     connect: Callable[..., Connection] = Connection
     connects: int = 0
 
@@ -204,7 +207,9 @@
             connection = self.protocol.connect(
                 self.hub, self.address, self.on_response, self.on_closed
             )
-        except OSError:
+        except OSError as err:
+            if err.errno in REFUSED_ERRORS:
+                self.protocol.handle_connect(self.upstream, False)
             self.fail_waiting_if_unconnected()
             return
         connection.on_established = self.on_established
@@ -222,6 +227,7 @@
     def on_established(self, connection: Connection) -> None:
         """Puts an established connection to use."""
         del self.connecting[connection]
+        self.protocol.handle_connect(self.upstream, True)
         self.release(connection)
 
     def release(self, connection: Connection) -> None:
@@ -259,6 +265,8 @@
     def on_closed(self, connection: Connection) -> None:
         """Handles the loss of a connection."""
         if self.connecting.pop(connection, None) is not None:
+            if connection.refused:
+                self.protocol.handle_connect(self.upstream, False)
             self.fail_waiting_if_unconnected()
             return
         job = self.busy.pop(connection, None)
--- a/arbutusbridge/daemon/relaypools.py
+++ b/arbutusbridge/daemon/relaypools.py
@@ -8,7 +8,11 @@
 from circuits import BaseComponent, handler
 
 from arbutusbridge.core.messages import ReplyKind
-from arbutusbridge.daemon.events import attempts_ended
+from arbutusbridge.daemon.events import (
+    attempts_ended,
+    closed_idle,
+    upstream_checked,
+)
 from arbutusbridge.daemon.pool import Job, JobProtocol, Pool
 from arbutusbridge.daemon.relayconnection import RelayConnection
 from arbutusbridge.forwarding.messages import AttemptEnd, UpstreamReply
@@ -55,6 +59,9 @@
       retired: Pools of removed upstreams with connections left.
       jobs: Open attempts by id, with their pool.
       replies: Ends of attempts that are not reported yet.
+      checks: Upstreams that are to be checked for a crash.
+      idle_closes: Upstreams that closed connections in recent use and are not
+        reported yet.
       bounds: Maximum connections that one upstream accepts, by service.
       instances: Number of instances that share these connections.
       primary_senders: Number of instances that send most requests to the
@@ -79,6 +86,8 @@
         self.retired: list[Pool] = []
         self.jobs: dict[int, tuple[Pool, Job]] = {}
         self.replies: list[UpstreamReply] = []
+        self.checks: set[str] = set()
+        self.idle_closes: list[Announcement] = []
         self.bounds: dict[str, int] = {}
         self.instances = 1
         self.primary_senders = 0
@@ -89,6 +98,8 @@
             self.encode,
             self.handle_response,
             self.handle_failure,
+            handle_idle_close=self.handle_idle_close,
+            handle_connect=self.handle_connect,
             connect=connect,
         )
         hub.after_turn.append(self.flush)
@@ -166,6 +177,28 @@
         """Opens a connection to an upstream unless there is one."""
         self.pool_for(upstream).ensure_connected(MIN_PREPARED_OPEN_S)
 
+    def check(self, upstream: Announcement) -> None:
+        """Opens a connection to an upstream, and reports whether it accepts."""
+        self.checks.add(upstream.upstream)
+        self.pool_for(upstream).connect()
+
+    def handle_connect(self, upstream: Announcement, accepted: bool) -> None:
+        """Reports the result of a check."""
+        if upstream.upstream in self.checks:
+            self.checks.discard(upstream.upstream)
+            self.fire(upstream_checked(upstream, accepted), self.target)
+
+    def handle_idle_close(self, upstream: Announcement) -> None:
+        """Queues an upstream that closed connections for reporting."""
+        self.idle_closes.append(upstream)
+
+    def withdraw(self, attempt_id: int) -> None:
+        """Ends an attempt unless it has been sent."""
+        pool, job = self.jobs.get(attempt_id, (None, None))
+        if pool is not None and job is not None and not job.sent:
+            pool.abandon(job)
+            self.report(job, AttemptEnd.NOT_SENT, "withdrawn unsent")
+
     def drop(self, dropped: DropAttempt) -> None:
         """Drops an attempt; closes its connection if it must end at once."""
         found = self.jobs.get(dropped.attempt_id)
@@ -206,13 +239,25 @@
         end = AttemptEnd.LOST
         if kind is ReplyKind.NOT_SENT:
             end = AttemptEnd.NOT_SENT
-        self.report(job, end, kind.name.lower())
+        self.report(job, end, kind.name.lower(), kind)
 
-    def report(self, job: Job, end: AttemptEnd, detail: str) -> None:
+    def report(
+        self,
+        job: Job,
+        end: AttemptEnd,
+        detail: str,
+        kind: ReplyKind | None = None,
+    ) -> None:
         """Queues the end of an attempt for reporting, once."""
         attempt_id = job.context.attempt_id
         if self.jobs.pop(attempt_id, None) is not None:
-            reply = UpstreamReply(attempt_id, end, detail=detail)
+            reply = UpstreamReply(
+                attempt_id,
+                end,
+                detail=detail,
+                connection_closed=kind in (ReplyKind.LOST, ReplyKind.STALE),
+                timed_out=kind is ReplyKind.EXPIRED,
+            )
             self.replies.append(reply)
 
     @handler("due")
@@ -227,7 +272,13 @@
         self.flush()
 
     def flush(self) -> None:
-        """Reports the ended attempts in one event."""
+        """Reports the ended attempts in one event.
+
+        Idle closes are reported first: they show that a loss is an outage.
+        """
+        if self.idle_closes:
+            closes, self.idle_closes = self.idle_closes, []
+            self.fire(closed_idle(closes), self.target)
         if self.replies:
             replies, self.replies = self.replies, []
             self.fire(attempts_ended(replies), self.target)
--- a/arbutusbridge/forwarding/__init__.py
+++ b/arbutusbridge/forwarding/__init__.py
@@ -7,6 +7,7 @@
 from arbutusbridge.forwarding.forwarder import Forwarder
 from arbutusbridge.forwarding.messages import (
     AttemptEnd,
+    CheckUpstream,
     DropAttempt,
     Load,
     MergedAnswer,
@@ -17,6 +18,7 @@
     SendAttempt,
     SetRequestTimer,
     UpstreamReply,
+    WithdrawAttempt,
 )
 from arbutusbridge.forwarding.model import (
     Announcement,
@@ -31,6 +33,7 @@
     "Announcement",
     "AttemptEnd",
     "CallerRequest",
+    "CheckUpstream",
     "DropAttempt",
     "Forwarder",
     "Load",
@@ -48,4 +51,5 @@
     "SetRequestTimer",
     "UpstreamReply",
     "WeightedService",
+    "WithdrawAttempt",
 ]
--- a/arbutusbridge/forwarding/attempts.py
+++ b/arbutusbridge/forwarding/attempts.py
@@ -212,6 +212,15 @@
     if part.may_have_run and not exchange.route.idempotent:
         part.given_up = True
         return
+    if shared.is_quarantined(exchange.request, now):
+        part.given_up = True
+        return
+    if part.crash_check_until > now:
+        part.check_at = part.crash_check_until
+        return
+    if waits_for_other_canary(exchange, shared, now):
+        part.check_at = now + RECHECK_INTERVAL_S
+        return
     if part.may_have_run and now < exchange.second_upstream_at:
         part.check_at = exchange.second_upstream_at
         return
@@ -244,6 +253,20 @@
     out.append(build_decision("retry", exchange, part, shared, now))
 
 
+def waits_for_other_canary(
+    exchange: Exchange, shared: SharedState, now: float
+) -> bool:
+    """Returns whether a retry of a suspect must wait for another attempt."""
+    return (
+        not exchange.has_result
+        and any(
+            part.open_attempts or part.crash_check_until > now
+            for part in exchange.parts
+        )
+        and shared.suspicion(exchange.request, now) is not None
+    )
+
+
 def hedge(
     exchange: Exchange,
     part: Part,
@@ -259,6 +282,9 @@
     if not exchange.route.idempotent or part.sends >= MAX_ATTEMPTS_PER_PART:
         part.check_at = math.inf
         return
+    if shared.suspicion(exchange.request, now) is not None:
+        # A suspect is sent to one upstream at a time.
+        return
     upstream = pick_upstream(exchange, part, shared, now)
     if upstream is None or not upstream.is_available(now):
         return
--- a/arbutusbridge/forwarding/conclusion.py
+++ b/arbutusbridge/forwarding/conclusion.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from arbutusbridge.core.messages import Decision
-from arbutusbridge.forwarding import delegation
+from arbutusbridge.forwarding import canaries, delegation
 from arbutusbridge.forwarding.attempts import drop_open_attempts
 from arbutusbridge.forwarding.merge import merge_greatest
 from arbutusbridge.forwarding.messages import (
@@ -14,6 +14,7 @@
     RefusedAnswer,
     RelayedAnswer,
     SetRequestTimer,
+    WithdrawAttempt,
 )
 
 if TYPE_CHECKING:
@@ -25,6 +26,9 @@
 """Retry-after delay while too few upstreams are known; announcements of new
 ones arrive within about this time."""
 
+SERVED_OUTCOMES = frozenset({"relayed", "partial", "complete"})
+"""Outcomes of requests that upstreams ran to the end."""
+
 FAILED_RETRY_AFTER_S = 0.1
 """Retry-after delay after upstreams failed; by then most have recovered or are
 excluded."""
@@ -34,6 +38,7 @@
     exchange: Exchange, shared: SharedState, now: float, out: list[object]
 ) -> None:
     """Answers a request that is complete or due, or sets its next timer."""
+    canaries.release_if_due(exchange, shared, now, out)
     conclude(exchange, shared, now, out)
     if exchange.finished:
         return
@@ -44,6 +49,13 @@
         if not group.given_up and group.gather_id in shared.gather.groups
     ]
     times.append(exchange.give_up_at)
+    if any(part.held_back for part in exchange.parts):
+        times.append(exchange.release_at)
+        times += [
+            part.crash_check_until
+            for part in exchange.parts
+            if part.crash_check_until > now
+        ]
     if exchange.partial_answer_at > now:
         times.append(exchange.partial_answer_at)
     earliest = min(times)
@@ -156,7 +168,11 @@
     timed_out: bool = False,
 ) -> None:
     """Refuses a request; the refusal states whether it may have run."""
-    if not exchange.may_have_run:
+    if shared.is_quarantined(exchange.request, now):
+        ran = exchange.may_have_run
+        refusal = Refusal.CRASHED if ran else Refusal.QUARANTINED
+        retry = shared.quarantine_left_s(exchange.request, now)
+    elif not exchange.may_have_run:
         refusal, retry = Refusal.UNSERVABLE, UNSERVABLE_RETRY_AFTER_S
     elif timed_out:
         refusal, retry = Refusal.TIMED_OUT, FAILED_RETRY_AFTER_S
@@ -187,6 +203,7 @@
     log.
     """
     exchange.finished = True
+    record_success(exchange, outcome, shared, now)
     chosen = ",".join(
         f"{part.service}={part.asked[-1].name}"
         for part in exchange.parts
@@ -221,6 +238,43 @@
     )
 
 
+def record_success(
+    exchange: Exchange, outcome: str, shared: SharedState, now: float
+) -> None:
+    """Ends the suspicion against a request that did not crash its upstreams.
+
+    A result of other shards does not excuse one whose upstreams were all lost.
+    """
+    if outcome not in SERVED_OUTCOMES:
+        return
+    if any(part.lost and part.reply is None for part in exchange.parts):
+        return
+    if exchange.route.shards or shared.quarantine.entries:
+        request = exchange.request
+        shared.quarantine.on_success(request.fingerprint, request.host, now)
+
+
+def end_quarantined(
+    fingerprint: str, shared: SharedState, now: float, out: list[object]
+) -> None:
+    """Sends no further attempts of the open requests with a fingerprint.
+
+    Attempts that upstreams run already may still be answered.
+    """
+    for exchange in list(shared.exchanges.values()):
+        if exchange.request.fingerprint != fingerprint:
+            continue
+        for part in exchange.pending_parts:
+            if part.held_back or (not part.open_attempts and not part.group):
+                part.held_back = False
+                part.given_up = True
+            out += [
+                WithdrawAttempt(attempt.attempt_id)
+                for attempt in part.open_attempts
+            ]
+        conclude_or_set_timer(exchange, shared, now, out)
+
+
 def abandon(
     request: CallerRequest, shared: SharedState, now: float
 ) -> list[object]:
--- a/arbutusbridge/forwarding/delegation.py
+++ b/arbutusbridge/forwarding/delegation.py
@@ -42,7 +42,11 @@
 
 
 def delegate_shards(
-    exchange: Exchange, shared: SharedState, now: float, out: list[object]
+    exchange: Exchange,
+    parts: list[Part],
+    shared: SharedState,
+    now: float,
+    out: list[object],
 ) -> None:
     """Delegates shards to peers that can query them sooner or at lower cost.
 
@@ -51,13 +55,40 @@
     """
     if shared.gather.own_peer is None or exchange.peer_request is not None:
         return
-    near, far = split_by_region(exchange.parts, shared, now)
+    near, far = split_by_region(parts, shared, now)
     own = shared.gather.own_peer
     if division.is_wide(len(near), own.capacity):
         delegate_to_helpers(exchange, near, shared, now, out)
     if division.is_wide(len(far), own.capacity):
         delegate_to_helpers(exchange, far, shared, now, out)
         return
+    delegate_far_shards(exchange, far, shared, now, out)
+
+
+def delegate_before_canaries(
+    exchange: Exchange, shared: SharedState, now: float, out: list[object]
+) -> None:
+    """Delegates the shards of another region whose peer sends canaries itself.
+
+    Waiting for a canary here would add its time to the way to that region. A
+    wide scatter has many helpers and waits, so that each need not send some.
+    """
+    own = shared.gather.own_peer
+    if own is None or exchange.peer_request is not None:
+        return
+    _, far = split_by_region(exchange.parts, shared, now)
+    if not division.is_wide(len(far), own.capacity):
+        delegate_far_shards(exchange, far, shared, now, out)
+
+
+def delegate_far_shards(
+    exchange: Exchange,
+    far: HeldShards,
+    shared: SharedState,
+    now: float,
+    out: list[object],
+) -> None:
+    """Delegates shards of other regions to one peer near most of them."""
     data_centre = choose_data_centre(far, shared)
     if data_centre is None:
         return
@@ -140,6 +171,7 @@
                 max(0.0, exchange.give_up_at - now - 2 * way),
                 max(part.asked_by_peers for part in parts),
                 group.check_at - now + CANCEL_DELAY_S,
+                exchange.canary_count,
             ),
         )
     )
@@ -161,7 +193,7 @@
     near: HeldShards = []
     far: HeldShards = []
     for part in parts:
-        if part.given_up:
+        if not part.pending or part.group or part.open_attempts:
             continue
         data_centres = {
             upstream.announcement.data_centre
@@ -242,6 +274,11 @@
             part.asked_by_peers += 1
     if why == NO_REPLY:
         return
+    if exchange.canary_count and not exchange.has_result:
+        # The peer would have sent canaries first; now this instance does.
+        for part in remaining:
+            part.held_back = True
+        return
     own = shared.gather.own_peer
     assert own is not None
     if division.is_wide(len(remaining), own.capacity):
--- a/arbutusbridge/forwarding/dispatch.py
+++ b/arbutusbridge/forwarding/dispatch.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from arbutusbridge.forwarding import attempts, delegation
+from arbutusbridge.forwarding import canaries
 from arbutusbridge.forwarding.conclusion import conclude_or_set_timer
 
 if TYPE_CHECKING:
@@ -15,14 +15,17 @@
 def start_exchange(
     exchange: Exchange, shared: SharedState, now: float, out: list[object]
 ) -> None:
-    """Starts a request, or gives it up if too few shards can be served."""
+    """Starts a request, or gives it up if too few shards can be served.
+
+    A quarantined one that a peer delegated is given up too; its own notice of
+    the quarantine goes to that peer first.
+    """
     shared.exchanges[exchange.request] = exchange
-    if retain_servable_parts(exchange, shared, now):
-        if exchange.route.shards:
-            delegation.delegate_shards(exchange, shared, now, out)
+    if shared.is_quarantined(exchange.request, now):
         for part in exchange.parts:
-            if part.group is None:
-                attempts.send_first_attempt(exchange, part, shared, now, out)
+            part.given_up = True
+    if retain_servable_parts(exchange, shared, now):
+        canaries.start_scatter(exchange, shared, now, out)
     conclude_or_set_timer(exchange, shared, now, out)
 
 
--- /dev/null
+++ b/arbutusbridge/forwarding/evidence.py
@@ -0,0 +1,79 @@
+"""Losses at upstreams, and the rate of notices about them."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from arbutusbridge.forwarding.exchange import Exchange, Part
+    from arbutusbridge.forwarding.model import CallerRequest
+    from arbutusbridge.forwarding.upstreams import Upstream
+
+BROADCAST_BURST = 10.0
+"""Number of broadcasts that may follow each other immediately."""
+
+BROADCASTS_PER_S = 2.0
+"""Further broadcasts per second. A crash of many upstreams makes many suspects,
+which the exchanges spread."""
+
+
+@dataclass(slots=True)
+class Loss:
+    """Request whose attempt was lost at an upstream.
+
+    Attributes:
+      request: The request.
+      service: Service of the attempt.
+      part: Its part, which waits for the check, or None.
+      exchange: State of the request, which may have been answered since.
+    """
+
+    request: CallerRequest
+    service: str
+    part: Part
+    exchange: Exchange
+
+
+@dataclass(slots=True)
+class CrashCheck:
+    """Losses at one start of an upstream, until it is known why.
+
+    Attributes:
+      upstream: The upstream.
+      since: Time of the first loss.
+      losses: Requests that were lost there.
+      crashed: Whether it has crashed, None while that is not known.
+    """
+
+    upstream: Upstream
+    since: float
+    losses: list[Loss] = field(default_factory=list)
+    crashed: bool | None = None
+
+
+@dataclass(slots=True)
+class NoticeState:
+    """What an instance has sent to its peers.
+
+    Attributes:
+      tokens: Broadcasts that may be sent at once.
+      refilled_at: Time at which the tokens were counted.
+      exchanged_at: Time of the last exchange.
+    """
+
+    tokens: float = BROADCAST_BURST
+    refilled_at: float = 0.0
+    exchanged_at: float = 0.0
+
+    def take_token(self, now: float) -> bool:
+        """Takes a token for a broadcast, if there is one."""
+        elapsed_s = max(0.0, now - self.refilled_at)
+        self.tokens = min(
+            BROADCAST_BURST, self.tokens + elapsed_s * BROADCASTS_PER_S
+        )
+        self.refilled_at = now
+        if self.tokens < 1.0:
+            return False
+        self.tokens -= 1.0
+        return True
--- a/arbutusbridge/forwarding/exchange.py
+++ b/arbutusbridge/forwarding/exchange.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from arbutusbridge.forwarding.messages import AttemptEnd
+
 if TYPE_CHECKING:
     from arbutusbridge.forwarding.gather import GatherRequest, Peer
     from arbutusbridge.forwarding.messages import UpstreamReply
@@ -48,6 +50,10 @@
       check_at: When to check whether the part needs another attempt.
       group: Group delegated to a peer that the part belongs to, None if the
         part is sent from here.
+      held_back: Whether it waits for the result of a canary.
+      lost: Whether an attempt lost its connection.
+      crash_check_until: Time until which a retry waits for the check whether
+        an upstream has crashed.
     """
 
     service: str
@@ -62,6 +68,9 @@
     given_up: bool = False
     check_at: float = math.inf
     group: DelegatedGroup | None = None
+    held_back: bool = False
+    lost: bool = False
+    crash_check_until: float = -math.inf
 
     @property
     def pending(self) -> bool:
@@ -90,6 +99,8 @@
       groups: Groups of shards delegated to peers.
       peer_bodies: Merged records that peers returned.
       second_upstream_at: When a second upstream of a shard may be tried.
+      canary_count: Number of shards to query before the others, 0 for none.
+      release_at: When the other shards are queried without a result of these.
     """
 
     request: CallerRequest
@@ -106,6 +117,8 @@
     groups: list[DelegatedGroup] = field(default_factory=list)
     peer_bodies: list[bytes] = field(default_factory=list)
     second_upstream_at: float = -math.inf
+    canary_count: int = 0
+    release_at: float = math.inf
 
     @classmethod
     def begin(
@@ -166,6 +179,23 @@
         """Number of parts with a successful reply."""
         return sum(part.reply is not None for part in self.parts)
 
+    @property
+    def has_result(self) -> bool:
+        """Whether an upstream ran the request to its end."""
+        return any(
+            part.reply is not None
+            or (
+                part.failure is not None
+                and part.failure.end is AttemptEnd.FAILED
+            )
+            for part in self.parts
+        )
+
+    @property
+    def pending_parts(self) -> list[Part]:
+        """Parts that may still get a successful reply."""
+        return [part for part in self.parts if part.pending]
+
     @property
     def attainable(self) -> int:
         """Number of parts that have or may still get a successful reply."""
--- a/arbutusbridge/forwarding/forwarder.py
+++ b/arbutusbridge/forwarding/forwarder.py
@@ -8,12 +8,15 @@
 from typing import TYPE_CHECKING
 
 from arbutusbridge.core.messages import Decision
+from arbutusbridge.core.requests.quarantine import FingerprintState
 from arbutusbridge.forwarding import (
     attempts,
     conclusion,
     delegation,
     dispatch,
     division,
+    losses,
+    notices,
     peermessages,
 )
 from arbutusbridge.forwarding.exchange import Exchange, Part
@@ -29,8 +32,10 @@
     RefusedAnswer,
     UpstreamReply,
 )
+from arbutusbridge.forwarding.quarantinemessages import QuarantineNotice
 from arbutusbridge.forwarding.routes import RouteTable
 from arbutusbridge.forwarding.shared import SharedState
+from arbutusbridge.forwarding.upstreams import is_restart
 
 if TYPE_CHECKING:
     from arbutusbridge.forwarding.gather import GatherMessage, Peer
@@ -39,6 +44,7 @@
         CallerRequest,
         RoutingConfiguration,
     )
+    from arbutusbridge.forwarding.quarantinemessages import QuarantineReport
     from arbutusbridge.forwarding.upstreams import OpenAttempt
 
 LAG_WEIGHT = 0.1
@@ -59,6 +65,10 @@
 """Number of times that the lag delays a request: when it is read and when it is
 answered."""
 
+SUSPECT_RETRY_AFTER_S = 0.3
+"""Retry-after delay of a suspect while one with the same content is open here;
+whether it crashes its upstream is known by then."""
+
 NOT_READY_RETRY_AFTER_S = 0.5
 """Retry-after delay while the instance has no configuration yet."""
 
@@ -104,29 +114,54 @@
         if route is None:
             self.refuse(request, Refusal.NO_ROUTE, None, out)
             return out
+        state = self.suspicion(request, now)
+        if state is FingerprintState.QUARANTINED:
+            left_s = self.quarantine_left_s(request, now)
+            self.refuse(request, Refusal.QUARANTINED, left_s, out, now)
+            return out
+        if state is FingerprintState.SUSPECT and self.is_open(request):
+            retry_s = SUSPECT_RETRY_AFTER_S
+            self.refuse(request, Refusal.SUSPECT, retry_s, out, now)
+            return out
         services = route.shards or (table.next_service(route),)
         version = table.configuration.version
         exchange = Exchange.begin(
             request, route, version, services, LAGS_PER_REQUEST * self.lag_s
         )
+        if route.shards:
+            exchange.canary_count = self.quarantine.canary_count(
+                request.fingerprint, request.host, now
+            )
         dispatch.start_exchange(exchange, self, now, out)
         return out
 
+    def is_open(self, request: CallerRequest) -> bool:
+        """Returns whether a request with the same content is open here."""
+        return any(
+            other.fingerprint == request.fingerprint for other in self.exchanges
+        )
+
     def refuse(
         self,
         request: CallerRequest,
         refusal: Refusal,
         retry_after_s: float | None,
         out: list[object],
+        now: float = 0.0,
     ) -> None:
-        """Refuses a request for which there is no route or configuration."""
+        """Refuses a request of which nothing is sent."""
         version = self.table.configuration.version if self.table else 0
-        detail = {
+        detail: dict[str, object] = {
             "outcome": refusal.value,
             "host": request.host,
             "target": request.target[:80],
             "version": version,
         }
+        if refusal in (Refusal.QUARANTINED, Refusal.SUSPECT):
+            entry = self.quarantine.entries[request.fingerprint]
+            detail["fingerprint"] = request.fingerprint
+            detail["evidence"] = entry.describe(now)
+            detail["by"] = entry.quarantined_by or "this instance"
         out.append(Decision(request.request_id, "answer", detail))
         out.append(RefusedAnswer(request, refusal, retry_after_s))
 
@@ -144,12 +179,82 @@
             exchange, part = attempt.owner, attempt.part
             assert isinstance(exchange, Exchange) and isinstance(part, Part)
             part.open_attempts.remove(attempt)
+            if reply.connection_closed:
+                part.lost = True
+                losses.on_loss(attempt, exchange, part, self, now, out)
+            elif reply.timed_out:
+                losses.on_silence(attempt, exchange, part, self, now)
             attempts.on_attempt_end(exchange, part, reply, self, now, out)
             updated_exchanges[exchange] = None
         for exchange in updated_exchanges:
             conclusion.conclude_or_set_timer(exchange, self, now, out)
+        self.end_quarantined(now, out)
         return out
 
+    def handle_check(
+        self, announcement: Announcement, reachable: bool, now: float
+    ) -> list[object]:
+        """Processes whether a lost upstream accepts a new connection."""
+        out: list[object] = []
+        found = losses.on_checked(announcement, reachable, self, now, out)
+        for loss in found:
+            exchange, part = loss.exchange, loss.part
+            if exchange.finished:
+                continue
+            if part.pending and not part.open_attempts:
+                attempts.retry(exchange, part, self, now, out)
+            conclusion.conclude_or_set_timer(exchange, self, now, out)
+        self.end_quarantined(now, out)
+        return out
+
+    def handle_upstream_end(
+        self, name: str, successor: Announcement | None, now: float
+    ) -> list[object]:
+        """Charges losses at an upstream that is gone or has started again.
+
+        Args:
+          name: Id of the upstream.
+          successor: Its new announcement, None if there is none any more.
+          now: The time.
+        """
+        out: list[object] = []
+        current = self.directory.by_name.get(name)
+        if current is None:
+            return out
+        restarted = successor is not None
+        if successor is None or is_restart(current.announcement, successor):
+            losses.on_upstream_ended(current, restarted, self, now, out)
+            self.end_quarantined(now, out)
+        return out
+
+    def handle_idle_closes(
+        self, announcements: list[Announcement], now: float
+    ) -> None:
+        """Records upstreams that closed connections in recent use."""
+        for one in announcements:
+            self.quarantine.record_idle_close(losses.start_name(one), now)
+
+    def exchange_notices(self, now: float) -> list[object]:
+        """Exchanges evidence against requests with peers, if it is due."""
+        out: list[object] = []
+        notices.exchange(self, now, out)
+        return out
+
+    def adopt_quarantine(
+        self, report: QuarantineReport, now: float
+    ) -> list[object]:
+        """Adopts a quarantine that the store holds."""
+        out: list[object] = []
+        notices.adopt_quarantine(report, "store", self, now, out)
+        self.end_quarantined(now, out)
+        return out
+
+    def end_quarantined(self, now: float, out: list[object]) -> None:
+        """Ends the open requests that have just been quarantined."""
+        while self.newly_quarantined:
+            fingerprint = self.newly_quarantined.pop()
+            conclusion.end_quarantined(fingerprint, self, now, out)
+
     def update_upstream(
         self,
         attempt: OpenAttempt,
@@ -258,7 +363,7 @@
         )
 
     def handle_peer_message(
-        self, message: GatherMessage, now: float
+        self, message: GatherMessage | QuarantineNotice, now: float
     ) -> list[object]:
         """Processes a message of a peer and returns the next actions."""
         out: list[object] = []
@@ -271,6 +376,9 @@
                 peermessages.on_reply(message, self, now, out)
             case GatherCancel():
                 peermessages.on_cancel(message, self, now, out)
+            case QuarantineNotice():
+                notices.on_notice(message, self, now, out)
+        self.end_quarantined(now, out)
         return out
 
     def finish_all(self, now: float) -> list[object]:
--- a/arbutusbridge/forwarding/gather.py
+++ b/arbutusbridge/forwarding/gather.py
@@ -17,6 +17,8 @@
 if TYPE_CHECKING:
     import random
 
+    from arbutusbridge.forwarding.quarantinemessages import QuarantineNotice
+
 
 MIN_GROUP_SHARDS = 3
 """Minimum number of shards in another region for which one message is cheaper
@@ -76,6 +78,7 @@
         before.
       alone_s: Time in which the sender may still turn to another peer; until
         then only one upstream of each shard may be tried.
+      canary_count: Number of shards to query before the others, 0 for none.
     """
 
     gather_id: int
@@ -91,6 +94,7 @@
     give_up_in_s: float
     asked_already: int = 0
     alone_s: float = 0.0
+    canary_count: int = 0
 
 
 @dataclass(slots=True)
@@ -147,7 +151,7 @@
     """Action: send a message to another instance."""
 
     address: tuple[str, int]
-    message: GatherMessage
+    message: GatherMessage | QuarantineNotice
 
 
 @dataclass(slots=True, eq=False)
--- a/arbutusbridge/forwarding/gatherwire.py
+++ b/arbutusbridge/forwarding/gatherwire.py
@@ -20,15 +20,16 @@
     GatherReply,
     GatherRequest,
 )
+from arbutusbridge.forwarding.quarantinemessages import QuarantineNotice
 
-PROTOCOL_VERSION = b"\x13"
+PROTOCOL_VERSION = b"\x14"
 """First byte of every message; messages with another value are rejected."""
 
 MAX_MESSAGE_BYTES = 4_194_304
 """Maximum size of an accepted message: all items of the store, packed, at the
 planned size. A complete body of a caller with its headers is smaller."""
 
-PeerMessage = GatherMessage | FollowRequest | StoreUpdate
+PeerMessage = GatherMessage | FollowRequest | StoreUpdate | QuarantineNotice
 
 MESSAGE_TYPES: tuple[type, ...] = (
     GatherRequest,
@@ -37,6 +38,7 @@
     GatherCancel,
     FollowRequest,
     StoreUpdate,
+    QuarantineNotice,
 )
 """Message types; the index of a type is its number on the wire."""
 
@@ -50,7 +52,10 @@
     fields = [
         getattr(message, field.name) for field in dataclasses.fields(message)
     ]
-    payload = msgpack.packb([MESSAGE_TYPES.index(type(message)), fields])
+    payload = msgpack.packb(
+        [MESSAGE_TYPES.index(type(message)), fields],
+        default=dataclasses.asdict,
+    )
     return PROTOCOL_VERSION + payload
 
 
--- /dev/null
+++ b/arbutusbridge/forwarding/losses.py
@@ -0,0 +1,205 @@
+"""Crashes of upstreams, told from other losses of connections.
+
+A connection that closes under a running request may be reset on the way, by a
+replica that fails, or because the upstream crashed. A new connection tells: an
+upstream that has crashed refuses it. Only crashes are charged to the requests
+that ran there. An upstream that is back under a new start has crashed too, even
+if nobody was refused in between.
+"""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+from arbutusbridge.core.requests.charging import build_charge_decision
+from arbutusbridge.core.requests.quarantine import (
+    ChargeResult,
+    FingerprintState,
+)
+from arbutusbridge.forwarding import notices
+from arbutusbridge.forwarding.evidence import CrashCheck, Loss
+from arbutusbridge.forwarding.messages import CheckUpstream
+
+if TYPE_CHECKING:
+    from arbutusbridge.forwarding.exchange import Exchange, Part
+    from arbutusbridge.forwarding.model import Announcement
+    from arbutusbridge.forwarding.shared import SharedState
+    from arbutusbridge.forwarding.upstreams import OpenAttempt, Upstream
+
+CHECK_TIMEOUT_S = 0.06
+"""Time that a retry waits for the check of its lost upstream. A refused
+connection takes a round trip, 24 ms between regions."""
+
+CHECK_TTL_S = 10.0
+"""Time for which a loss may still be explained by the announcement of a new
+start; upstreams are back, or their announcements gone, within seconds."""
+
+MAX_CHECKS = 256
+"""Maximum number of upstreams with recent losses; the oldest is dropped."""
+
+
+def start_name(announcement: Announcement) -> str:
+    """Returns the name of one start of an upstream."""
+    return f"{announcement.upstream}@{announcement.started_ms}"
+
+
+def on_loss(
+    attempt: OpenAttempt,
+    exchange: Exchange,
+    part: Part,
+    shared: SharedState,
+    now: float,
+    out: list[object],
+) -> None:
+    """Records an attempt without a reply and checks its upstream.
+
+    A leaving upstream may close its connections; it is not checked.
+    """
+    upstream = attempt.upstream
+    if upstream.removed or upstream.leaving_at < math.inf:
+        return
+    name = start_name(upstream.announcement)
+    check = shared.crash_checks.get(name)
+    if check is None:
+        check = add_check(name, upstream, shared, now)
+    loss = Loss(exchange.request, part.service, part, exchange)
+    check.losses.append(loss)
+    fingerprint = exchange.request.fingerprint
+    shared.quarantine.record_loss(name, fingerprint, check.since)
+    if check.crashed:
+        charge(check, [loss], shared, now, out)
+        return
+    check.crashed = None
+    part.crash_check_until = now + CHECK_TIMEOUT_S
+    out.append(CheckUpstream(upstream.announcement))
+
+
+def on_silence(
+    attempt: OpenAttempt,
+    exchange: Exchange,
+    part: Part,
+    shared: SharedState,
+    now: float,
+) -> None:
+    """Records an attempt whose upstream never replied.
+
+    It is charged if the upstream turns out to have started again since.
+    """
+    upstream = attempt.upstream
+    if upstream.removed or upstream.leaving_at < math.inf:
+        return
+    name = start_name(upstream.announcement)
+    check = shared.crash_checks.get(name)
+    if check is None:
+        check = add_check(name, upstream, shared, now)
+        check.crashed = False
+    check.losses.append(Loss(exchange.request, part.service, part, exchange))
+
+
+def add_check(
+    name: str, upstream: Upstream, shared: SharedState, now: float
+) -> CrashCheck:
+    """Adds the check of an upstream and drops those that are too old."""
+    checks = shared.crash_checks
+    for known, check in list(checks.items()):
+        if len(checks) < MAX_CHECKS and now - check.since < CHECK_TTL_S:
+            break
+        del checks[known]
+    checks[name] = CrashCheck(upstream, now)
+    return checks[name]
+
+
+def on_checked(
+    announcement: Announcement,
+    reachable: bool,
+    shared: SharedState,
+    now: float,
+    out: list[object],
+) -> list[Loss]:
+    """Processes the result of a check.
+
+    Returns:
+      The losses whose parts need not wait any longer.
+    """
+    name = start_name(announcement)
+    check = shared.crash_checks.get(name)
+    if check is None or check.crashed:
+        return []
+    if reachable:
+        check.crashed = False
+        shared.quarantine.retract_crash(name)
+    else:
+        check.crashed = True
+        charge(check, check.losses, shared, now, out)
+    for loss in check.losses:
+        loss.part.crash_check_until = -math.inf
+    return check.losses
+
+
+def on_upstream_ended(
+    upstream: Upstream,
+    restarted: bool,
+    shared: SharedState,
+    now: float,
+    out: list[object],
+) -> None:
+    """Charges the unexplained losses at an upstream that has ended.
+
+    Args:
+      upstream: The upstream, as known before.
+      restarted: Whether it has started again. An announcement that is merely
+        gone explains only losses whose check had no result.
+      shared: State of this instance.
+      now: The time.
+      out: Actions, to which those of this function are appended.
+    """
+    name = start_name(upstream.announcement)
+    check = shared.crash_checks.get(name)
+    planned = upstream.leaving_at < math.inf
+    if check is None or check.crashed or planned:
+        return
+    if now - check.since > CHECK_TTL_S:
+        return
+    if not restarted and check.crashed is False:
+        return
+    check.crashed = True
+    for loss in check.losses:
+        fingerprint = loss.request.fingerprint
+        shared.quarantine.record_loss(name, fingerprint, check.since)
+    charge(check, check.losses, shared, now, out)
+
+
+def charge(
+    check: CrashCheck,
+    losses: list[Loss],
+    shared: SharedState,
+    now: float,
+    out: list[object],
+) -> None:
+    """Charges a crash to the requests that were lost in it."""
+    quarantine = shared.quarantine
+    name = start_name(check.upstream.announcement)
+    for loss in losses:
+        fingerprint = loss.request.fingerprint
+        had_result = loss.exchange.has_result
+        before = quarantine.state_of(fingerprint, now)
+        result = quarantine.charge(
+            fingerprint, name, loss.service, had_result, now
+        )
+        entry = quarantine.entries.get(fingerprint)
+        if result is ChargeResult.NOTHING or entry is None:
+            continue
+        out.append(
+            build_charge_decision(
+                result,
+                loss.request.request_id,
+                fingerprint,
+                name,
+                entry.describe(now),
+            )
+        )
+        notices.broadcast(fingerprint, shared, now, out)
+        newly = before is not FingerprintState.QUARANTINED
+        if result is ChargeResult.QUARANTINE and newly:
+            shared.newly_quarantined.append(fingerprint)
--- a/arbutusbridge/forwarding/messages.py
+++ b/arbutusbridge/forwarding/messages.py
@@ -69,6 +69,9 @@
       stamp: Signature of the response, empty if it has none.
       load: Reported load, None if there is none.
       detail: What went wrong, for the log.
+      connection_closed: Whether the connection closed under the request, which
+        happens when the upstream crashes.
+      timed_out: Whether the upstream never replied.
     """
 
     attempt_id: int
@@ -79,6 +82,8 @@
     stamp: str = ""
     load: Load | None = None
     detail: str = ""
+    connection_closed: bool = False
+    timed_out: bool = False
 
 
 @dataclass(slots=True)
@@ -107,6 +112,20 @@
     upstream: Announcement
 
 
+@dataclass(slots=True)
+class CheckUpstream:
+    """Action: find out whether an upstream accepts a new connection."""
+
+    upstream: Announcement
+
+
+@dataclass(slots=True)
+class WithdrawAttempt:
+    """Action: end an attempt unless it has been sent."""
+
+    attempt_id: int
+
+
 @dataclass(slots=True)
 class DropAttempt:
     """Action: stop waiting for an attempt.
@@ -126,12 +145,16 @@
 class Refusal(enum.Enum):
     """Reason why an instance answers a request itself.
 
-    The first three state that the request did not run and will not run.
+    The first five state that the request did not run and will not run. CRASHED
+    is the answer to a quarantined request that has been sent to an upstream.
     """
 
     NO_ROUTE = "no_route"
     NOT_READY = "not_ready"
     UNSERVABLE = "unservable"
+    QUARANTINED = "quarantined"
+    SUSPECT = "suspect"
+    CRASHED = "crashed"
     LOST = "lost"
     TIMED_OUT = "timed_out"
 
--- a/arbutusbridge/forwarding/peermessages.py
+++ b/arbutusbridge/forwarding/peermessages.py
@@ -8,7 +8,7 @@
 import math
 from typing import TYPE_CHECKING
 
-from arbutusbridge.forwarding import attempts, delegation
+from arbutusbridge.forwarding import attempts, delegation, notices
 from arbutusbridge.forwarding.conclusion import abandon, conclude_or_set_timer
 from arbutusbridge.forwarding.dispatch import start_exchange
 from arbutusbridge.forwarding.exchange import Exchange, Part
@@ -149,7 +149,12 @@
         peer_request=message,
         second_upstream_at=now + message.alone_s,
     )
+    exchange.canary_count = message.canary_count
     gather.taken[message.reply_to, message.gather_id] = exchange
+    if shared.is_quarantined(request, now):
+        # Sent before the empty reply, so that the peer does not retry.
+        notice = notices.build_notice([request.fingerprint], False, shared, now)
+        out.append(SendGatherMessage(message.reply_to, notice))
     start_exchange(exchange, shared, now, out)
 
 
--- a/arbutusbridge/forwarding/shared.py
+++ b/arbutusbridge/forwarding/shared.py
@@ -6,11 +6,16 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from arbutusbridge.core.requests.quarantine import (
+    FingerprintState,
+    Quarantine,
+)
 from arbutusbridge.forwarding.budget import (
     RetryBudgetLimits,
     ServiceBudget,
     allowance_share,
 )
+from arbutusbridge.forwarding.evidence import NoticeState
 from arbutusbridge.forwarding.gather import Peer, PeerTable
 from arbutusbridge.forwarding.upstreams import ReplyTimes, UpstreamDirectory
 
@@ -19,7 +24,12 @@
     from collections.abc import Callable
 
     from arbutusbridge.forwarding.choice import Locality
-    from arbutusbridge.forwarding.exchange import DelegatedGroup, Exchange
+    from arbutusbridge.forwarding.evidence import CrashCheck
+    from arbutusbridge.forwarding.exchange import (
+        DelegatedGroup,
+        Exchange,
+        Part,
+    )
     from arbutusbridge.forwarding.model import CallerRequest
     from arbutusbridge.forwarding.routes import RouteTable
     from arbutusbridge.forwarding.upstreams import OpenAttempt
@@ -68,6 +78,11 @@
       decision_counts: Decisions by name, for the metrics.
       lag_s: Smoothed lag of timers, a measure of how busy this instance is.
       get_confirmed_at: Returns when the store last confirmed its contents.
+      quarantine: Requests that crash upstreams, and the evidence against them.
+      crash_checks: Recent losses by upstream and its start.
+      notices: What was sent to peers about these requests.
+      newly_quarantined: Fingerprints whose open requests are to be ended.
+      seed_addresses: Addresses of possible peers while none is known.
     """
 
     def __init__(
@@ -95,11 +110,42 @@
         self.get_confirmed_at: Callable[[], float] = lambda: started_at
         self.lag_s = 0.0
         self.last_attempt_id = 0
+        self.quarantine = Quarantine()
+        self.crash_checks: dict[str, CrashCheck] = {}
+        self.notices = NoticeState(refilled_at=started_at)
+        self.newly_quarantined: list[str] = []
+        self.seed_addresses: list[tuple[str, int]] = []
 
     def count(self, what: str) -> None:
         """Counts a decision that is not logged on its own."""
         self.decision_counts[what] += 1
 
+    def suspicion(
+        self, request: CallerRequest, now: float
+    ) -> FingerprintState | None:
+        """Returns the state of a request's fingerprint, None if it has none."""
+        if not self.quarantine.entries:
+            return None
+        return self.quarantine.state_of(request.fingerprint, now)
+
+    def is_quarantined(self, request: CallerRequest, now: float) -> bool:
+        """Returns whether a request is quarantined."""
+        return self.suspicion(request, now) is FingerprintState.QUARANTINED
+
+    def quarantine_left_s(self, request: CallerRequest, now: float) -> float:
+        """Returns the time until the quarantine of a request ends."""
+        entry = self.quarantine.entries.get(request.fingerprint)
+        return max(0.0, entry.until - now) if entry is not None else 0.0
+
+    def count_idle_upstreams(self, part: Part, now: float) -> int:
+        """Returns the upstreams in this region that could reply at once."""
+        return sum(
+            upstream.is_available(now)
+            and not upstream.open_attempts
+            and self.place.is_in_own_region(upstream.announcement.data_centre)
+            for upstream in self.directory.usable(part.service, now)
+        )
+
     def store_age_ms(self, now: float) -> int:
         """Returns the time since the store last confirmed its contents."""
         return round((now - self.get_confirmed_at()) * 1000)
--- a/arbutusbridge/platform/http.py
+++ b/arbutusbridge/platform/http.py
@@ -59,10 +59,18 @@
     Refusal.NO_ROUTE: 404,
     Refusal.NOT_READY: 503,
     Refusal.UNSERVABLE: 503,
+    Refusal.QUARANTINED: 503,
+    Refusal.SUSPECT: 503,
+    Refusal.CRASHED: 502,
     Refusal.LOST: 502,
     Refusal.TIMED_OUT: 504,
 }
-"""HTTP status of each refusal; 503 guarantees that the request did not run."""
+"""HTTP status of each refusal; 503 guarantees that the request did not run.
+
+A quarantined request is refused with it too. A client error would not be
+repeated, but it would be final for a request that was quarantined wrongly, and
+operators bound how many valid requests may get one.
+"""
 
 
 def decode_request(
--- a/tests/test_forwarding/fixtures.py
+++ b/tests/test_forwarding/fixtures.py
@@ -5,6 +5,7 @@
 import random
 import struct
 
+from arbutusbridge.core.requests.quarantine import canary_for_suspects
 from arbutusbridge.forwarding import (
     Announcement,
     AttemptEnd,
@@ -72,6 +73,8 @@
 ) -> Forwarder:
     """Returns a forwarder that has known its upstreams since time 0."""
     forwarder = Forwarder(Locality(place, REGIONS), BOUNDS, random.Random(seed))
+    # Canaries have tests of their own; here all shards are queried at once.
+    forwarder.quarantine.canary = canary_for_suspects
     forwarder.configure(RoutingConfiguration(1, tuple(routes)))
     for announcement in upstreams:
         forwarder.announce(announcement, 0.0)
--- a/tests/test_forwarding/fleet.py
+++ b/tests/test_forwarding/fleet.py
@@ -20,6 +20,7 @@
     Announcement,
     AttemptEnd,
     CallerRequest,
+    CheckUpstream,
     DropAttempt,
     Forwarder,
     Locality,
@@ -31,9 +32,11 @@
     SendAttempt,
     SetRequestTimer,
     UpstreamReply,
+    WithdrawAttempt,
 )
 from arbutusbridge.forwarding.gather import Peer, SendGatherMessage
 from arbutusbridge.forwarding.gatherwire import decode_message, encode_message
+from arbutusbridge.forwarding.notices import EXCHANGE_INTERVAL_S
 from tests.test_forwarding.fixtures import BOUNDS, HOST, REGIONS
 
 ONE_WAY_S = 0.001
@@ -150,6 +153,16 @@
         )
         forwarder.update_instance_count(len(self.places))
         self.instances[name] = forwarder
+        self.exchange_notices(name, forwarder)
+
+    def exchange_notices(self, name: str, forwarder: Forwarder) -> None:
+        """Lets an instance exchange evidence with its peers regularly."""
+        if self.instances[name] is forwarder:
+            self.carry_out(name, forwarder.exchange_notices(self.now))
+            self.after(
+                EXCHANGE_INTERVAL_S,
+                lambda: self.exchange_notices(name, forwarder),
+            )
 
     def at(self, when: float, function: Callable[[], None]) -> None:
         """Schedules a function."""
@@ -216,9 +229,33 @@
                     self.answers.setdefault(
                         action.request.request_id, (self.now, action)
                     )
-                case DropAttempt():
+                case CheckUpstream():
+                    self.check_upstream(name, forwarder, action)
+                case DropAttempt() | WithdrawAttempt():
                     pass
 
+    def check_upstream(
+        self, name: str, forwarder: Forwarder, action: CheckUpstream
+    ) -> None:
+        """Connects to an upstream and reports whether it accepts."""
+        upstream = self.upstreams[action.upstream.upstream]
+        way_s = self.delay(self.places[name], action.upstream.data_centre)
+
+        def arrive() -> None:
+            reachable = not upstream.down
+            self.after(way_s, lambda: report(reachable))
+
+        def report(reachable: bool) -> None:
+            if self.instances[name] is forwarder:
+                self.carry_out(
+                    name,
+                    forwarder.handle_check(
+                        action.upstream, reachable, self.now
+                    ),
+                )
+
+        self.after(way_s, arrive)
+
     def set_timer(
         self, name: str, forwarder: Forwarder, action: SetRequestTimer
     ) -> None:
@@ -305,7 +342,9 @@
         upstream.down = True
         running, upstream.running = upstream.running, set()
         for key in sorted(running):
-            self.lost_reports.pop(key)(AttemptEnd.LOST, detail="lost")
+            self.lost_reports.pop(key)(
+                AttemptEnd.LOST, detail="lost", connection_closed=True
+            )
         self.after(DOWN_S, lambda: self.restart(upstream))
 
     def restart(self, upstream: SimulatedUpstream) -> None:
@@ -318,7 +357,13 @@
         announcement = upstream.announcement
 
         def announce() -> None:
-            for forwarder in self.instances.values():
+            for name, forwarder in self.instances.items():
+                self.carry_out(
+                    name,
+                    forwarder.handle_upstream_end(
+                        announcement.upstream, announcement, self.now
+                    ),
+                )
                 forwarder.announce(announcement, self.now)
 
         self.after(ANNOUNCE_DELAY_S, announce)
