Bound what an upstream may send for one request

A faulty upstream may send bytes that are no answer without end, in a head or a body, until the connection is closed. A body was bounded at 8 MiB, a head was not: headers, a header value, informational responses, a chunk extension or responses to other requests were read until the deadline of the attempt, and all headers kept; and many bodies below their bound could fill the memory of an instance together.

A head is now bounded at 64 KiB, the bytes around chunks at eight per byte of the body, skipped responses at eight, and incomplete bodies together at 32 MiB, above which those over 256 KiB end. The connection is closed; the caller gets a retry or 502, as after any lost reply. A body of 150 kB in chunks of five bytes still arrives whole.

--- a/arbutusbridge/daemon/connection.py
+++ b/arbutusbridge/daemon/connection.py
@@ -23,6 +23,22 @@
 MAX_BODY_BYTES = 8_388_608
 """Maximum size of a response body; a larger one closes the connection."""
 
+MAX_BUFFERED_BYTES = 33_554_432
+"""Maximum size of all incomplete response bodies together, a fifth of the
+memory of the smallest instances; above it, larger bodies close their
+connections."""
+
+FAIR_BODY_BYTES = 262_144
+"""Size up to which a response body is accepted while the others together exceed
+MAX_BUFFERED_BYTES."""
+
+MAX_HEAD_BYTES = 65_536
+"""Maximum size of the head of a response, informational ones included."""
+
+MAX_FRAMING_RATIO = 8
+"""Maximum number of bytes around the chunks of a body, per byte of the body;
+chunks of one byte have five."""
+
 KEEP_ALIVE_OPTIONS = (
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
     (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
@@ -59,6 +75,10 @@
       idle_since: Time at which the owner last marked the connection idle, on
         the owner's clock.
       bytes_sent: Bytes of the current request that the kernel accepted.
+      bytes_received: Bytes received since the last request or complete
+        response.
+      body: Pieces of the body that is being received.
+      body_bytes: Their total size.
       options: Socket options that detect an unresponsive peer.
     """
 
@@ -87,6 +107,7 @@
         self.bytes_sent = 0
         self.response_started = False
         self.idle_since = 0.0
+        self.bytes_received = 0
         self.body: list[bytes] = []
         self.body_bytes = 0
         self.response: tuple[int, bytes] | None = None
@@ -142,6 +163,7 @@
     def send_request(self, data: bytes) -> None:
         """Sends a new request."""
         self.bytes_sent = 0
+        self.bytes_received = 0
         self.response_started = False
         self.send(data)
 
@@ -189,10 +211,13 @@
             self.on_eof()
             return
         self.response_started = True
+        self.bytes_received += len(data)
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self.out_of_sync = True
+        if self.framing_is_too_long:
+            self.out_of_sync = True
         # Delivered after parsing, so that a duplicate response in the same
         # segment is detected before the next request is sent.
         if self.response is not None:
@@ -202,6 +227,12 @@
         if self.out_of_sync:
             self.close()
 
+    @property
+    def framing_is_too_long(self) -> bool:
+        """Whether the bytes outside of the body exceed their limit."""
+        limit = MAX_HEAD_BYTES + MAX_FRAMING_RATIO * self.body_bytes
+        return self.bytes_received - self.body_bytes > limit
+
     def on_eof(self) -> None:
         """Handles the end of the stream from the peer."""
         self.close()
@@ -214,11 +245,21 @@
     def on_body(self, data: bytes) -> None:
         """Collects a part of the body; called by the parser."""
         self.body_bytes += len(data)
-        if self.body_bytes > MAX_BODY_BYTES:
+        self.hub.buffered_bytes += len(data)
+        is_full = self.hub.buffered_bytes > MAX_BUFFERED_BYTES
+        limit = FAIR_BODY_BYTES if is_full else MAX_BODY_BYTES
+        if self.body_bytes > limit:
             self.out_of_sync = True
         if not self.out_of_sync:
             self.body.append(data)
 
+    def clear_body(self) -> None:
+        """Releases the received body."""
+        self.hub.buffered_bytes -= self.body_bytes
+        self.body.clear()
+        self.body_bytes = 0
+        self.bytes_received = 0
+
     def on_message_complete(self) -> None:
         """Stores the complete response; called by the parser."""
         status = self.parser.get_status_code()
@@ -226,14 +267,17 @@
         self.keep_alive = self.parser.should_keep_alive()
         if not self.out_of_sync and status >= MIN_FINAL_STATUS:
             self.response = status, b"".join(self.body)
-        self.body.clear()
-        self.body_bytes = 0
+        # An informational response belongs to the head of the final one.
+        received = self.bytes_received if status < MIN_FINAL_STATUS else 0
+        self.clear_body()
+        self.bytes_received = received
 
     def close(self) -> None:
         """Closes the connection and calls ``on_closed`` once."""
         if not self.alive:
             return
         self.alive = False
+        self.clear_body()
         self.hub.remove(self.descriptor)
         self.sock.close()
         self.on_closed(self)
--- a/arbutusbridge/daemon/hub.py
+++ b/arbutusbridge/daemon/hub.py
@@ -35,6 +35,8 @@
       callbacks: Functions called with the event mask, by file descriptor.
       after_turn: Functions called once the sockets of a turn are handled.
       removed: File descriptors removed in this turn.
+      buffered_bytes: Size of the incomplete response bodies that connections
+        hold.
     """
 
     def __init__(self, channel: str = "hub") -> None:
@@ -43,6 +45,7 @@
         self.callbacks: dict[int, Callable[[int], None]] = {}
         self.after_turn: list[Callable[[], None]] = []
         self.removed: set[int] = set()
+        self.buffered_bytes = 0
 
     @handler("registered", channel="*")
     def on_registered(self, component: Any, manager: Any) -> None:
--- a/arbutusbridge/daemon/relayconnection.py
+++ b/arbutusbridge/daemon/relayconnection.py
@@ -19,6 +19,10 @@
 """Margin before the idle timeout that an upstream announced. Within it the
 connection is not used, so that a request does not race with the close."""
 
+MAX_MISMATCHED_RESPONSES = 8
+"""Maximum number of responses to other requests that are skipped before the
+connection is closed."""
+
 BODILESS_STATUSES = frozenset({204, 304})
 """Statuses of responses that never have a body."""
 
@@ -34,7 +38,7 @@
       headers: Headers of the response, as received.
       header_values: Header values by lower-case name.
       mismatched: Whether the current response belongs to another request.
-      saw_mismatch: Whether any response belonged to another request.
+      mismatches: Number of responses that belonged to other requests.
       idle_timeout_s: Time after which the upstream may close the connection
         when it is idle, in seconds.
     """
@@ -55,7 +59,7 @@
         self.header_values: dict[bytes, bytes] = {}
         self.headers_complete = False
         self.mismatched = False
-        self.saw_mismatch = False
+        self.mismatches = 0
         self.idle_timeout_s = math.inf
         super().__init__(*args)
 
@@ -75,9 +79,7 @@
         False after a response to another request, and after a response to
         HEAD.
         """
-        return (
-            super().is_reusable and not self.saw_mismatch and self.expects_body
-        )
+        return super().is_reusable and not self.mismatches and self.expects_body
 
     def on_message_begin(self) -> None:
         """Starts a response; called by the parser."""
@@ -102,7 +104,10 @@
         self.headers_complete = True
         status = self.parser.get_status_code()
         if not self.belongs_to_request(self.request_id, self.header_values):
-            self.mismatched = self.saw_mismatch = True
+            self.mismatched = True
+            self.mismatches += 1
+            if self.mismatches > MAX_MISMATCHED_RESPONSES:
+                self.out_of_sync = True
         elif not self.expects_body and status >= MIN_FINAL_STATUS:
             self.response = status, b""
         found = KEEP_ALIVE_TIMEOUT_PATTERN.search(
@@ -115,8 +120,7 @@
         """Stores the complete response; called by the parser."""
         if self.mismatched:
             # The response to the request in flight may still follow.
-            self.body.clear()
-            self.body_bytes = 0
+            self.clear_body()
             return
         if self.response is None:
             super().on_message_complete()
--- a/tests/test_daemon/test_relaypools.py
+++ b/tests/test_daemon/test_relaypools.py
@@ -47,8 +47,8 @@
         self.replies.extend(replies)
 
 
-class RelayPoolsTest(testtools.TestCase):
-    """Tests with one upstream whose bytes the test writes itself."""
+class RelayPoolsCase(testtools.TestCase):
+    """Pools to one upstream whose bytes the test writes itself."""
 
     def setUp(self) -> None:
         super().setUp()
@@ -90,6 +90,10 @@
         self.bench.turn_until(lambda: self.sink.replies)
         return self.sink.replies.pop(0)
 
+
+class RelayPoolsTest(RelayPoolsCase):
+    """Requests and their responses."""
+
     def test_connection_is_reused(self) -> None:
         self.send(1)
         sock = self.accept()
