Tell a second crash of an upstream from its first before it is announced

An upstream that crashes, starts again and crashes once more before its new announcement arrives was counted as one crash, so that an instance cut off from its peers sent a crashing request once more.

A loss of an attempt that was sent after the crash was known is the loss of a later start. With it come tests of how evidence spreads and of requests that must not be refused: 12 upstreams that crash at once, upstreams that crash one after another, reset connections.

--- a/arbutusbridge/forwarding/evidence.py
+++ b/arbutusbridge/forwarding/evidence.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -40,16 +41,20 @@
     """Losses at one start of an upstream, until it is known why.
 
     Attributes:
+      name: Name of the start, by which instances tell crashes apart.
       upstream: The upstream.
       since: Time of the first loss.
       losses: Requests that were lost there.
       crashed: Whether it has crashed, None while that is not known.
+      crashed_at: When that became known, infinite before.
     """
 
+    name: str
     upstream: Upstream
     since: float
     losses: list[Loss] = field(default_factory=list)
     crashed: bool | None = None
+    crashed_at: float = math.inf
 
 
 @dataclass(slots=True)
--- a/arbutusbridge/forwarding/losses.py
+++ b/arbutusbridge/forwarding/losses.py
@@ -62,11 +62,15 @@
     name = start_name(upstream.announcement)
     check = shared.crash_checks.get(name)
     if check is None:
-        check = add_check(name, upstream, shared, now)
+        check = add_check(name, name, upstream, shared, now)
+    elif attempt.sent_at > check.crashed_at:
+        # It accepted this attempt after its crash: it has started again, and
+        # its announcement is not known yet.
+        check = add_check(name, f"{check.name}+", upstream, shared, now)
     loss = Loss(exchange.request, part.service, part, exchange)
     check.losses.append(loss)
     fingerprint = exchange.request.fingerprint
-    shared.quarantine.record_loss(name, fingerprint, check.since)
+    shared.quarantine.record_loss(check.name, fingerprint, check.since)
     if check.crashed:
         charge(check, [loss], shared, now, out)
         return
@@ -92,13 +96,17 @@
     name = start_name(upstream.announcement)
     check = shared.crash_checks.get(name)
     if check is None:
-        check = add_check(name, upstream, shared, now)
+        check = add_check(name, name, upstream, shared, now)
         check.crashed = False
     check.losses.append(Loss(exchange.request, part.service, part, exchange))
 
 
 def add_check(
-    name: str, upstream: Upstream, shared: SharedState, now: float
+    key: str,
+    name: str,
+    upstream: Upstream,
+    shared: SharedState,
+    now: float,
 ) -> CrashCheck:
     """Adds the check of an upstream and drops those that are too old."""
     checks = shared.crash_checks
@@ -106,8 +114,9 @@
         if len(checks) < MAX_CHECKS and now - check.since < CHECK_TTL_S:
             break
         del checks[known]
-    checks[name] = CrashCheck(upstream, now)
-    return checks[name]
+    checks.pop(key, None)
+    checks[key] = CrashCheck(name, upstream, now)
+    return checks[key]
 
 
 def on_checked(
@@ -122,15 +131,15 @@
     Returns:
       The losses whose parts need not wait any longer.
     """
-    name = start_name(announcement)
-    check = shared.crash_checks.get(name)
+    check = shared.crash_checks.get(start_name(announcement))
     if check is None or check.crashed:
         return []
     if reachable:
         check.crashed = False
-        shared.quarantine.retract_crash(name)
+        shared.quarantine.retract_crash(check.name)
     else:
         check.crashed = True
+        check.crashed_at = now
         charge(check, check.losses, shared, now, out)
     for loss in check.losses:
         loss.part.crash_check_until = -math.inf
@@ -154,8 +163,7 @@
       now: The time.
       out: Actions, to which those of this function are appended.
     """
-    name = start_name(upstream.announcement)
-    check = shared.crash_checks.get(name)
+    check = shared.crash_checks.get(start_name(upstream.announcement))
     planned = upstream.leaving_at < math.inf
     if check is None or check.crashed or planned:
         return
@@ -164,9 +172,10 @@
     if not restarted and check.crashed is False:
         return
     check.crashed = True
+    check.crashed_at = now
     for loss in check.losses:
         fingerprint = loss.request.fingerprint
-        shared.quarantine.record_loss(name, fingerprint, check.since)
+        shared.quarantine.record_loss(check.name, fingerprint, check.since)
     charge(check, check.losses, shared, now, out)
 
 
@@ -179,7 +188,7 @@
 ) -> None:
     """Charges a crash to the requests that were lost in it."""
     quarantine = shared.quarantine
-    name = start_name(check.upstream.announcement)
+    name = check.name
     for loss in losses:
         fingerprint = loss.request.fingerprint
         had_result = loss.exchange.has_result
--- a/tests/test_forwarding/fleet.py
+++ b/tests/test_forwarding/fleet.py
@@ -93,6 +93,7 @@
       crashes: Times at which a request crashed an upstream, with its target.
       answers: Answers by request id, each with its time.
       sent: Requests by id.
+      is_cut: Returns whether messages between two instances are lost.
       lost_reports: Function that ends each running attempt, by instance and
         attempt id.
     """
@@ -119,6 +120,7 @@
         self.crashes: list[tuple[float, str]] = []
         self.answers: dict[str, tuple[float, Any]] = {}
         self.sent: dict[str, CallerRequest] = {}
+        self.is_cut: Callable[[str, str], bool] = lambda _name, _peer: False
         self.lost_reports: dict[tuple[str, int], Callable[..., None]] = {}
         names = [
             (f"{place}-{number}", place)
@@ -281,6 +283,8 @@
         ]
 
         def arrive() -> None:
+            if self.is_cut(name, peer):
+                return
             forwarder = self.instances[peer]
             message = decode_message(data)
             self.carry_out(
@@ -347,6 +351,23 @@
             )
         self.after(DOWN_S, lambda: self.restart(upstream))
 
+    def reset_connections(self) -> None:
+        """Resets all connections to upstreams, which go on running."""
+        for upstream in self.upstreams.values():
+            running, upstream.running = upstream.running, set()
+            for key in sorted(running):
+                self.lost_reports.pop(key)(
+                    AttemptEnd.LOST, detail="lost", connection_closed=True
+                )
+
+    def knowing(self, fingerprint: str) -> list[str]:
+        """Returns the instances at which a fingerprint is quarantined."""
+        return [
+            name
+            for name, forwarder in self.instances.items()
+            if forwarder.quarantine.quarantined(fingerprint, self.now)
+        ]
+
     def restart(self, upstream: SimulatedUpstream) -> None:
         """Starts a crashed upstream again as a new incarnation."""
         upstream.down = False
--- /dev/null
+++ b/tests/test_forwarding/test_evidence.py
@@ -0,0 +1,243 @@
+"""Tests of evidence against crashing requests: its spread and its limits."""
+
+from __future__ import annotations
+
+import testtools
+
+from arbutusbridge.core.requests.quarantine import (
+    MAX_ENTRIES,
+    CrashReport,
+    FingerprintState,
+    Quarantine,
+)
+from arbutusbridge.forwarding import CallerRequest
+from arbutusbridge.forwarding.model import FINGERPRINT_SAMPLE_BYTES
+from arbutusbridge.forwarding.notices import MAX_NOTICE_FINGERPRINTS
+from tests.test_forwarding.fixtures import HOST
+from tests.test_forwarding.fleet import CRASHING, Fleet
+from tests.test_forwarding.test_crashing_requests import (
+    CONTACT_S,
+    FETCH,
+    MAX_LATE_SENDS,
+    ONCE,
+    PLACES,
+    ROUTES,
+    SEARCH,
+    make_fleet,
+    make_upstreams,
+)
+
+INNOCENT_INTERVAL_S = 0.01
+OTHER_PREFIXES = (SEARCH, FETCH, ONCE)
+
+
+def send_others(fleet: Fleet, until: float) -> None:
+    """Sends requests that crash nothing, each with a target of its own."""
+    fleet.send_series(
+        lambda n: f"{OTHER_PREFIXES[n % 3]}other-{n}",
+        INNOCENT_INTERVAL_S,
+        until,
+    )
+
+
+def count_others(fleet: Fleet) -> dict[str, int]:
+    """Counts the answers to the requests that crash nothing."""
+    found: dict[str, int] = {}
+    for prefix in OTHER_PREFIXES:
+        for outcome, count in fleet.outcomes(f"{prefix}other").items():
+            found[outcome] = found.get(outcome, 0) + count
+    return found
+
+
+def fingerprint_at(fleet: Fleet, request_id: str) -> str:
+    """Returns the fingerprint of a request that was sent."""
+    return fleet.sent[request_id].fingerprint
+
+
+class SpreadTest(testtools.TestCase):
+    """Evidence reaches the instances that have not seen the crashes."""
+
+    def crash_at(self, fleet: Fleet, *names: str) -> str:
+        """Sends a crashing request at instances, and returns its content."""
+        ids = [fleet.send(name, f"{ONCE}{CRASHING}", "POST") for name in names]
+        return fingerprint_at(fleet, ids[0])
+
+    # Guards against instances that each see one crash of a request and never
+    # learn the sum.
+    def test_single_crashes_at_two_instances_add_up_everywhere(self) -> None:
+        fleet = make_fleet()
+        fingerprint = self.crash_at(fleet, "north-0", "south-1")
+        fleet.run_until(fleet.now + CONTACT_S)
+        self.assertEqual(list(fleet.instances), fleet.knowing(fingerprint))
+        self.assertEqual(2, len(fleet.crashes))
+
+    # Guards against a quarantine that only the instances know that ran at the
+    # time of the crashes.
+    def test_started_instance_learns_the_quarantine_from_peers(self) -> None:
+        fleet = make_fleet()
+        fingerprint = self.crash_at(fleet, "north-0", "south-1")
+        fleet.run_until(fleet.now + 30.0)
+        fleet.start("central-0")
+        fleet.run_until(fleet.now + CONTACT_S)
+        self.assertIn("central-0", fleet.knowing(fingerprint))
+
+    # Guards against evidence that is told once and lost with the message.
+    def test_lost_broadcasts_are_made_up_for(self) -> None:
+        fleet = make_fleet()
+        end = fleet.now + 1.0
+        fleet.is_cut = lambda _name, _peer: fleet.now < end
+        fingerprint = self.crash_at(fleet, "north-0", "south-1")
+        fleet.run_until(fleet.now + CONTACT_S)
+        self.assertEqual(list(fleet.instances), fleet.knowing(fingerprint))
+
+    # Guards against one more crash per resend while data centres are cut off
+    # from each other: each side has to stop by itself.
+    def test_separated_data_centres_stop_by_themselves(self) -> None:
+        fleet = make_fleet()
+        places = fleet.places
+        fleet.is_cut = lambda name, peer: places[name] != places[peer]
+        target = f"{ONCE}{CRASHING}"
+        until = fleet.now + 20.0
+        fleet.send_series(lambda _n: target, 0.1, until)
+        fleet.run_until(until)
+        self.assertTrue(fleet.late_sends(target, CONTACT_S) <= MAX_LATE_SENDS)
+        self.assertTrue(fleet.crash_count(target) <= 2 * len(PLACES))
+
+    # Guards against a spread that takes a time that grows with the fleet.
+    def test_evidence_reaches_81_instances_in_time(self) -> None:
+        places = {"north": 27, "central": 27, "south": 27}
+        fleet = Fleet(ROUTES, make_upstreams(), places)
+        fingerprint = self.crash_at(fleet, "north-0", "south-9")
+        fleet.run_until(fleet.now + CONTACT_S)
+        self.assertEqual(81, len(fleet.knowing(fingerprint)))
+
+    # Guards against a limit on broadcasts that keeps several crashing requests
+    # at the same time from being known.
+    def test_many_crashing_requests_are_all_quarantined(self) -> None:
+        fleet = make_fleet()
+        targets = [f"{FETCH}{CRASHING}-{number}" for number in range(12)]
+        until = fleet.now + 40.0
+        for target in targets:
+            fleet.send_series(lambda _n, one=target: one, 0.5, until)
+        fleet.run_until(until)
+        for target in targets:
+            late = fleet.late_sends(target, CONTACT_S)
+            self.assertTrue(late <= MAX_LATE_SENDS, f"{target}: {late}")
+
+
+class InnocentTest(testtools.TestCase):
+    """Requests that crash nothing are not refused for the crashes of others."""
+
+    def check_none_refused(self, fleet: Fleet) -> dict[str, int]:
+        found = count_others(fleet)
+        refused = found.get("quarantined", 0) + found.get("suspect", 0)
+        self.assertEqual(0, refused + found.get("crashed", 0), found)
+        return found
+
+    # Guards against an outage of upstreams that is charged to the requests
+    # that ran there.
+    def test_simultaneous_crash_of_12_upstreams_refuses_no_request(self):
+        fleet = make_fleet()
+        send_others(fleet, fleet.now + 10.0)
+        fleet.run_until(fleet.now + 3.0)
+        for upstream in list(fleet.upstreams.values())[::4][:12]:
+            fleet.crash(upstream)
+        fleet.run_until(fleet.now + 9.0)
+        self.check_none_refused(fleet)
+
+    # Guards against requests that are charged with each of several crashes
+    # that follow each other.
+    def test_crashes_one_after_another_refuse_no_request(self) -> None:
+        fleet = make_fleet()
+        send_others(fleet, fleet.now + 12.0)
+        for number, upstream in enumerate(fleet.upstreams.values()):
+            fleet.at(
+                fleet.now + 1.0 + 0.2 * number,
+                lambda one=upstream: one.down or fleet.crash(one),
+            )
+        fleet.run_until(fleet.now + 14.0)
+        self.check_none_refused(fleet)
+
+    # Guards against reset connections that are taken for crashes.
+    def test_reset_connections_make_no_suspects(self) -> None:
+        fleet = make_fleet()
+        send_others(fleet, fleet.now + 6.0)
+        for number in range(20):
+            fleet.at(fleet.now + 1.0 + 0.2 * number, fleet.reset_connections)
+        fleet.run_until(fleet.now + 8.0)
+        self.check_none_refused(fleet)
+        for forwarder in fleet.instances.values():
+            self.assertEqual(0, forwarder.quarantine.count_states()["suspect"])
+
+    # Guards against a quarantine that costs the other callers more than the
+    # time in which the first upstreams are away.
+    def test_others_are_served_beside_a_crashing_request(self) -> None:
+        fleet = make_fleet()
+        until = fleet.now + 20.0
+        send_others(fleet, until)
+        fleet.send_series(lambda _n: f"{FETCH}{CRASHING}", 0.1, until)
+        fleet.run_until(until + 2.0)
+        found = self.check_none_refused(fleet)
+        self.assertTrue(found["served"] >= 0.99 * sum(found.values()), found)
+
+    # Guards against a suspicion that outlives a result of the request.
+    def test_result_ends_the_suspicion_of_a_bystander(self) -> None:
+        quarantine = Quarantine()
+        for upstream in ("u1@1", "u2@1"):
+            for fingerprint in ("culprit", "bystander"):
+                quarantine.record_loss(upstream, fingerprint, 0.0)
+        quarantine.charge("bystander", "u1@1", "s", False, 0.0)
+        quarantine.on_success("bystander", "", 0.1)
+        self.assertIsNone(quarantine.state_of("bystander", 0.2))
+        quarantine.charge("culprit", "u1@1", "s", False, 0.2)
+        self.assertTrue(quarantine.entries["culprit"].is_sole_suspect)
+
+
+class MemoryTest(testtools.TestCase):
+    """Evidence is bounded, and counts each crash once."""
+
+    # Guards against a crash that counts as often as it is reported.
+    def test_crash_reported_again_counts_once(self) -> None:
+        quarantine = Quarantine()
+        for reporter in ("a", "b", "a"):
+            report = CrashReport("f", "u1@1", 1.0, 0.5, reporter)
+            quarantine.on_crash_report(report, 10.0)
+        state = quarantine.state_of("f", 10.0)
+        self.assertEqual(FingerprintState.SUSPECT, state)
+
+    # Guards against an outage that ends quarantines by its many suspects.
+    def test_suspects_are_dropped_before_quarantines(self) -> None:
+        quarantine = Quarantine()
+        quarantine.on_peer_quarantine("kept", 0.0, 0.0)
+        for number in range(MAX_ENTRIES + 10):
+            report = CrashReport(f"f{number}", "u1@1", 0.5, 0.0, "a")
+            quarantine.on_crash_report(report, 0.0)
+        self.assertEqual(MAX_ENTRIES, len(quarantine.entries))
+        self.assertTrue(quarantine.quarantined("kept", 0.0))
+
+    # Guards against notices that grow with the number of suspects.
+    def test_notices_are_bounded(self) -> None:
+        fleet = make_fleet()
+        forwarder = fleet.instances["north-0"]
+        for number in range(500):
+            report = CrashReport(f"f{number}", "u1@1", 0.5, 0.0, "a")
+            forwarder.quarantine.on_crash_report(report, fleet.now)
+        sent = forwarder.exchange_notices(fleet.now + 5.0)
+        self.assertTrue(sent)
+        for action in sent:
+            crashes = action.message.crashes
+            self.assertEqual(MAX_NOTICE_FINGERPRINTS, len(crashes))
+
+    # Guards against a fingerprint whose cost grows with the body, and against
+    # one that ignores how long it is.
+    def test_fingerprint_covers_both_ends_and_the_length_of_a_body(self):
+        middle = b"m" * FINGERPRINT_SAMPLE_BYTES
+
+        def digest(body: bytes) -> str:
+            request = CallerRequest("r", "POST", "/a/", HOST, [], body, 9, 0)
+            return request.fingerprint
+
+        bodies = [b"", b"a", b"a" + 2 * middle, b"a" + 3 * middle]
+        bodies += [b"b" + 3 * middle, b"a" + 3 * middle + b"z"]
+        self.assertEqual(len(bodies), len({digest(body) for body in bodies}))
+        self.assertEqual(digest(bodies[3]), digest(bytes(bodies[3])))
