Count crashes at the same moment as one piece of evidence

Crashes at the same moment have a common cause more often than not. A crash now counts besides an earlier one only if the request was sent after the earlier one was known: then the upstream was still up. A search sends one canary, since two are lost together as well.

A timer of a search that waits for a check was set in the past and fired without end; virtual time now stops at such a loop.

The soak gains requests that crash whatever runs them, upstreams that crash at once for no request, and three guarantees.

--- a/arbutusbridge/cmd/soak.py
+++ b/arbutusbridge/cmd/soak.py
@@ -56,6 +56,7 @@
     print(
         f"seed {result.seed}: {instance_counts} instances, "
         f"{result.served} of {result.requests} requests served, "
+        f"{result.crashed} upstreams crashed by requests, "
         f"{len(result.breaches)} promises broken",
         flush=True,
     )
--- a/arbutusbridge/core/requests/quarantine.py
+++ b/arbutusbridge/core/requests/quarantine.py
@@ -13,6 +13,7 @@
 
 import enum
 import hashlib
+import math
 from collections import Counter, OrderedDict, deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -69,6 +70,9 @@
 """Number of crashes from which a request without any result is quarantined even
 in an outage."""
 
+REPORT_MARGIN_S = 0.05
+"""Time that a report may take, by which its times may be wrong."""
+
 SUDDEN_LOSS_WINDOW_S = 0.05
 """Time from first to last crash below which they are put down to an outage. A
 request that crashes upstreams takes longer, as it is retried one by one."""
@@ -108,6 +112,7 @@
       weight: One divided by the number of requests lost in the crash there.
       age_s: Age of the crash, in seconds.
       reporter: Instance that saw it.
+      sent_age_s: Time since the request was sent to that upstream, in seconds.
     """
 
     fingerprint: str
@@ -115,6 +120,7 @@
     weight: float
     age_s: float
     reporter: str
+    sent_age_s: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -125,11 +131,13 @@
       weight: One divided by the number of requests lost in it there.
       at: Time of the crash.
       reporter: Instance that saw it.
+      sent_at: Time at which the request was sent, infinite if unknown.
     """
 
     weight: float
     at: float
     reporter: str
+    sent_at: float = math.inf
 
 
 @dataclass(slots=True)
@@ -144,6 +152,7 @@
       quarantined_by: Instance that quarantined it, empty for this one.
       crashes: Crashes of upstreams charged to it.
       shards: Shard of each attempt that was lost.
+      sent_at: Time at which the request was sent, by upstream that crashed.
       reports: Crashes reported by other instances, by upstream.
       stale_connections: Number of its attempts on stale connections.
     """
@@ -155,6 +164,7 @@
     quarantined_by: str = ""
     crashes: list[Crash] = field(default_factory=list)
     shards: list[str] = field(default_factory=list)
+    sent_at: dict[str, float] = field(default_factory=dict)
     reports: dict[str, ReportedCrash] = field(default_factory=dict)
     stale_connections: int = 0
 
@@ -180,25 +190,46 @@
         times = [crash.at for crash in self.crashes]
         return max(times) - min(times) if times else 0.0
 
+    def known_crashes(self) -> list[ReportedCrash]:
+        """Returns all crashes, own and reported, each once and oldest first."""
+        found = dict(self.reports)
+        for crash in self.crashes:
+            weight = 1 / max(1, len(crash.fingerprints))
+            reported = self.reports.get(crash.upstream)
+            if reported is not None:
+                weight = min(weight, reported.weight)
+            sent_at = self.sent_at.get(crash.upstream, math.inf)
+            # Own crashes of one upstream at different times count each.
+            name = f"{crash.upstream} {crash.at}"
+            found.pop(crash.upstream, None)
+            found[name] = ReportedCrash(weight, crash.at, "", sent_at)
+        return sorted(found.values(), key=lambda one: one.at)
+
+    def independent_crashes(self) -> list[float]:
+        """Returns the weights of the crashes that no single outage explains.
+
+        Upstreams that crash at the same moment may have a common cause. A
+        request that was sent to another one afterwards has crashed it itself.
+        """
+        weights: list[float] = []
+        last_at = -math.inf
+        for crash in self.known_crashes():
+            margin_s = REPORT_MARGIN_S if crash.reporter else 0.0
+            if crash.sent_at > last_at + margin_s:
+                weights.append(crash.weight)
+                last_at = crash.at
+            else:
+                weights[-1] = max(weights[-1], crash.weight)
+        return weights
+
     @property
     def evidence(self) -> float:
-        """Sum of the weights of all crashes, own and reported.
+        """Sum of the weights of the independent crashes.
 
         The weight of a crash is one divided by the number of requests that
         were lost in it.
         """
-        total = 0.0
-        own = set()
-        for crash in self.crashes:
-            own.add(crash.upstream)
-            weight = 1 / max(1, len(crash.fingerprints))
-            reported = self.reports.get(crash.upstream)
-            total += min(weight, reported.weight) if reported else weight
-        return total + sum(
-            one.weight
-            for upstream, one in self.reports.items()
-            if upstream not in own
-        )
+        return sum(self.independent_crashes())
 
     def describe(self, now: float) -> list[str]:
         """Returns the crashes as upstream, age and who has seen each."""
@@ -319,6 +350,7 @@
         shard: str,
         had_result: bool,
         now: float,
+        sent_at: float = math.inf,
     ) -> ChargeResult:
         """Charges a loss that was recorded to a fingerprint.
 
@@ -328,11 +360,14 @@
           shard: Shard of the attempt that was lost.
           had_result: Whether the request had a result elsewhere.
           now: The time.
+          sent_at: When the request was sent to the upstream. Losses without it
+            count as independent of each other.
 
         Returns:
           What follows from the evidence so far.
         """
         entry = self.get_or_add_entry(fingerprint, now)
+        entry.sent_at.setdefault(upstream, sent_at)
         same_shard = shard in entry.shards
         entry.shards.append(shard)
         crash = self.find_crash(upstream, fingerprint)
@@ -353,7 +388,7 @@
         now: float,
     ) -> ChargeResult:
         """Quarantines a suspect if the evidence against it suffices."""
-        crash_count = len(entry.crashes) + entry.told
+        crash_count = len(entry.independent_crashes())
         if not entry.is_sole_suspect or self.looks_like_outage(
             fingerprint, now
         ):
@@ -492,7 +527,10 @@
                 return ChargeResult.NOTHING
         entry = self.get_or_add_entry(report.fingerprint, now)
         entry.reports[report.upstream] = ReportedCrash(
-            report.weight, now - report.age_s, report.reporter
+            report.weight,
+            now - report.age_s,
+            report.reporter,
+            now - report.sent_age_s,
         )
         entry.changed_at = now
         if entry.state is FingerprintState.QUARANTINED:
@@ -509,7 +547,12 @@
             return []
         reports = {
             upstream: CrashReport(
-                fingerprint, upstream, one.weight, now - one.at, one.reporter
+                fingerprint,
+                upstream,
+                one.weight,
+                now - one.at,
+                one.reporter,
+                now - one.sent_at,
             )
             for upstream, one in entry.reports.items()
         }
@@ -523,6 +566,7 @@
                     weight,
                     now - crash.at,
                     reporter,
+                    now - entry.sent_at.get(crash.upstream, crash.at),
                 )
         return list(reports.values())
 
@@ -607,6 +651,13 @@
     return UNFAMILIAR_CANARY_COUNT
 
 
+def single_canary_for_unfamiliar(
+    quarantine: Quarantine, fingerprint: str, caller: str, now: float
+) -> int:
+    """Uses one canary unless the same request succeeded recently."""
+    return min(1, canary_for_unfamiliar(quarantine, fingerprint, caller, now))
+
+
 def canary_for_unfamiliar_callers(
     quarantine: Quarantine, fingerprint: str, caller: str, now: float
 ) -> int:
--- a/arbutusbridge/forwarding/evidence.py
+++ b/arbutusbridge/forwarding/evidence.py
@@ -28,12 +28,14 @@
       service: Service of the attempt.
       part: Its part, which waits for the check, or None.
       exchange: State of the request, which may have been answered since.
+      sent_at: When the attempt was sent.
     """
 
     request: CallerRequest
     service: str
     part: Part
     exchange: Exchange
+    sent_at: float
 
 
 @dataclass(slots=True)
--- a/arbutusbridge/forwarding/losses.py
+++ b/arbutusbridge/forwarding/losses.py
@@ -67,7 +67,7 @@
         # It accepted this attempt after its crash: it has started again, and
         # its announcement is not known yet.
         check = add_check(name, f"{check.name}+", upstream, shared, now)
-    loss = Loss(exchange.request, part.service, part, exchange)
+    loss = Loss(exchange.request, part.service, part, exchange, attempt.sent_at)
     check.losses.append(loss)
     fingerprint = exchange.request.fingerprint
     shared.quarantine.record_loss(check.name, fingerprint, check.since)
@@ -98,7 +98,9 @@
     if check is None:
         check = add_check(name, name, upstream, shared, now)
         check.crashed = False
-    check.losses.append(Loss(exchange.request, part.service, part, exchange))
+    check.losses.append(
+        Loss(exchange.request, part.service, part, exchange, attempt.sent_at)
+    )
 
 
 def add_check(
@@ -194,7 +196,7 @@
         had_result = loss.exchange.has_result
         before = quarantine.state_of(fingerprint, now)
         result = quarantine.charge(
-            fingerprint, name, loss.service, had_result, now
+            fingerprint, name, loss.service, had_result, now, loss.sent_at
         )
         entry = quarantine.entries.get(fingerprint)
         if result is ChargeResult.NOTHING or entry is None:
--- a/arbutusbridge/forwarding/shared.py
+++ b/arbutusbridge/forwarding/shared.py
@@ -9,6 +9,7 @@
 from arbutusbridge.core.requests.quarantine import (
     FingerprintState,
     Quarantine,
+    single_canary_for_unfamiliar,
 )
 from arbutusbridge.forwarding.budget import (
     RetryBudgetLimits,
@@ -110,7 +111,7 @@
         self.get_confirmed_at: Callable[[], float] = lambda: started_at
         self.lag_s = 0.0
         self.last_attempt_id = 0
-        self.quarantine = Quarantine()
+        self.quarantine = Quarantine(single_canary_for_unfamiliar)
         self.crash_checks: dict[str, CrashCheck] = {}
         self.notices = NoticeState(refilled_at=started_at)
         self.newly_quarantined: list[str] = []
--- a/arbutusbridge/platform/standins.py
+++ b/arbutusbridge/platform/standins.py
@@ -300,6 +300,8 @@
       ran: Function called for each request that starts to run or is shed.
       fault: Current fault.
       runs: Number of runs so far.
+      crash_marker: Part of the path of requests that crash it, empty for none.
+      on_crash: Called with it and the run that crashed it.
     """
 
     announcement: Announcement
@@ -312,6 +314,10 @@
     work_s: float = 0.01
     fault: UpstreamFault = UpstreamFault.NONE
     runs: int = 0
+    crash_marker: str = ""
+    on_crash: Callable[[UpstreamStandIn, UpstreamRun], None] = (
+        lambda _upstream, _run: None
+    )
     server: StandInServer = field(init=False)
 
     def __post_init__(self) -> None:
@@ -342,6 +348,9 @@
             return
         self.runs += 1
         self.ran(run)
+        if self.crash_marker and self.crash_marker in path:
+            self.on_crash(self, run)
+            return
         if self.fault is UpstreamFault.HANGING:
             return
         # A request may run here twice at the same time; each run has its own
--- a/arbutusbridge/soak/callers.py
+++ b/arbutusbridge/soak/callers.py
@@ -45,6 +45,8 @@
         drawn from.
       pending_request: Request that is waiting for its answer, or None.
       count: Number of requests created so far.
+      crash_target: Target of all of its requests, which crash the upstreams
+        that run them; None for a caller of many targets.
     """
 
     def __init__(
@@ -58,7 +60,9 @@
         clock: Callable[[], float],
         schedule: Scheduler,
         rng: random.Random,
+        crash_target: str | None = None,
     ) -> None:
+        self.crash_target = crash_target
         self.name = name
         self.host = host
         self.addresses = addresses
@@ -115,14 +119,18 @@
             return
         assert self.sock is not None
         route, method, target = self.rng.choice(self.routes)
+        target += str(self.rng.randint(1, 99))
+        if self.crash_target is not None:
+            target = self.crash_target
         self.count += 1
         asked = SentRequest(
             f"{self.name}-{self.count}",
             self.instance,
             route,
-            f"{target}{self.rng.randint(1, 99)}",
+            target,
             self.clock(),
             self.rng.uniform(*TIMEOUT_RANGE_S),
+            crashing=self.crash_target is not None,
         )
         data = encode_caller_request(
             asked.request_id,
--- a/arbutusbridge/soak/environment.py
+++ b/arbutusbridge/soak/environment.py
@@ -21,7 +21,10 @@
     RoutingConfiguration,
     WeightedService,
 )
-from arbutusbridge.platform.documents import CONFIGURATION_KEY
+from arbutusbridge.platform.documents import (
+    CONFIGURATION_KEY,
+    UPSTREAMS_PREFIX,
+)
 from arbutusbridge.platform.standins import (
     StoreFault,
     StoreStandIn,
@@ -32,12 +35,18 @@
 from arbutusbridge.soak.callers import Caller
 from arbutusbridge.soak.processes import PROBE_INTERVAL_S, InstanceProcess
 from arbutusbridge.soak.proxy import Proxy
-from arbutusbridge.soak.record import Disturbance, SoakRecord
+from arbutusbridge.soak.record import (
+    Disturbance,
+    SoakRecord,
+    UpstreamCrash,
+)
 from arbutusbridge.standins.deployment import LOOPBACK, find_free_ports
 
 if TYPE_CHECKING:
     from pathlib import Path
 
+    from arbutusbridge.standins.observations import UpstreamRun
+
 HOST = "soak.example"
 STOP_TIMEOUT_S = 4.0
 """Time that instances have for a graceful stop."""
@@ -54,6 +63,15 @@
 OPERATOR_RETRY_INTERVAL_S = 0.3
 """Interval at which a publish is retried while the store is faulty."""
 
+CRASH_MARKER = "/crash-"
+"""Part of the path of requests that crash the upstreams that run them."""
+
+CRASH_DOWN_RANGE_S = (1.5, 4.0)
+"""Minimum and maximum time after which a crashed upstream is back."""
+
+ENTRY_EXPIRY_S = 1.5
+"""Time after which the store entry of a crashed upstream is deleted."""
+
 MAX_UPSTREAM_CONNECTIONS = 40
 """Maximum number of connections to one upstream, as configured."""
 
@@ -88,6 +106,7 @@
       upstreams: Running upstreams by slot; a slot keeps its name when another
         upstream replaces the one in it.
       born: Number of upstreams started so far.
+      crash_rng: Random numbers for crashes of upstreams.
       version: Version of the configuration published last.
       search_shard_set_index: Index of the shard set that searches use, 0 or 1.
       desk_service_index: Index of the service of the ``desk`` route, 0 or 1.
@@ -101,6 +120,8 @@
         self.shape = shape
         self.folder = folder
         self.rng = random.Random(seed)
+        # A stream of its own, so that seeds keep their other faults.
+        self.crash_rng = random.Random(f"crashes {seed}")
         self.poller = EPoll().register(self)
         self.timers = TimerService().register(self)
         self.hub = SocketHub().register(self)
@@ -173,12 +194,60 @@
         proxy = self.proxies.get(("upstream", slot))
         if proxy is None:
             proxy = self.add_proxy("upstream", slot, forward_address)
+        upstream.crash_marker = CRASH_MARKER
+        upstream.on_crash = self.on_crash
         upstream.announcement = dataclasses.replace(
             upstream.announcement, address=proxy.address, started_ms=self.born
         )
         self.upstreams[slot] = upstream
         self.announce(upstream.announcement)
 
+    def on_crash(self, upstream: UpstreamStandIn, run: UpstreamRun) -> None:
+        """Records that a request crashes an upstream, and crashes it."""
+        crash = UpstreamCrash(
+            self.clock(), run.upstream, run.request_id, run.target
+        )
+        self.record.crashes.append(crash)
+        slots = [s for s, one in self.upstreams.items() if one is upstream]
+        for slot in slots:
+            self.crash_slot(slot, self.crash_rng.uniform(*CRASH_DOWN_RANGE_S))
+
+    def crash_slot(self, slot: str, down_s: float) -> None:
+        """Crashes the upstream in a slot; a new start follows."""
+        upstream = self.upstreams[slot]
+        announcement = upstream.announcement
+        proxy = self.proxies["upstream", slot]
+        self.record_disturbance("crash", slot, down_s)
+        proxy.close()
+        upstream.server.close()
+
+        def delete_entry() -> None:
+            self.store.delete(UPSTREAMS_PREFIX + announcement.upstream)
+
+        def restart() -> None:
+            proxy.listen_again()
+            if self.upstreams.get(slot) is upstream:
+                self.add_upstream(
+                    slot,
+                    announcement.service,
+                    announcement.data_centre,
+                    upstream.server.port,
+                )
+
+        self.schedule(min(ENTRY_EXPIRY_S, down_s), delete_entry)
+        self.schedule(down_s, restart)
+
+    def start_crashing_caller(self, route: str, method: str) -> Caller:
+        """Starts a caller that repeats one request that crashes upstreams."""
+        number = len(self.callers)
+        caller = self.create_caller(
+            f"crash{number}",
+            [(route, method, f"/{route}/")],
+            f"/{route}{CRASH_MARKER}{number}",
+        )
+        self.callers.append(caller)
+        return caller
+
     def announce(self, announcement: Announcement) -> None:
         """Writes an announcement to the store."""
         self.store.put(*encode_announcement(announcement))
@@ -322,24 +391,44 @@
             ("desk", "GET", "/desk/"),
             ("once", "POST", "/once/"),
         ]
+        self.callers = [
+            self.create_caller(f"c{number}", routes)
+            for number in range(self.shape.callers)
+        ]
+
+    def create_caller(
+        self,
+        name: str,
+        routes: list[tuple[str, str, str]],
+        crash_target: str | None = None,
+    ) -> Caller:
+        """Creates a caller, which starts to send requests."""
         addresses = {
             name: self.proxies["caller", name].address
             for name in self.instances
         }
-        self.callers = [
-            Caller(
-                f"c{number}",
-                HOST,
-                addresses,
-                routes,
-                self.record,
-                self.hub,
-                self.clock,
-                self.schedule,
-                self.rng,
-            )
-            for number in range(self.shape.callers)
-        ]
+        return Caller(
+            name,
+            HOST,
+            addresses,
+            routes,
+            self.record,
+            self.hub,
+            self.clock,
+            self.schedule,
+            self.rng if crash_target is None else self.crash_rng,
+            crash_target,
+        )
+
+    def read_quarantine_refusals(self) -> None:
+        """Records which requests the instances refused as quarantined."""
+        for instance in self.instances.values():
+            lines = instance.log_path.read_text(errors="replace").splitlines()
+            for line in lines:
+                if '"outcome":"quarantined"' in line.replace(": ", ":"):
+                    self.record.quarantine_refusals.append(
+                        json.loads(line)["request_id"]
+                    )
 
     def record_disturbance(
         self, kind: str, target: str, seconds: float
--- a/arbutusbridge/soak/faults.py
+++ b/arbutusbridge/soak/faults.py
@@ -29,6 +29,19 @@
 DRAIN_PERIOD_S = 4.5
 """Time for which a draining upstream continues to serve requests."""
 
+CRASHING_CALLER_DURATION_S = 9.0
+"""Time for which a crashing request is repeated, longer than the time in which
+all instances must know it."""
+
+CRASHING_ROUTES = (("search", "GET"), ("desk", "GET"), ("once", "POST"))
+"""Routes and methods of crashing requests."""
+
+MAX_CRASHED_AT_ONCE = 12
+"""Maximum number of upstreams that crash at once for no request."""
+
+MAX_CRASH_FAULTS = 2
+"""Maximum number of faults from CRASH_FAULTS in a run."""
+
 Fault = Callable[["SoakEnvironment", float], None]
 """Starts a fault and schedules its end after a duration in seconds."""
 
@@ -247,6 +260,35 @@
 )
 
 
+def send_crashing_requests(
+    environment: SoakEnvironment, _seconds: float
+) -> None:
+    """Sends a request that crashes upstreams, again and again, anywhere."""
+    route, method = environment.crash_rng.choice(CRASHING_ROUTES)
+    caller = environment.start_crashing_caller(route, method)
+
+    def end() -> None:
+        caller.stopped = True
+
+    environment.schedule(CRASHING_CALLER_DURATION_S, end)
+
+
+def crash_many(environment: SoakEnvironment, seconds: float) -> None:
+    """Crashes many upstreams at once, for no request."""
+    slots = sorted(environment.upstreams)
+    number = min(MAX_CRASHED_AT_ONCE, len(slots) // 2)
+    for slot in environment.crash_rng.sample(slots, number):
+        environment.crash_slot(slot, seconds)
+
+
+CRASH_FAULTS: tuple[Fault, ...] = (
+    send_crashing_requests,
+    send_crashing_requests,
+    crash_many,
+)
+"""Faults of which a run has some in addition to the others."""
+
+
 def stall_proxy(
     environment: SoakEnvironment,
     kind: str,
@@ -300,4 +342,21 @@
 
         environment.schedule(at, begin)
         lines.append(f"{at:6.1f} s {fault.__name__} for {duration_s:.1f} s")
-    return sorted(lines)
+    return sorted(lines + plan_crashes(environment, seconds))
+
+
+def plan_crashes(environment: SoakEnvironment, seconds: float) -> list[str]:
+    """Schedules crashes of upstreams and returns a line for each."""
+    rng = environment.crash_rng
+    lines = []
+    for _ in range(rng.randint(1, MAX_CRASH_FAULTS)):
+        at = rng.uniform(0.0, seconds)
+        duration_s = rng.uniform(0.3, MAX_FAULT_DURATION_S)
+        fault = rng.choice(CRASH_FAULTS)
+
+        def begin(fault: Fault = fault, duration_s: float = duration_s) -> None:
+            fault(environment, duration_s)
+
+        environment.schedule(at, begin)
+        lines.append(f"{at:6.1f} s {fault.__name__} for {duration_s:.1f} s")
+    return lines
--- a/arbutusbridge/soak/guarantees.py
+++ b/arbutusbridge/soak/guarantees.py
@@ -36,6 +36,16 @@
 MIN_SERVED_FRACTION = 0.9
 """Minimum fraction of the requests that are served after the recovery."""
 
+CRASHES_UNTIL_KNOWN = 3
+"""Crashes after which a request must be known as their cause."""
+
+MAX_LATE_SENDS = 3
+"""Maximum number of sends of such a request later than SETTLING_TIME_S."""
+
+MAX_CRASHES_PER_REQUEST = 9
+"""Maximum number of upstreams that one request may crash; users want them
+counted in ones, not by the number of shards."""
+
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses that guarantee that a request did not run and never will."""
 
@@ -307,6 +317,50 @@
             yield Breach("upstreams_bounded", request_id, detail)
 
 
+def crashing_request_is_stopped(record: SoakRecord) -> Iterator[Breach]:
+    """Checks the sends of a request after it has crashed three upstreams.
+
+    Sends by disturbed instances, and all within SETTLING_TIME_S, do not count.
+    """
+    times: dict[str, list[float]] = defaultdict(list)
+    for crash in sorted(record.crashes, key=lambda one: one.at):
+        times[crash.target].append(crash.at)
+    for target, crashes in times.items():
+        if len(crashes) < CRASHES_UNTIL_KNOWN:
+            continue
+        known_at = crashes[CRASHES_UNTIL_KNOWN - 1] + SETTLING_TIME_S
+        late = [
+            run
+            for run in record.runs
+            if run.target == target
+            and run.at > known_at
+            and is_undisturbed(record, record.asked[run.request_id])
+        ]
+        if len(late) > MAX_LATE_SENDS:
+            detail = f"{target}: {len(late)} late sends, {len(crashes)} crashes"
+            yield Breach("crashing_request_is_stopped", "", detail)
+
+
+def request_crashes_few_upstreams(record: SoakRecord) -> Iterator[Breach]:
+    """Checks how many upstreams a single request has crashed."""
+    counts = Counter(crash.request_id for crash in record.crashes)
+    for request_id, count in counts.items():
+        if count > MAX_CRASHES_PER_REQUEST:
+            detail = f"{count} upstreams"
+            yield Breach("request_crashes_few", request_id, detail)
+
+
+def only_crashing_requests_are_quarantined(
+    record: SoakRecord,
+) -> Iterator[Breach]:
+    """Checks that no other request was refused as crashing upstreams."""
+    for request_id in record.quarantine_refusals:
+        asked = record.asked.get(request_id)
+        if asked is not None and not asked.crashing:
+            detail = f"refused by {asked.instance}"
+            yield Breach("only_crashing_quarantined", request_id, detail)
+
+
 def recovers(record: SoakRecord) -> Iterator[Breach]:
     """Checks that requests are served again after the last disturbance."""
     ends = (one.until for one in record.disturbances)
@@ -316,6 +370,7 @@
         for asked in record.asked.values()
         if asked.at >= since
         and not asked.abandoned
+        and not asked.crashing
         and asked.at + asked.timeout_s < record.soak_ended_at
     ]
     served = sum(
@@ -346,6 +401,9 @@
     leaving_upstream_gets_no_requests,
     extra_arrivals_are_bounded,
     upstreams_are_bounded,
+    crashing_request_is_stopped,
+    request_crashes_few_upstreams,
+    only_crashing_requests_are_quarantined,
     recovers,
     processes_live,
 )
--- a/arbutusbridge/soak/proxy.py
+++ b/arbutusbridge/soak/proxy.py
@@ -87,10 +87,21 @@
         for connection in list(self.connections):
             connection.end(with_reset=True)
 
-    def close(self) -> None:
-        """Stops listening and resets all connections."""
+    def stop_listening(self) -> None:
+        """Refuses new connections, as a host whose process has ended."""
         self.hub.remove(self.sock.fileno())
         self.sock.close()
+
+    def listen_again(self) -> None:
+        """Listens again on the same address."""
+        if self.sock.fileno() < 0:
+            self.sock = socket.create_server(self.address, backlog=BACKLOG)
+            self.sock.setblocking(False)
+            self.hub.add(self.sock.fileno(), READABLE, self.on_accept)
+
+    def close(self) -> None:
+        """Stops listening and resets all connections."""
+        self.stop_listening()
         self.reset_all()
 
 
--- a/arbutusbridge/soak/record.py
+++ b/arbutusbridge/soak/record.py
@@ -25,6 +25,7 @@
       ended_at: Time at which the answer arrived or the connection was closed,
         None until then.
       abandoned: Whether the caller left before its timeout.
+      crashing: Whether it crashes every upstream that runs it.
     """
 
     request_id: str
@@ -36,6 +37,24 @@
     answer: CallerAnswer | None = None
     ended_at: float | None = None
     abandoned: bool = False
+    crashing: bool = False
+
+
+@dataclass(slots=True)
+class UpstreamCrash:
+    """Crash of an upstream by a request.
+
+    Attributes:
+      at: Time of the crash, in seconds.
+      upstream: Id of the upstream.
+      request_id: Id of the request.
+      target: Path and query of the request, the same whenever it comes again.
+    """
+
+    at: float
+    upstream: str
+    request_id: str
+    target: str
 
 
 @dataclass(slots=True)
@@ -65,6 +84,9 @@
       asked: Requests by id.
       runs: Runs of requests at upstreams.
       disturbances: Disturbances by faults.
+      crashes: Crashes of upstreams by requests.
+      quarantine_refusals: Ids of requests that an instance refused because
+        they crash upstreams, from its log.
       leaving: Time at which each upstream was announced as leaving, by its id.
       retry_ratio: Extra arrivals allowed per request in a window.
       retry_slack: Extra arrivals allowed in a window on top of the ratio.
@@ -81,6 +103,8 @@
     asked: dict[str, SentRequest] = field(default_factory=dict)
     runs: list[UpstreamRun] = field(default_factory=list)
     disturbances: list[Disturbance] = field(default_factory=list)
+    crashes: list[UpstreamCrash] = field(default_factory=list)
+    quarantine_refusals: list[str] = field(default_factory=list)
     leaving: dict[str, float] = field(default_factory=dict)
     retry_ratio: float = 0.2
     retry_slack: float = 50.0
--- a/arbutusbridge/soak/run.py
+++ b/arbutusbridge/soak/run.py
@@ -67,6 +67,7 @@
       breaches: Breaches of guarantees.
       requests: Number of callers' requests.
       served: Number of requests that got a success.
+      crashed: Number of upstreams that requests have crashed.
       plan: Description of each fault.
       shape: Size of the deployment.
     """
@@ -75,6 +76,7 @@
     breaches: list[Breach]
     requests: int
     served: int
+    crashed: int
     plan: list[str]
     shape: SoakShape
 
@@ -110,6 +112,7 @@
     def finish() -> None:
         environment.record.soak_ended_at = environment.clock()
         environment.record_failed_restarts()
+        environment.read_quarantine_refusals()
         environment.end()
         environment.stop()
 
@@ -133,6 +136,7 @@
         check(record),
         len(answers),
         sum(bool(one and one.is_success) for one in answers),
+        len(record.crashes),
         planned_faults,
         shape,
     )
--- a/tests/test_daemon/test_relaypools.py
+++ b/tests/test_daemon/test_relaypools.py
@@ -41,11 +41,16 @@
     def __init__(self) -> None:
         super().__init__()
         self.replies = []
+        self.checks = []
 
     @handler("attempts_ended")
     def on_ended(self, replies) -> None:
         self.replies.extend(replies)
 
+    @handler("upstream_checked")
+    def on_checked(self, upstream, accepted) -> None:
+        self.checks.append((upstream.upstream, accepted))
+
 
 class RelayPoolsCase(testtools.TestCase):
     """Pools to one upstream whose bytes the test writes itself."""
@@ -227,3 +232,42 @@
             self.send(number)
         self.bench.turn()
         self.assertEqual(2, self.relay_pools.pools["i-1"].size)
+
+    # Guards against a crash that is not told from a reset connection.
+    def test_check_tells_whether_a_lost_upstream_accepts(self) -> None:
+        self.send(1)
+        self.accept().close()
+        self.assertTrue(self.reply().connection_closed)
+        self.relay_pools.check(self.upstream)
+        self.bench.turn_until(lambda: self.sink.checks)
+        self.raw.listener.close()
+        self.relay_pools.retire("i-1")
+        self.relay_pools.check(self.upstream)
+        self.bench.turn_until(lambda: len(self.sink.checks) > 1)
+        self.assertEqual([("i-1", True), ("i-1", False)], self.sink.checks)
+
+    # Guards against an expired attempt that is taken for a closed connection.
+    def test_silent_upstream_is_reported_as_timed_out(self) -> None:
+        self.send(1)
+        self.accept()
+        self.bench.now += 2.5
+        reply = self.reply()
+        self.assertTrue(reply.timed_out)
+        self.assertFalse(reply.connection_closed)
+
+    # Guards against a quarantined request that leaves the queue of a pool
+    # later, and against the loss of a reply that is on its way.
+    def test_only_unsent_attempts_are_withdrawn(self) -> None:
+        self.relay_pools.share({"records": 1}, 1, 0)
+        self.send(1)
+        sock = self.accept()
+        self.send(2)
+        for number in (1, 2):
+            self.relay_pools.withdraw(number)
+        self.relay_pools.flush()
+        reply = self.reply()
+        self.assertEqual(
+            (2, AttemptEnd.NOT_SENT), (reply.attempt_id, reply.end)
+        )
+        sock.sendall(response("r1"))
+        self.assertIs(AttemptEnd.RESULT, self.reply().end)
--- a/tests/test_forwarding/fleet.py
+++ b/tests/test_forwarding/fleet.py
@@ -54,6 +54,9 @@
 ANNOUNCE_DELAY_S = 0.8
 """Delay until the announcement of an upstream reaches the instances."""
 
+MAX_EVENTS = 1_000_000
+"""Number of events above which a timer must be firing without end."""
+
 CRASHING = "crash"
 """Part of the target of requests that crash the upstreams that run them."""
 
@@ -176,9 +179,13 @@
 
     def run_until(self, end: float) -> None:
         """Runs all events up to a time."""
+        count = 0
         while self.events and self.events[0][0] <= end:
             self.now, _, function = heapq.heappop(self.events)
             function()
+            count += 1
+            if count > MAX_EVENTS:
+                raise AssertionError(f"timers without end at {self.now}")
         self.now = end
 
     def send(
--- a/tests/test_soak/test_guarantees.py
+++ b/tests/test_soak/test_guarantees.py
@@ -13,7 +13,7 @@
     WeightedService,
 )
 from arbutusbridge.soak import SoakRecord, check
-from arbutusbridge.soak.record import Disturbance, SentRequest
+from arbutusbridge.soak.record import Disturbance, SentRequest, UpstreamCrash
 from arbutusbridge.standins.observations import CallerAnswer, UpstreamRun
 
 SHARDS = ("s0", "s1", "s2", "s3")
@@ -222,6 +222,43 @@
         self.repeat_run("early-3", upstream="i-3")
         self.assertEqual({"upstreams_bounded"}, self.broken_guarantees())
 
+    def crash(self, number: int, at: float, request_id: str = "") -> None:
+        """Adds a request that crashes an upstream, with its run."""
+        name = request_id or f"crash-{number}"
+        run = self.add_request(name, "desk", at, "desk-0")
+        run.target = "/desk/crash-1"
+        asked = self.record.asked[name]
+        asked.target, asked.crashing, asked.answer = run.target, True, None
+        asked.abandoned = True
+        self.record.crashes.append(
+            UpstreamCrash(run.at, f"i-{number}", name, run.target)
+        )
+
+    def test_crashing_request_is_sent_on(self) -> None:
+        for number, at in enumerate((21.0, 21.1, 21.2, 26.0, 27.0, 28.0)):
+            self.crash(number, at - 11.0)
+        self.assertEqual(set(), self.broken_guarantees())
+        self.crash(7, 18.5)
+        self.assertEqual(
+            {"crashing_request_is_stopped"}, self.broken_guarantees()
+        )
+
+    def test_one_request_crashes_many_upstreams(self) -> None:
+        for number in range(9):
+            self.crash(number, 10.0, "crash-1")
+        self.assertEqual(set(), self.broken_guarantees())
+        self.crash(9, 10.0, "crash-1")
+        self.assertEqual({"request_crashes_few"}, self.broken_guarantees())
+
+    def test_other_request_is_refused_as_crashing(self) -> None:
+        self.crash(1, 10.0)
+        self.record.quarantine_refusals.append("crash-1")
+        self.assertEqual(set(), self.broken_guarantees())
+        self.record.quarantine_refusals.append("desk-2")
+        self.assertEqual(
+            {"only_crashing_quarantined"}, self.broken_guarantees()
+        )
+
     def test_no_recovery(self) -> None:
         self.record_disturbance("kill", "n-1", 22.0)
         self.answer("desk-2").status = 502
