Take no dead idle connection and no ended suspicion for a crash

The first suspicion had ended with a result, but only at the instance that got it. Peers are now told of a result that ends a suspicion, and ignore reports of crashes before it. test_result_ends_the_suspicion_at_all_instances failed before.

A suspect is now sent on a new or just used connection, which shows that the upstream is up; without one, a crash within a second of another does not count besides it.

Instances of a large fleet send notices to 24 fixed peers instead of any 100, so that they keep few connections.

--- a/arbutusbridge/core/requests/quarantine.py
+++ b/arbutusbridge/core/requests/quarantine.py
@@ -112,7 +112,7 @@
       weight: One divided by the number of requests lost in the crash there.
       age_s: Age of the crash, in seconds.
       reporter: Instance that saw it.
-      sent_age_s: Time since the request was sent to that upstream, in seconds.
+      alive_age_s: Time since that upstream was certainly up, in seconds.
     """
 
     fingerprint: str
@@ -120,7 +120,7 @@
     weight: float
     age_s: float
     reporter: str
-    sent_age_s: float
+    alive_age_s: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -131,13 +131,13 @@
       weight: One divided by the number of requests lost in it there.
       at: Time of the crash.
       reporter: Instance that saw it.
-      sent_at: Time at which the request was sent, infinite if unknown.
+      alive_at: Time at which the upstream was up, infinite if unknown.
     """
 
     weight: float
     at: float
     reporter: str
-    sent_at: float = math.inf
+    alive_at: float = math.inf
 
 
 @dataclass(slots=True)
@@ -152,7 +152,7 @@
       quarantined_by: Instance that quarantined it, empty for this one.
       crashes: Crashes of upstreams charged to it.
       shards: Shard of each attempt that was lost.
-      sent_at: Time at which the request was sent, by upstream that crashed.
+      alive_at: Time at which each upstream that crashed was certainly up.
       reports: Crashes reported by other instances, by upstream.
       stale_connections: Number of its attempts on stale connections.
     """
@@ -164,7 +164,7 @@
     quarantined_by: str = ""
     crashes: list[Crash] = field(default_factory=list)
     shards: list[str] = field(default_factory=list)
-    sent_at: dict[str, float] = field(default_factory=dict)
+    alive_at: dict[str, float] = field(default_factory=dict)
     reports: dict[str, ReportedCrash] = field(default_factory=dict)
     stale_connections: int = 0
 
@@ -198,24 +198,24 @@
             reported = self.reports.get(crash.upstream)
             if reported is not None:
                 weight = min(weight, reported.weight)
-            sent_at = self.sent_at.get(crash.upstream, math.inf)
+            alive_at = self.alive_at.get(crash.upstream, math.inf)
             # Own crashes of one upstream at different times count each.
             name = f"{crash.upstream} {crash.at}"
             found.pop(crash.upstream, None)
-            found[name] = ReportedCrash(weight, crash.at, "", sent_at)
+            found[name] = ReportedCrash(weight, crash.at, "", alive_at)
         return sorted(found.values(), key=lambda one: one.at)
 
     def independent_crashes(self) -> list[float]:
         """Returns the weights of the crashes that no single outage explains.
 
-        Upstreams that crash at the same moment may have a common cause. A
-        request that was sent to another one afterwards has crashed it itself.
+        Upstreams that crash at the same moment may have a common cause. One
+        that was up after another crash has not crashed in the same outage.
         """
         weights: list[float] = []
         last_at = -math.inf
         for crash in self.known_crashes():
             margin_s = REPORT_MARGIN_S if crash.reporter else 0.0
-            if crash.sent_at > last_at + margin_s:
+            if crash.alive_at > last_at + margin_s:
                 weights.append(crash.weight)
                 last_at = crash.at
             else:
@@ -273,7 +273,7 @@
 
     def add(self, name: str, now: float) -> None:
         """Records a success of a name."""
-        self.seen[name] = now
+        self.seen[name] = max(now, self.seen.get(name, now))
         self.seen.move_to_end(name)
         if len(self.seen) > self.max_names:
             self.seen.popitem(last=False)
@@ -350,7 +350,7 @@
         shard: str,
         had_result: bool,
         now: float,
-        sent_at: float = math.inf,
+        alive_at: float = math.inf,
     ) -> ChargeResult:
         """Charges a loss that was recorded to a fingerprint.
 
@@ -360,14 +360,14 @@
           shard: Shard of the attempt that was lost.
           had_result: Whether the request had a result elsewhere.
           now: The time.
-          sent_at: When the request was sent to the upstream. Losses without it
-            count as independent of each other.
+          alive_at: When the upstream was certainly up. Losses without it count
+            as independent of each other.
 
         Returns:
           What follows from the evidence so far.
         """
         entry = self.get_or_add_entry(fingerprint, now)
-        entry.sent_at.setdefault(upstream, sent_at)
+        entry.alive_at.setdefault(upstream, alive_at)
         same_shard = shard in entry.shards
         entry.shards.append(shard)
         crash = self.find_crash(upstream, fingerprint)
@@ -520,6 +520,9 @@
         """
         if report.age_s >= SUSPECT_TTL_S:
             return ChargeResult.NOTHING
+        result_at = self.fingerprints.seen.get(report.fingerprint)
+        if result_at is not None and now - report.age_s <= result_at:
+            return ChargeResult.NOTHING
         known = self.entries.get(report.fingerprint)
         if known is not None and self.state_of(report.fingerprint, now):
             earlier = known.reports.get(report.upstream)
@@ -530,7 +533,7 @@
             report.weight,
             now - report.age_s,
             report.reporter,
-            now - report.sent_age_s,
+            now - report.alive_age_s,
         )
         entry.changed_at = now
         if entry.state is FingerprintState.QUARANTINED:
@@ -552,7 +555,7 @@
                 one.weight,
                 now - one.at,
                 one.reporter,
-                now - one.sent_at,
+                now - one.alive_at,
             )
             for upstream, one in entry.reports.items()
         }
@@ -566,7 +569,7 @@
                     weight,
                     now - crash.at,
                     reporter,
-                    now - entry.sent_at.get(crash.upstream, crash.at),
+                    now - entry.alive_at.get(crash.upstream, crash.at),
                 )
         return list(reports.values())
 
@@ -606,10 +609,31 @@
             if now >= entry.until:
                 del self.entries[fingerprint]
 
-    def on_success(self, fingerprint: str, caller: str, now: float) -> None:
+    def on_result_report(self, fingerprint: str, at: float) -> None:
+        """Records that a request had a result at another instance.
+
+        It ends a suspicion for the crashes before.
+        """
+        self.fingerprints.add(fingerprint, at)
+        entry = self.entries.get(fingerprint)
+        if entry is None or entry.state is not FingerprintState.SUSPECT:
+            return
+        entry.crashes = [one for one in entry.crashes if one.at > at]
+        entry.reports = {
+            upstream: one
+            for upstream, one in entry.reports.items()
+            if one.at > at
+        }
+        if not entry.crashes and not entry.reports:
+            del self.entries[fingerprint]
+
+    def on_success(self, fingerprint: str, caller: str, now: float) -> bool:
         """Records that a request had results, which ends a suspicion.
 
         The crashes in which it was lost are then due to the other requests.
+
+        Returns:
+          Whether it was suspected.
         """
         self.fingerprints.add(fingerprint, now)
         self.callers.add(caller, now)
@@ -619,6 +643,8 @@
                 del self.entries[fingerprint]
                 for crash in entry.crashes:
                     crash.fingerprints.discard(fingerprint)
+                return True
+        return False
 
     def canary_count(self, fingerprint: str, caller: str, now: float) -> int:
         """Returns the number of canary shards of a request, 0 for none."""
--- a/arbutusbridge/daemon/pool.py
+++ b/arbutusbridge/daemon/pool.py
@@ -50,6 +50,7 @@
       reply_deadline: Time at which the connection is closed if no reply has
         arrived.
       once: Whether the request must run at most once and not late.
+      fresh: Whether it must not be sent on an idle connection.
       abandoned: Whether the reply is discarded.
       sent: Whether the request was written to a connection.
       requeued: Whether the request has been queued again because its connection
@@ -64,6 +65,7 @@
     send_deadline: float
     reply_deadline: float
     once: bool = False
+    fresh: bool = False
     abandoned: bool = False
     sent: bool = False
     requeued: bool = False
@@ -161,6 +163,9 @@
             return
         while self.idle:
             connection = self.idle.pop()
+            if job.fresh:
+                connection.close()
+                continue
             # A non-repeatable request must not be sent on a connection that
             # the upstream has already closed.
             is_ready = connection.is_usable(self.clock()) and (
--- a/arbutusbridge/daemon/relaypools.py
+++ b/arbutusbridge/daemon/relaypools.py
@@ -168,6 +168,7 @@
             attempt.deadline,
             attempt.deadline + RELAY_REPLY_GRACE_S,
             once=not attempt.idempotent,
+            fresh=attempt.fresh,
         )
         pool = self.pool_for(attempt.upstream)
         self.jobs[attempt.attempt_id] = (pool, job)
--- a/arbutusbridge/forwarding/attempts.py
+++ b/arbutusbridge/forwarding/attempts.py
@@ -136,6 +136,8 @@
     route = exchange.route
     data_centre = upstream.announcement.data_centre
     typical_s = shared.reply_times.typical(route, data_centre)
+    # An idle connection may have died in the same outage as the first one.
+    fresh = shared.suspicion(exchange.request, now) is not None
     attempt_id = shared.last_attempt_id = shared.last_attempt_id + 1
     attempt = OpenAttempt(
         attempt_id,
@@ -146,6 +148,7 @@
         now + overdue_timeout(typical_s),
         typical_s,
         extra=extra,
+        fresh=fresh,
     )
     shared.attempts[attempt_id] = attempt
     upstream.open_attempts[attempt_id] = attempt
@@ -163,6 +166,7 @@
             exchange.request,
             exchange.attempt_deadline(now),
             route.idempotent,
+            fresh,
         )
     )
 
--- a/arbutusbridge/forwarding/conclusion.py
+++ b/arbutusbridge/forwarding/conclusion.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from arbutusbridge.core.messages import Decision
-from arbutusbridge.forwarding import canaries, delegation
+from arbutusbridge.forwarding import canaries, delegation, notices
 from arbutusbridge.forwarding.attempts import drop_open_attempts
 from arbutusbridge.forwarding.merge import merge_greatest
 from arbutusbridge.forwarding.messages import (
@@ -204,7 +204,7 @@
     log.
     """
     exchange.finished = True
-    record_success(exchange, outcome, shared, now)
+    record_success(exchange, outcome, shared, now, out)
     chosen = ",".join(
         f"{part.service}={part.asked[-1].name}"
         for part in exchange.parts
@@ -240,7 +240,11 @@
 
 
 def record_success(
-    exchange: Exchange, outcome: str, shared: SharedState, now: float
+    exchange: Exchange,
+    outcome: str,
+    shared: SharedState,
+    now: float,
+    out: list[object],
 ) -> None:
     """Ends the suspicion against a request that did not crash its upstreams.
 
@@ -252,7 +256,9 @@
         return
     if exchange.route.shards or shared.quarantine.entries:
         request = exchange.request
-        shared.quarantine.on_success(request.fingerprint, request.host, now)
+        fingerprint = request.fingerprint
+        if shared.quarantine.on_success(fingerprint, request.host, now):
+            notices.broadcast_result(fingerprint, shared, now, out)
 
 
 def end_quarantined(
--- a/arbutusbridge/forwarding/evidence.py
+++ b/arbutusbridge/forwarding/evidence.py
@@ -28,14 +28,14 @@
       service: Service of the attempt.
       part: Its part, which waits for the check, or None.
       exchange: State of the request, which may have been answered since.
-      sent_at: When the attempt was sent.
+      alive_at: Time at which the upstream was certainly up.
     """
 
     request: CallerRequest
     service: str
     part: Part
     exchange: Exchange
-    sent_at: float
+    alive_at: float
 
 
 @dataclass(slots=True)
@@ -67,11 +67,13 @@
       tokens: Broadcasts that may be sent at once.
       refilled_at: Time at which the tokens were counted.
       exchanged_at: Time of the last exchange.
+      results: Time of the last result of each former suspect.
     """
 
     tokens: float = BROADCAST_BURST
     refilled_at: float = 0.0
     exchanged_at: float = 0.0
+    results: dict[str, float] = field(default_factory=dict)
 
     def take_token(self, now: float) -> bool:
         """Takes a token for a broadcast, if there is one."""
--- a/arbutusbridge/forwarding/losses.py
+++ b/arbutusbridge/forwarding/losses.py
@@ -35,6 +35,11 @@
 """Time for which a loss may still be explained by the announcement of a new
 start; upstreams are back, or their announcements gone, within seconds."""
 
+MAX_DEAD_IDLE_S = 1.0
+"""Time for which an idle connection may be dead without this instance having
+noticed. Until then its upstream may have crashed before the request was sent,
+in the same outage as another one."""
+
 MAX_CHECKS = 256
 """Maximum number of upstreams with recent losses; the oldest is dropped."""
 
@@ -67,7 +72,10 @@
         # It accepted this attempt after its crash: it has started again, and
         # its announcement is not known yet.
         check = add_check(name, f"{check.name}+", upstream, shared, now)
-    loss = Loss(exchange.request, part.service, part, exchange, attempt.sent_at)
+    alive_at = attempt.sent_at
+    if not attempt.fresh:
+        alive_at -= MAX_DEAD_IDLE_S
+    loss = Loss(exchange.request, part.service, part, exchange, alive_at)
     check.losses.append(loss)
     fingerprint = exchange.request.fingerprint
     shared.quarantine.record_loss(check.name, fingerprint, check.since)
@@ -98,8 +106,9 @@
     if check is None:
         check = add_check(name, name, upstream, shared, now)
         check.crashed = False
+    alive_at = attempt.sent_at - MAX_DEAD_IDLE_S
     check.losses.append(
-        Loss(exchange.request, part.service, part, exchange, attempt.sent_at)
+        Loss(exchange.request, part.service, part, exchange, alive_at)
     )
 
 
@@ -196,7 +205,7 @@
         had_result = loss.exchange.has_result
         before = quarantine.state_of(fingerprint, now)
         result = quarantine.charge(
-            fingerprint, name, loss.service, had_result, now, loss.sent_at
+            fingerprint, name, loss.service, had_result, now, loss.alive_at
         )
         entry = quarantine.entries.get(fingerprint)
         if result is ChargeResult.NOTHING or entry is None:
--- a/arbutusbridge/forwarding/messages.py
+++ b/arbutusbridge/forwarding/messages.py
@@ -96,6 +96,7 @@
       request: Request to send.
       deadline: When the reply stops being useful.
       idempotent: Whether it may be sent again after it may have run.
+      fresh: Whether it needs a connection that was used or opened just now.
     """
 
     attempt_id: int
@@ -103,6 +104,7 @@
     request: CallerRequest
     deadline: float
     idempotent: bool
+    fresh: bool = False
 
 
 @dataclass(slots=True)
--- a/arbutusbridge/forwarding/notices.py
+++ b/arbutusbridge/forwarding/notices.py
@@ -1,18 +1,20 @@
 """Notices between instances about requests that crash upstreams.
 
-Each new piece of evidence goes to all peers at once, in a small number of
-messages a second. Besides, an instance with evidence sends it to two random
-peers at an interval and gets theirs in return, and so does one that has just
-started: evidence reaches all instances also if messages are lost, and those
-that the others do not know yet.
+Each new piece of evidence goes to all peers of a small fleet at once, and to
+some of a larger one, in a small number of messages a second. Besides, an
+instance with evidence sends it to two random peers at an interval and gets
+theirs in return, and so does one that has just started: evidence reaches all
+instances also if messages are lost, and those that the others do not know yet.
 """
 
 from __future__ import annotations
 
+import zlib
 from typing import TYPE_CHECKING
 
 from arbutusbridge.core.messages import Decision
 from arbutusbridge.core.requests.quarantine import (
+    SUSPECT_TTL_S,
     ChargeResult,
     FingerprintState,
 )
@@ -20,9 +22,11 @@
 from arbutusbridge.forwarding.quarantinemessages import (
     QuarantineNotice,
     QuarantineReport,
+    ResultReport,
 )
 
 if TYPE_CHECKING:
+    from arbutusbridge.forwarding.gather import Peer
     from arbutusbridge.forwarding.shared import SharedState
 
 EXCHANGE_INTERVAL_S = 1.0
@@ -38,6 +42,9 @@
 SETTLED_INTERVAL_S = 6.0
 """Interval of the exchanges of settled evidence."""
 
+LEARNING_INTERVAL_S = 3.0
+"""Interval of the exchanges of an instance that starts without evidence."""
+
 LEARNING_PERIOD_S = 10.0
 """Time after its start in which an instance asks peers for their evidence."""
 
@@ -45,9 +52,9 @@
 """Maximum number of fingerprints in one notice, latest evidence first. It keeps
 a notice below 10 KB, the bytes per second that control may use."""
 
-MAX_BROADCAST_PEERS = 100
-"""Maximum number of peers that get a broadcast; the exchanges reach the rest of
-a larger fleet."""
+MAX_CONTACTS = 24
+"""Maximum number of peers that an instance sends notices to by itself, so that
+it keeps few connections; the exchanges reach the rest of a larger fleet."""
 
 
 def build_notice(
@@ -60,6 +67,10 @@
     own = shared.gather.own_peer
     assert own is not None
     notice = QuarantineNotice(own.address, wants_reply)
+    notice.results = [
+        ResultReport(fingerprint, now - at)
+        for fingerprint, at in shared.notices.results.items()
+    ][-MAX_NOTICE_FINGERPRINTS:]
     for fingerprint in fingerprints:
         notice.crashes += shared.quarantine.crash_reports(
             fingerprint, own.name, now
@@ -81,17 +92,53 @@
     fingerprint: str, shared: SharedState, now: float, out: list[object]
 ) -> None:
     """Sends new evidence against a fingerprint to all peers."""
-    gather = shared.gather
-    if gather.own_peer is None:
-        return
+    if shared.gather.own_peer is not None:
+        notice = build_notice([fingerprint], False, shared, now)
+        send_to_all(notice, shared, now, out)
+
+
+def broadcast_result(
+    fingerprint: str, shared: SharedState, now: float, out: list[object]
+) -> None:
+    """Tells all peers that a suspect had a result.
+
+    One that is delayed goes with the next exchanges.
+    """
+    own = shared.gather.own_peer
+    if own is not None:
+        shared.notices.results[fingerprint] = now
+        notice = QuarantineNotice(own.address)
+        notice.results.append(ResultReport(fingerprint, 0.0))
+        send_to_all(notice, shared, now, out)
+
+
+def send_to_all(
+    notice: QuarantineNotice,
+    shared: SharedState,
+    now: float,
+    out: list[object],
+) -> None:
+    """Sends a notice to all contacts, unless there were too many lately."""
     if not shared.notices.take_token(now):
         shared.count("notice_delayed")
         return
-    peers = list(gather.peer_table.peers.values())
-    if len(peers) > MAX_BROADCAST_PEERS:
-        peers = shared.rng.sample(peers, MAX_BROADCAST_PEERS)
-    notice = build_notice([fingerprint], False, shared, now)
-    out += [SendGatherMessage(peer.address, notice) for peer in peers]
+    out += [
+        SendGatherMessage(peer.address, notice) for peer in contacts(shared)
+    ]
+
+
+def contacts(shared: SharedState) -> list[Peer]:
+    """Returns the peers that this instance sends notices to by itself.
+
+    In a large fleet these are always the same ones, different at each instance.
+    """
+    own = shared.gather.own_peer
+    peers = list(shared.gather.peer_table.peers.values())
+    if own is None or len(peers) <= MAX_CONTACTS:
+        return peers
+    own_name = own.name
+    peers.sort(key=lambda peer: zlib.crc32(f"{own_name} {peer.name}".encode()))
+    return peers[:MAX_CONTACTS]
 
 
 def exchange(shared: SharedState, now: float, out: list[object]) -> None:
@@ -99,20 +146,31 @@
     gather, quarantine = shared.gather, shared.quarantine
     quarantine.expire(now)
     learning = now - shared.started_at < LEARNING_PERIOD_S
-    if gather.own_peer is None or not (quarantine.entries or learning):
+    results = shared.notices.results
+    for fingerprint, at in list(results.items()):
+        if now - at > SUSPECT_TTL_S:
+            del results[fingerprint]
+    has_news = bool(quarantine.entries or results)
+    if gather.own_peer is None or not (has_news or learning):
         return
     latest = max(
-        (entry.changed_at for entry in quarantine.entries.values()),
-        default=now,
+        *(entry.changed_at for entry in quarantine.entries.values()),
+        *results.values(),
+        shared.started_at,
+        shared.started_at,
     )
-    settled = not learning and now - latest > SETTLED_AGE_S
-    interval_s = SETTLED_INTERVAL_S if settled else EXCHANGE_INTERVAL_S
+    if not has_news:
+        interval_s = LEARNING_INTERVAL_S
+    elif now - latest > SETTLED_AGE_S:
+        interval_s = SETTLED_INTERVAL_S
+    else:
+        interval_s = EXCHANGE_INTERVAL_S
     # The timer that calls this may be a little early.
     if now - shared.notices.exchanged_at < 0.9 * interval_s:
         return
     shared.notices.exchanged_at = now
     notice = build_notice(latest_fingerprints(shared), True, shared, now)
-    addresses = [peer.address for peer in gather.peer_table.peers.values()]
+    addresses = [peer.address for peer in contacts(shared)]
     addresses = addresses or shared.seed_addresses
     count = min(EXCHANGE_PEERS, len(addresses))
     out += [
@@ -141,6 +199,10 @@
 ) -> None:
     """Adds the evidence of another instance, and replies with the own."""
     quarantine = shared.quarantine
+    for result_report in notice.results:
+        quarantine.on_result_report(
+            result_report.fingerprint, now - result_report.age_s
+        )
     for report in notice.crashes:
         result = quarantine.on_crash_report(report, now)
         if result is ChargeResult.NOTHING:
--- a/arbutusbridge/forwarding/quarantinemessages.py
+++ b/arbutusbridge/forwarding/quarantinemessages.py
@@ -25,6 +25,19 @@
     reporter: str
 
 
+@dataclass(frozen=True, slots=True)
+class ResultReport:
+    """Result of a suspect, which ends the suspicion.
+
+    Attributes:
+      fingerprint: The fingerprint.
+      age_s: Time since the result, in seconds.
+    """
+
+    fingerprint: str
+    age_s: float
+
+
 @dataclass(slots=True)
 class QuarantineNotice:
     """Message: evidence against requests, and quarantines.
@@ -34,9 +47,11 @@
       wants_reply: Whether the sender asks for the evidence of the receiver.
       crashes: Crashes charged to requests.
       quarantines: Quarantined requests.
+      results: Results of requests that were suspected.
     """
 
     reply_to: tuple[str, int]
     wants_reply: bool = False
     crashes: list[CrashReport] = field(default_factory=list)
     quarantines: list[QuarantineReport] = field(default_factory=list)
+    results: list[ResultReport] = field(default_factory=list)
--- a/arbutusbridge/forwarding/upstreams.py
+++ b/arbutusbridge/forwarding/upstreams.py
@@ -69,6 +69,8 @@
       typical_s: Typical reply time when it was sent.
       dropped: Whether its reply is no longer awaited.
       extra: Whether it counts as an extra arrival in the retry budget.
+      fresh: Whether its connection was used or opened just before, so that the
+        upstream was up.
     """
 
     attempt_id: int
@@ -80,6 +82,7 @@
     typical_s: float
     dropped: bool = False
     extra: bool = False
+    fresh: bool = False
 
 
 @dataclass(slots=True, eq=False)
