Ignore SIGHUP until an instance has installed its handler

The settings changed at that moment, and the default action of SIGHUP ends a process that is still importing.

--- a/arbutusbridge/cmd/forward.py
+++ b/arbutusbridge/cmd/forward.py
@@ -7,6 +7,10 @@
 
 from __future__ import annotations
 
+if __name__ == "__main__":
+    # Imported first, as the imports below take most of the start.
+    from arbutusbridge.cmd import hangup  # noqa: F401
+
 import os
 import signal
 import sys
