Take only a refused connection for the crash of an upstream

An upstream whose address accepted connections and reset them at once was taken for a crashed one: the check counted a reset as a refusal. An upstream does this with connections beyond its limit, too. Only ECONNREFUSED, which means that nothing listens there, is a crash now; a reset leaves it undecided.

test_upstream_that_resets_a_new_connection_has_not_crashed failed before.

--- a/arbutusbridge/daemon/connection.py
+++ b/arbutusbridge/daemon/connection.py
@@ -49,9 +49,6 @@
 """Socket options that close a connection whose peer has not responded for 3 s,
 because store changes must take effect within 3 s after the end of a fault."""
 
-REFUSED_ERRORS = frozenset({errno.ECONNREFUSED, errno.ECONNRESET})
-"""Errors of a connect to a host that answers, but where nothing listens."""
-
 MIN_FINAL_STATUS = 200
 """Lowest status of a final response; lower ones are informational."""
 
@@ -69,7 +66,8 @@
       on_established: Called with the connection when it is established.
       connected: Whether the connection is established.
       alive: Whether the connection is not closed yet.
-      refused: Whether the peer refused the connection.
+      refused: Whether the host refused the connection, as nothing listens
+        there. A peer that is up may reset one that it does not want.
       response_started: Whether any byte arrived since the current request was
         sent.
       idle_since: Time at which the owner last marked the connection idle, on
@@ -186,7 +184,7 @@
         if not self.connected:
             if mask & HANGUP_OR_ERROR:
                 error = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-                self.refused = error in REFUSED_ERRORS
+                self.refused = error == errno.ECONNREFUSED
                 self.close()
                 return
             self.on_connected()
--- a/arbutusbridge/daemon/peermessenger.py
+++ b/arbutusbridge/daemon/peermessenger.py
@@ -30,8 +30,10 @@
 class PeerMessenger(BaseComponent):
     """Exchanges messages with other instances.
 
-    Messages are not authenticated. A message can do no more than a caller,
-    because its request must fit the configuration in force on this instance.
+    Messages are not authenticated. A request from a peer can do no more than
+    one from a caller, because it must fit the configuration in force here. A
+    forged notice can make instances refuse requests, so that the port must be
+    reachable by instances only.
 
     Attributes:
       channels: Channel of the component that handles each type of message.
--- a/arbutusbridge/daemon/pool.py
+++ b/arbutusbridge/daemon/pool.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+import errno
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
 from arbutusbridge.core.messages import ReplyKind
-from arbutusbridge.daemon.connection import REFUSED_ERRORS, Connection
+from arbutusbridge.daemon.connection import Connection
 
 if TYPE_CHECKING:
     from arbutusbridge.daemon.hub import SocketHub
@@ -213,7 +214,7 @@
                 self.hub, self.address, self.on_response, self.on_closed
             )
         except OSError as err:
-            if err.errno in REFUSED_ERRORS:
+            if err.errno == errno.ECONNREFUSED:
                 self.protocol.handle_connect(self.upstream, False)
             self.fail_waiting_if_unconnected()
             return
--- a/tests/test_daemon/test_relaypools.py
+++ b/tests/test_daemon/test_relaypools.py
@@ -287,3 +287,14 @@
         self.assertEqual(b"", idle.recv(4096))
         self.accept().sendall(response("r2"))
         self.assertIs(AttemptEnd.RESULT, self.reply().end)
+
+    # Guards against an upstream that resets connections beyond its limit and
+    # is taken for one that has crashed.
+    def test_upstream_that_resets_a_new_connection_has_not_crashed(self):
+        self.relay_pools.check(self.upstream)
+        sock = self.raw.accept()
+        linger = struct.pack("ii", 1, 0)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        sock.close()
+        self.bench.turn()
+        self.assertNotIn(("i-1", False), self.sink.checks)
