Charge a crash only to requests lost in it

The check of an upstream kept every loss there for as long as the upstream ran, also those that a new connection had refuted. A crash long afterwards was charged to all of them, and the list grew without end. Found by reading the change; test_later_crash_is_not_charged_to_earlier_resets failed before.

--- a/arbutusbridge/forwarding/canaries.py
+++ b/arbutusbridge/forwarding/canaries.py
@@ -17,14 +17,12 @@
     from arbutusbridge.forwarding.shared import SharedState
     from arbutusbridge.forwarding.upstreams import OpenAttempt
 
-
 HOLD_RATIO = 0.5
 """Fraction of the typical reply time after which the other shards are sent
 without a result. A request that crashes upstreams does so when it begins to
 run, so that its loss is known by then; waiting for the reply would delay every
 search by a reply time."""
 
-
 POSTPONEMENT_S = 0.004
 """Time for which shards are held back once more at a busy instance."""
 
--- a/arbutusbridge/forwarding/evidence.py
+++ b/arbutusbridge/forwarding/evidence.py
@@ -28,14 +28,18 @@
       service: Service of the attempt.
       part: Its part, which waits for the check, or None.
       exchange: State of the request, which may have been answered since.
+      at: Time of the loss.
       alive_at: Time at which the upstream was certainly up.
+      refuted: Whether the upstream accepted a connection afterwards.
     """
 
     request: CallerRequest
     service: str
     part: Part
     exchange: Exchange
+    at: float
     alive_at: float
+    refuted: bool = False
 
 
 @dataclass(slots=True)
@@ -45,8 +49,8 @@
     Attributes:
       name: Name of the start, by which instances tell crashes apart.
       upstream: The upstream.
-      since: Time of the first loss.
-      losses: Requests that were lost there.
+      since: Time of the first loss that is not refuted.
+      losses: Requests that were lost there lately.
       crashed: Whether it has crashed, None while that is not known.
       crashed_at: When that became known, infinite before.
     """
--- a/arbutusbridge/forwarding/losses.py
+++ b/arbutusbridge/forwarding/losses.py
@@ -35,6 +35,9 @@
 """Time for which a loss may still be explained by the announcement of a new
 start; upstreams are back, or their announcements gone, within seconds."""
 
+MAX_LOSSES = 64
+"""Maximum number of losses kept for one upstream; the latest are."""
+
 MAX_DEAD_IDLE_S = 1.0
 """Time for which an idle connection may be dead without this instance having
 noticed. Until then its upstream may have crashed before the request was sent,
@@ -75,8 +78,10 @@
     alive_at = attempt.sent_at
     if not attempt.fresh:
         alive_at -= MAX_DEAD_IDLE_S
-    loss = Loss(exchange.request, part.service, part, exchange, alive_at)
-    check.losses.append(loss)
+    if check.crashed is False:
+        check.since = now
+    loss = Loss(exchange.request, part.service, part, exchange, now, alive_at)
+    add_loss(check, loss)
     fingerprint = exchange.request.fingerprint
     shared.quarantine.record_loss(check.name, fingerprint, check.since)
     if check.crashed:
@@ -107,9 +112,16 @@
         check = add_check(name, name, upstream, shared, now)
         check.crashed = False
     alive_at = attempt.sent_at - MAX_DEAD_IDLE_S
-    check.losses.append(
-        Loss(exchange.request, part.service, part, exchange, alive_at)
-    )
+    loss = Loss(exchange.request, part.service, part, exchange, now, alive_at)
+    loss.refuted = True
+    add_loss(check, loss)
+
+
+def add_loss(check: CrashCheck, loss: Loss) -> None:
+    """Adds a loss and drops those that are too old or too many."""
+    earliest = loss.at - CHECK_TTL_S
+    check.losses = [one for one in check.losses if one.at > earliest]
+    check.losses = [*check.losses[1 - MAX_LOSSES :], loss]
 
 
 def add_check(
@@ -145,16 +157,18 @@
     check = shared.crash_checks.get(start_name(announcement))
     if check is None or check.crashed:
         return []
+    open_losses = [loss for loss in check.losses if not loss.refuted]
     if reachable:
         check.crashed = False
         shared.quarantine.retract_crash(check.name)
     else:
         check.crashed = True
         check.crashed_at = now
-        charge(check, check.losses, shared, now, out)
-    for loss in check.losses:
+        charge(check, open_losses, shared, now, out)
+    for loss in open_losses:
+        loss.refuted = reachable
         loss.part.crash_check_until = -math.inf
-    return check.losses
+    return open_losses
 
 
 def on_upstream_ended(
@@ -178,16 +192,19 @@
     planned = upstream.leaving_at < math.inf
     if check is None or check.crashed or planned:
         return
-    if now - check.since > CHECK_TTL_S:
-        return
-    if not restarted and check.crashed is False:
+    lost = [
+        loss
+        for loss in check.losses
+        if now - loss.at < CHECK_TTL_S and (restarted or not loss.refuted)
+    ]
+    if not lost:
         return
     check.crashed = True
     check.crashed_at = now
-    for loss in check.losses:
+    for loss in lost:
         fingerprint = loss.request.fingerprint
-        shared.quarantine.record_loss(check.name, fingerprint, check.since)
-    charge(check, check.losses, shared, now, out)
+        shared.quarantine.record_loss(check.name, fingerprint, lost[0].at)
+    charge(check, lost, shared, now, out)
 
 
 def charge(
--- a/arbutusbridge/forwarding/notices.py
+++ b/arbutusbridge/forwarding/notices.py
@@ -153,12 +153,8 @@
     has_news = bool(quarantine.entries or results)
     if gather.own_peer is None or not (has_news or learning):
         return
-    latest = max(
-        *(entry.changed_at for entry in quarantine.entries.values()),
-        *results.values(),
-        shared.started_at,
-        shared.started_at,
-    )
+    changes = [entry.changed_at for entry in quarantine.entries.values()]
+    latest = max([shared.started_at, *changes, *results.values()])
     if not has_news:
         interval_s = LEARNING_INTERVAL_S
     elif now - latest > SETTLED_AGE_S:
--- a/tests/test_forwarding/test_evidence.py
+++ b/tests/test_forwarding/test_evidence.py
@@ -12,7 +12,7 @@
     Quarantine,
 )
 from arbutusbridge.forwarding import CallerRequest
-from arbutusbridge.forwarding.losses import MAX_DEAD_IDLE_S
+from arbutusbridge.forwarding.losses import MAX_DEAD_IDLE_S, MAX_LOSSES
 from arbutusbridge.forwarding.model import FINGERPRINT_SAMPLE_BYTES
 from arbutusbridge.forwarding.notices import MAX_NOTICE_FINGERPRINTS
 from tests.test_forwarding.fixtures import HOST
@@ -229,6 +229,25 @@
         for forwarder in fleet.instances.values():
             self.assertEqual(0, forwarder.quarantine.count_states()["suspect"])
 
+    # Guards against a crash that is charged to requests whose connections were
+    # reset at that upstream long before, and that are kept without end.
+    def test_later_crash_is_not_charged_to_earlier_resets(self) -> None:
+        fleet = make_fleet()
+        send_others(fleet, fleet.now + 20.0)
+        for number in range(150):
+            fleet.at(fleet.now + 0.1 * number, fleet.reset_connections)
+        fleet.run_until(fleet.now + 15.5)
+        for forwarder in fleet.instances.values():
+            for check in forwarder.crash_checks.values():
+                self.assertTrue(len(check.losses) <= MAX_LOSSES)
+        for upstream in list(fleet.upstreams.values()):
+            fleet.crash(upstream)
+        fleet.run_until(fleet.now + 1.0)
+        for forwarder in fleet.instances.values():
+            for entry in forwarder.quarantine.entries.values():
+                for crash in entry.crashes:
+                    self.assertTrue(crash.at > fleet.now - 2.0)
+
     # Guards against a quarantine that costs the other callers more than the
     # time in which the first upstreams are away.
     def test_others_are_served_beside_a_crashing_request(self) -> None:
