--- a/arbutusbridge/soak/environment.py
+++ b/arbutusbridge/soak/environment.py
@@ -360,6 +360,8 @@
             settings_path.write_text(json.dumps(settings))
             self.add_proxy("caller", name, (ip, ports[0]))
             log_path = self.folder / f"{name}.log"
+            # The checks read the log, which must not hold an earlier run.
+            log_path.unlink(missing_ok=True)
             instances[name] = InstanceProcess(
                 name, (ip, ports[0]), settings_path, log_path
             )
