Judge the order of crashes by what the sender knew, not by ages

The report of one crash waited 2.1 s for its connection to a peer, and its age did not, so that the peer took the crash for a later, independent one.

A crash now counts besides an earlier one only if the request was sent as a suspect, on a connection that shows its upstream to be up. An instance sends it so when it knows of an earlier crash, so that no clock and no age has to tell the order. test_delayed_report_of_a_crash_is_no_later_crash failed before. Where the notices between two crashes are lost, a third one decides; test_lost_broadcasts_are_made_up_for, which had two crashes more than a second apart, says so now and still bounds them at three.

The figures of tests/test_forwarding/test_crashing_requests.py are the same: 4 crashes in all for a search, 2 on the other kinds of route.

--- a/arbutusbridge/core/requests/quarantine.py
+++ b/arbutusbridge/core/requests/quarantine.py
@@ -220,7 +220,7 @@
         last_at = -math.inf
         for crash in self.known_crashes():
             margin_s = REPORT_MARGIN_S if crash.reporter else 0.0
-            if crash.alive_at > last_at + margin_s:
+            if not weights or crash.alive_at > last_at + margin_s:
                 weights.append(crash.weight)
                 last_at = crash.at
             else:
--- a/arbutusbridge/forwarding/evidence.py
+++ b/arbutusbridge/forwarding/evidence.py
@@ -29,7 +29,8 @@
       part: Its part, which waits for the check, or None.
       exchange: State of the request, which may have been answered since.
       at: Time of the loss.
-      alive_at: Time at which the upstream was certainly up.
+      alive_at: Time at which the upstream was certainly up, minus infinity if
+        that is not known.
       refuted: Whether the upstream accepted a connection afterwards.
     """
 
--- a/arbutusbridge/forwarding/losses.py
+++ b/arbutusbridge/forwarding/losses.py
@@ -38,11 +38,6 @@
 MAX_LOSSES = 64
 """Maximum number of losses kept for one upstream; the latest are."""
 
-MAX_DEAD_IDLE_S = 1.0
-"""Time for which an idle connection may be dead without this instance having
-noticed. Until then its upstream may have crashed before the request was sent,
-in the same outage as another one."""
-
 MAX_CHECKS = 256
 """Maximum number of upstreams with recent losses; the oldest is dropped."""
 
@@ -75,9 +70,8 @@
         # It accepted this attempt after its crash: it has started again, and
         # its announcement is not known yet.
         check = add_check(name, f"{check.name}+", upstream, shared, now)
-    alive_at = attempt.sent_at
-    if not attempt.fresh:
-        alive_at -= MAX_DEAD_IDLE_S
+    # Only a suspect is sent on a connection that shows its upstream to be up.
+    alive_at = attempt.sent_at if attempt.fresh else -math.inf
     if check.crashed is False:
         check.since = now
     loss = Loss(exchange.request, part.service, part, exchange, now, alive_at)
@@ -111,8 +105,7 @@
     if check is None:
         check = add_check(name, name, upstream, shared, now)
         check.crashed = False
-    alive_at = attempt.sent_at - MAX_DEAD_IDLE_S
-    loss = Loss(exchange.request, part.service, part, exchange, now, alive_at)
+    loss = Loss(exchange.request, part.service, part, exchange, now, -math.inf)
     loss.refuted = True
     add_loss(check, loss)
 
