Read the response age from where it is kept, so that metrics work

Cause: since the isolation state keeps the time of the last response, and the gauge still read it from the forwarder; no test read the metrics. The new test failed before with that AttributeError and holds now.

--- a/arbutusbridge/daemon/forwardinstance.py
+++ b/arbutusbridge/daemon/forwardinstance.py
@@ -357,10 +357,10 @@
         for state, number in forwarder.quarantine.count_states().items():
             metrics.fingerprints.labels(state).set(number)
         metrics.upstreams.set(len(forwarder.directory.by_name))
-        clock = self.timers.clock
-        metrics.response_age.set(clock() - forwarder.responded_at)
+        now = self.timers.clock()
+        metrics.response_age.set(now - forwarder.isolation.responded_at)
         metrics.limited.set(count_limited(forwarder))
-        metrics.store_age.set(self.timers.clock() - self.feed.last_confirmed_at)
+        metrics.store_age.set(now - self.feed.last_confirmed_at)
 
     @handler("exception", channel="*")
     def on_exception(
--- a/tests/test_daemon/test_forwardinstance.py
+++ b/tests/test_daemon/test_forwardinstance.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import testtools
+from prometheus_client import generate_latest
 
 from arbutusbridge.daemon.forwardinstance import (
     CHECK_SETTINGS,
@@ -64,3 +65,10 @@
         self.fields["extras"] = {"slack": 7.0}
         self.instance.on_due([RELOAD])
         self.assertEqual(7.0, self.slack())
+
+    # Guards against a metric of a value that its owner no longer has, which
+    # makes every scrape of the metrics fail.
+    def test_metrics_can_be_read(self) -> None:
+        self.instance.collect_metrics()
+        text = generate_latest(self.instance.metrics.registry).decode()
+        self.assertIn("arbutusbridge_forward_response_age_seconds", text)
--- a/tests/test_forwarding/fleet.py
+++ b/tests/test_forwarding/fleet.py
@@ -1,8 +1,9 @@
 """Fleet of forwarders and upstreams on virtual time, without a network.
 
 Upstreams run a request for some milliseconds, except for a request that crashes
-every upstream that begins to run it: the upstream loses all of its requests and
-refuses connections until it is back under a new incarnation.
+every upstream that runs it, at once or some time into the run: the upstream
+loses all of its requests and refuses connections until it is back under a new
+incarnation.
 """
 
 from __future__ import annotations
@@ -119,6 +120,8 @@
         by instance and upstream.
       lost_reports: Function that ends each running attempt, by instance and
         attempt id.
+      crash_after_s: Time into a run at which a crashing request crashes its
+        upstream, in seconds.
     """
 
     def __init__(
@@ -149,6 +152,7 @@
         self.unsent: dict[tuple[str, int], Callable[..., None]] = {}
         self.told: dict[tuple[str, str], float] = {}
         self.lost_reports: dict[tuple[str, int], Callable[..., None]] = {}
+        self.crash_after_s = 0.0
         names = [
             (f"{place}-{number}", place)
             for place, count in places.items()
@@ -413,10 +417,14 @@
             upstream.running.add(key)
             self.lost_reports[key] = report
             if CRASHING in action.request.target:
-                self.crash(upstream, action.request.target)
+                self.after(self.crash_after_s, crash)
                 return
             self.after(self.rng.uniform(*WORK_RANGE_S), finish)
 
+        def crash() -> None:
+            if key in upstream.running:
+                self.crash(upstream, action.request.target)
+
         def hang() -> None:
             # Half of the attempts wait for a new connection, which hangs.
             if self.rng.random() < 0.5:
