--- a/arbutusbridge/core/requests/quarantine.py
+++ b/arbutusbridge/core/requests/quarantine.py
@@ -618,23 +618,28 @@
             if now >= entry.until:
                 del self.entries[fingerprint]
 
-    def on_result_report(self, fingerprint: str, at: float) -> None:
+    def on_result_report(self, fingerprint: str, at: float) -> bool:
         """Records that a request had a result at another instance.
 
         It ends a suspicion for the crashes before.
+
+        Returns:
+          Whether it was suspected and no longer is.
         """
         self.fingerprints.add(fingerprint, at)
         entry = self.entries.get(fingerprint)
         if entry is None or entry.state is not FingerprintState.SUSPECT:
-            return
+            return False
         entry.crashes = [one for one in entry.crashes if one.at > at]
         entry.reports = {
             upstream: one
             for upstream, one in entry.reports.items()
             if one.at > at
         }
-        if not entry.crashes and not entry.reports:
-            del self.entries[fingerprint]
+        if entry.crashes or entry.reports:
+            return False
+        del self.entries[fingerprint]
+        return True
 
     def on_success(self, fingerprint: str, caller: str, now: float) -> bool:
         """Records that a request had results, which ends a suspicion.
--- a/arbutusbridge/forwarding/conclusion.py
+++ b/arbutusbridge/forwarding/conclusion.py
@@ -279,6 +279,13 @@
         request = exchange.request
         fingerprint = request.fingerprint
         if shared.quarantine.on_success(fingerprint, request.host, now):
+            detail: dict[str, object] = {
+                "fingerprint": fingerprint,
+                "source": "answer",
+                "outcome": outcome,
+                "answered": exchange.answered,
+            }
+            out.append(Decision(request.request_id, "suspicion_ended", detail))
             notices.broadcast_result(fingerprint, shared, now, out)
 
 
--- a/arbutusbridge/forwarding/losses.py
+++ b/arbutusbridge/forwarding/losses.py
@@ -12,6 +12,7 @@
 import math
 from typing import TYPE_CHECKING
 
+from arbutusbridge.core.messages import Decision
 from arbutusbridge.core.requests.charging import build_charge_decision
 from arbutusbridge.core.requests.quarantine import (
     ChargeResult,
@@ -226,6 +227,14 @@
         )
         entry = quarantine.entries.get(fingerprint)
         if result is ChargeResult.NOTHING or entry is None:
+            detail: dict[str, object] = {
+                "fingerprint": fingerprint,
+                "upstream": name,
+                "had_result": had_result,
+                "evidence": entry.evidence if entry is not None else 0.0,
+            }
+            request_id = loss.request.request_id
+            out.append(Decision(request_id, "crash_not_charged", detail))
             continue
         out.append(
             build_charge_decision(
--- a/arbutusbridge/forwarding/notices.py
+++ b/arbutusbridge/forwarding/notices.py
@@ -195,23 +195,27 @@
 ) -> None:
     """Adds the evidence of another instance, and replies with the own."""
     quarantine = shared.quarantine
-    for result_report in notice.results:
-        quarantine.on_result_report(
-            result_report.fingerprint, now - result_report.age_s
-        )
+    for result in notice.results:
+        if quarantine.on_result_report(result.fingerprint, now - result.age_s):
+            detail: dict[str, object] = {
+                "fingerprint": result.fingerprint,
+                "source": "peer",
+                "peer": "{}:{}".format(*notice.reply_to),
+            }
+            out.append(Decision("", "suspicion_ended", detail))
     for report in notice.crashes:
-        result = quarantine.on_crash_report(report, now)
-        if result is ChargeResult.NOTHING:
+        charged = quarantine.on_crash_report(report, now)
+        if charged is ChargeResult.NOTHING:
             continue
         detail = {
             "fingerprint": report.fingerprint,
             "upstream": report.upstream,
             "reporter": report.reporter,
             "age_ms": round(report.age_s * 1000),
-            "result": result.value,
+            "result": charged.value,
         }
         out.append(Decision("", "crash_reported", detail))
-        if result is ChargeResult.QUARANTINE:
+        if charged is ChargeResult.QUARANTINE:
             shared.newly_quarantined.append(report.fingerprint)
     for one in notice.quarantines:
         adopt_quarantine(one, "peer", shared, now, out)
