--- /dev/null
+++ b/tests/test_forwarding/test_late_crashes.py
@@ -0,0 +1,99 @@
+"""Tests of searches that crash their upstreams some time into the run.
+
+Eight instances in three data centres, other searches beside. The crash comes
+later than a typical reply, so that a wait shorter than a reply shows nothing.
+"""
+
+from __future__ import annotations
+
+import testtools
+
+from arbutusbridge.forwarding import RefusedAnswer
+from tests.test_forwarding.fleet import CRASHING, Fleet
+from tests.test_forwarding.test_crashing_requests import (
+    CONTACT_S,
+    MAX_FIRST_CRASHES,
+    MAX_LATE_SENDS,
+    ROUTES,
+    SEARCH,
+    make_upstreams,
+)
+
+PLACES = {"north": 3, "central": 3, "south": 2}
+OTHERS_INTERVAL_S = 0.022
+CALLER_POLL_S = 0.005
+RESENT_FOR_S = 25.0
+
+
+def make_fleet(crash_after_s: float, seed: int) -> Fleet:
+    """Returns instances that have served other searches for two seconds."""
+    fleet = Fleet(ROUTES, make_upstreams(), PLACES, seed)
+    fleet.crash_after_s = crash_after_s
+    fleet.send_series(
+        lambda number: f"{SEARCH}other-{number}",
+        OTHERS_INTERVAL_S,
+        fleet.now + 2.0 + RESENT_FOR_S,
+    )
+    fleet.run_until(fleet.now + 2.0)
+    return fleet
+
+
+def send_with_one_retry(fleet: Fleet, target: str) -> None:
+    """Sends a request, and once more as soon as it fails, as callers do."""
+
+    def send(retries: int) -> None:
+        name = fleet.rng.choice(list(fleet.instances))
+        poll(fleet.send(name, target), retries)
+
+    def poll(request_id: str, retries: int) -> None:
+        answered = fleet.answers.get(request_id)
+        if answered is None:
+            fleet.after(CALLER_POLL_S, lambda: poll(request_id, retries))
+        elif isinstance(answered[1], RefusedAnswer) and retries:
+            send(retries - 1)
+
+    send(1)
+
+
+class LateCrashTest(testtools.TestCase):
+    """A search that crashes its upstreams 30 or 60 ms into the run."""
+
+    def check_resent(self, crash_after_s: float, seed: int) -> None:
+        fleet = make_fleet(crash_after_s, seed)
+        target = f"{SEARCH}{CRASHING}"
+        until = fleet.now + RESENT_FOR_S
+
+        def send_again() -> None:
+            send_with_one_retry(fleet, target)
+            if fleet.now < until:
+                fleet.after(fleet.rng.expovariate(1 / 0.7), send_again)
+
+        send_again()
+        fleet.run_until(until + 2.0)
+        late = fleet.late_sends(target, CONTACT_S)
+        crashes = fleet.crash_count(target)
+        self.assertTrue(
+            late <= MAX_LATE_SENDS,
+            f"{late} sends after the third crash was known; {crashes} crashes",
+        )
+
+    # Guards against a search that ends the whole service each time that it is
+    # back, as the evidence of its crashes is dropped.
+    def test_search_is_not_sent_again_after_a_whole_service_ended(self):
+        for crash_after_s in (0.03, 0.06):
+            for seed in (1, 2, 3):
+                self.check_resent(crash_after_s, seed)
+
+    # Guards against a scatter whose other shards are sent before the canary
+    # has shown anything, so that one search ends a whole service.
+    def test_first_sighting_of_a_late_crash_crashes_few_upstreams(self):
+        for crash_after_s in (0.005, 0.03, 0.06):
+            for seed in (1, 2, 3):
+                fleet = make_fleet(crash_after_s, seed)
+                fleet.send("north-0", f"{SEARCH}{CRASHING}")
+                fleet.run_until(fleet.now + CONTACT_S)
+                crashes = len(fleet.crashes)
+                self.assertTrue(
+                    crashes <= MAX_FIRST_CRASHES,
+                    f"{crashes} crashes, {crash_after_s} s, seed {seed}",
+                )
