Take no empty reply to a peer for a result of the request

What callers saw: a search that crashes upstreams ended a whole service, was sent again when it was back, and ended it again. Cause: an instance that queries shards for a peer answers it "partial" although no shard replied; that outcome counted as a success, ended the suspicion at all instances, and made the search familiar, so that the next one was sent without a canary. A result now needs a response of an upstream.

--- a/arbutusbridge/forwarding/conclusion.py
+++ b/arbutusbridge/forwarding/conclusion.py
@@ -269,9 +269,10 @@
 ) -> None:
     """Ends the suspicion against a request that did not crash its upstreams.
 
-    Results of other shards do not excuse one that lost several upstreams.
+    Results of other shards do not excuse one that lost several upstreams. The
+    reply to a peer may be empty, which says nothing about the request.
     """
-    if outcome not in SERVED_OUTCOMES:
+    if outcome not in SERVED_OUTCOMES or not exchange.has_result:
         return
     if any(part.losses > 1 and part.reply is None for part in exchange.parts):
         return
--- a/tests/test_forwarding/test_late_crashes.py
+++ b/tests/test_forwarding/test_late_crashes.py
@@ -9,6 +9,8 @@
 import testtools
 
 from arbutusbridge.forwarding import RefusedAnswer
+from arbutusbridge.forwarding.gather import GatherRequest
+from tests.test_forwarding.fixtures import HOST
 from tests.test_forwarding.fleet import CRASHING, Fleet
 from tests.test_forwarding.test_crashing_requests import (
     CONTACT_S,
@@ -97,3 +99,35 @@
                     crashes <= MAX_FIRST_CRASHES,
                     f"{crashes} crashes, {crash_after_s} s, seed {seed}",
                 )
+
+    # Guards against a reply to a peer that covers no shard and is taken for a
+    # result, which ends the suspicion and makes the search familiar.
+    def test_empty_reply_to_a_peer_keeps_the_suspicion(self) -> None:
+        fleet = Fleet(ROUTES, make_upstreams(), PLACES)
+        fleet.crash_after_s = 0.03
+        forwarder = fleet.instances["central-0"]
+        message = GatherRequest(
+            gather_id=1,
+            reply_to=fleet.address_of("north-0"),
+            request_id="r1",
+            method="GET",
+            target=f"{SEARCH}{CRASHING}",
+            host=HOST,
+            headers=[],
+            body=b"",
+            services=["s0", "s1", "s2"],
+            answer_in_s=0.15,
+            give_up_in_s=1.9,
+        )
+        actions = forwarder.handle_peer_message(message, fleet.now)
+        (request,) = forwarder.exchanges
+        fleet.carry_out("central-0", actions)
+        fleet.run_until(fleet.now + 1.0)
+        quarantine = forwarder.quarantine
+        self.assertTrue(fleet.crashes)
+        self.assertIsNotNone(
+            quarantine.state_of(request.fingerprint, fleet.now)
+        )
+        self.assertFalse(
+            quarantine.fingerprints.is_recent(request.fingerprint, fleet.now)
+        )
