Send the other shards of a search after a result alone

Cause: the other shards were sent after half of a typical reply time, as a request was assumed to crash its upstream when its run begins; it crashed them 28 ms into it. Now they wait for a result; an overdue canary is followed by one to another shard, and no hedge is sent meanwhile. The late timer of a busy instance no longer releases anything: the test of its postponement is replaced by one that allows no shard without a result, which is stricter.

--- a/arbutusbridge/forwarding/attempts.py
+++ b/arbutusbridge/forwarding/attempts.py
@@ -359,8 +359,9 @@
     if not exchange.route.idempotent or part.sends >= MAX_ATTEMPTS_PER_PART:
         part.check_at = math.inf
         return
-    if is_suspect(exchange, part, shared, now):
-        # A suspect is sent to one upstream at a time.
+    if exchange.awaits_canary or is_suspect(exchange, part, shared, now):
+        # A suspect is sent to one upstream at a time; another canary goes to
+        # another shard.
         return
     upstream = pick_upstream(exchange, part, shared, now)
     if upstream is None or not upstream.is_available(now):
--- a/arbutusbridge/forwarding/canaries.py
+++ b/arbutusbridge/forwarding/canaries.py
@@ -15,16 +15,9 @@
 if TYPE_CHECKING:
     from arbutusbridge.forwarding.exchange import Exchange, Part
     from arbutusbridge.forwarding.shared import SharedState
-    from arbutusbridge.forwarding.upstreams import OpenAttempt
 
-HOLD_RATIO = 0.5
-"""Fraction of the typical reply time after which the other shards are sent
-without a result. A request that crashes upstreams does so when it begins to
-run, so that its loss is known by then; waiting for the reply would delay every
-search by a reply time."""
-
-POSTPONEMENT_S = 0.004
-"""Time for which shards are held back once more at a busy instance."""
+BACKOFF_FACTOR = 2.0
+"""Factor by which the wait for a canary's reply grows with each further one."""
 
 
 def start_scatter(
@@ -76,35 +69,23 @@
             attempts.send_first_attempt(exchange, part, shared, now, out)
             if part.open_attempts:
                 sent.append(part)
-    exchange.release_at = min(
-        (hold_until(part.open_attempts[0], shared, now) for part in sent),
+    overdue_s = max(
+        (part.open_attempts[0].overdue_at - now for part in sent),
         default=math.inf,
     )
-
-
-def hold_until(canary: OpenAttempt, shared: SharedState, now: float) -> float:
-    """Returns when the loss of a canary's upstream would be known."""
-    place = canary.upstream.announcement.data_centre
-    # Most of a reply time in another region is spent on the way.
-    ratio = HOLD_RATIO if shared.place.is_in_own_region(place) else 1.0
-    return now + ratio * canary.typical_s
-
-
-def postpone_release(exchange: Exchange, now: float) -> None:
-    """Holds shards back once more, until pending events have been handled."""
-    if exchange.release_at <= now and not exchange.release_postponed:
-        exchange.release_postponed = True
-        exchange.release_at = now + POSTPONEMENT_S
+    exchange.next_canary_at = now + overdue_s * exchange.canary_backoff
+    exchange.canary_backoff *= BACKOFF_FACTOR
 
 
 def release_if_due(
     exchange: Exchange, shared: SharedState, now: float, out: list[object]
 ) -> None:
-    """Sends the shards that were held back, once that looks safe.
+    """Sends the shards that were held back once any canary has a result.
 
-    It does after a result of any canary, or when the loss of their upstreams
-    would be known. If an upstream was lost under the search, the next canary
-    waits for the end of the previous one.
+    No wait is long enough to show that a request crashes nothing, since it may
+    do so at the end of its run. A canary that is overdue is followed by one to
+    another shard, each later than the one before; if an upstream was lost under
+    the search, the next canary waits for the end of the previous one.
     """
     held = [part for part in exchange.parts if part.held_back]
     if not held or exchange.finished:
@@ -117,14 +98,14 @@
     if not exchange.has_result:
         if any(part.crash_check_until > now for part in exchange.parts):
             return
-        if not any(part.open_attempts for part in exchange.parts):
-            send_canaries(exchange, shared, now, out)
-            return
-        suspect = shared.suspicion(exchange.request, now) is not None
-        if suspect or now < exchange.release_at:
-            return
-        shared.count("released_without_result")
-    exchange.release_at = math.inf
+        if any(part.open_attempts for part in exchange.parts):
+            suspect = shared.suspicion(exchange.request, now) is not None
+            if suspect or now < exchange.next_canary_at:
+                return
+            shared.count("canary_overdue")
+        send_canaries(exchange, shared, now, out)
+        return
+    exchange.next_canary_at = math.inf
     exchange.canary_count = 0
     for part in held:
         part.held_back = False
--- a/arbutusbridge/forwarding/conclusion.py
+++ b/arbutusbridge/forwarding/conclusion.py
@@ -50,8 +50,8 @@
     ]
     times.append(exchange.give_up_at)
     if any(part.held_back for part in exchange.parts):
-        if exchange.release_at > now:
-            times.append(exchange.release_at)
+        if exchange.next_canary_at > now:
+            times.append(exchange.next_canary_at)
         times += [
             part.crash_check_until
             for part in exchange.parts
--- a/arbutusbridge/forwarding/exchange.py
+++ b/arbutusbridge/forwarding/exchange.py
@@ -115,8 +115,9 @@
       peer_bodies: Merged records that peers returned.
       second_upstream_at: When a second upstream of a shard may be tried.
       canary_count: Number of shards to query before the others, 0 for none.
-      release_at: When the other shards are queried without a result of these.
-      release_postponed: Whether that was postponed, as this instance is busy.
+      next_canary_at: When another canary is sent, as those so far have no
+        result.
+      canary_backoff: Multiple of the usual wait for the next canary.
     """
 
     request: CallerRequest
@@ -137,8 +138,8 @@
     peer_bodies: list[bytes] = field(default_factory=list)
     second_upstream_at: float = -math.inf
     canary_count: int = 0
-    release_at: float = math.inf
-    release_postponed: bool = False
+    next_canary_at: float = math.inf
+    canary_backoff: float = 1.0
 
     @classmethod
     def begin(
@@ -211,6 +212,13 @@
             for part in self.parts
         )
 
+    @property
+    def awaits_canary(self) -> bool:
+        """Whether shards are held back until a canary has a result."""
+        return any(part.held_back for part in self.parts) and (
+            not self.has_result
+        )
+
     @property
     def pending_parts(self) -> list[Part]:
         """Parts that may still get a successful reply."""
--- a/arbutusbridge/forwarding/forwarder.py
+++ b/arbutusbridge/forwarding/forwarder.py
@@ -12,7 +12,6 @@
 from arbutusbridge.forwarding import (
     allocation,
     attempts,
-    canaries,
     conclusion,
     delegation,
     dispatch,
@@ -62,10 +61,6 @@
 """Timer lag above which an instance sends no further attempts for a peer until
 it has read pending messages; the peer may have turned to another instance."""
 
-LATE_RELEASE_LAG_S = 0.002
-"""Timer lag above which losses may wait to be read, so that the shards behind a
-canary are held back a little longer."""
-
 MAX_LAG_S = 0.1
 """Maximum lag that is counted; a longer one is a pause of the process."""
 
@@ -365,8 +360,6 @@
         if exchange.peer_request is not None and lag > BUSY_LAG_THRESHOLD_S:
             attempts.postpone_checks(exchange, now)
         self.lag_s += (lag - self.lag_s) * LAG_WEIGHT
-        if lag > LATE_RELEASE_LAG_S:
-            canaries.postpone_release(exchange, now)
         delegation.check_groups(exchange, self, now, out)
         relay.relay_due_parts(exchange, self, now, out)
         attempts.check_parts(exchange, self, now, out)
--- a/arbutusbridge/forwarding/peermessages.py
+++ b/arbutusbridge/forwarding/peermessages.py
@@ -207,6 +207,8 @@
         second_upstream_at=now + message.alone_s,
     )
     exchange.canary_count = message.canary_count
+    if route.shards and shared.suspicion(request, now) is not None:
+        exchange.canary_count = max(1, message.canary_count)
     gather.taken[message.reply_to, message.gather_id] = exchange
     if shared.is_quarantined(request, now):
         # Sent before the empty reply, so that the peer does not retry.
--- a/tests/test_forwarding/test_crashing_requests.py
+++ b/tests/test_forwarding/test_crashing_requests.py
@@ -115,16 +115,17 @@
         self.assertTrue(crashes <= MAX_FIRST_CRASHES, f"{crashes} crashes")
 
     # Guards against a busy instance that sends the other shards before it has
-    # read that the canary's upstream was lost.
-    def test_late_timer_holds_the_other_shards_back_once_more(self) -> None:
+    # read that the canary's upstream was lost. However late its timers are, it
+    # sends them after a result alone.
+    def test_late_timer_holds_the_other_shards_back(self) -> None:
         fleet = make_fleet()
         forwarder = fleet.instances["north-0"]
         fleet.send("north-0", f"{SEARCH}other")
         (exchange,) = forwarder.exchanges.values()
-        due, late_s = exchange.release_at, 0.02
-        out = forwarder.handle_timer(exchange.request, due + late_s)
-        self.assertEqual([], sends_of(out))
-        again = exchange.release_at
-        self.assertTrue(again > due + late_s)
-        out = forwarder.handle_timer(exchange.request, again + late_s)
-        self.assertTrue(sends_of(out))
+        held = sum(part.held_back for part in exchange.parts)
+        for number in range(1, 4):
+            late_at = exchange.timer_at + 0.02
+            out = forwarder.handle_timer(exchange.request, late_at)
+            self.assertTrue(len(sends_of(out)) <= 1)
+            left = sum(part.held_back for part in exchange.parts)
+            self.assertTrue(left >= held - number, f"{left} of {held}")
