Keep the length of a quarantine when it is exchanged

Cause: a report carries the age of a quarantine without its time on the way; each adoption moved the end a little later, and the length was derived from the end, so that it exceeded the 600 s that a record may have. The length is now kept, and changes only if a longer quarantine is reported. The new test failed before (record not accepted after 60 s of exchanges).

--- a/arbutusbridge/core/requests/quarantine.py
+++ b/arbutusbridge/core/requests/quarantine.py
@@ -149,6 +149,7 @@
       until: Time at which the entry expires.
       changed_at: Time of the last evidence or change of state.
       quarantined_at: Time at which it was quarantined, here or elsewhere.
+      duration_s: Length of its quarantine, in seconds.
       quarantined_by: Instance that quarantined it, empty for this one.
       crashes: Crashes of upstreams charged to it.
       shards: Shard of each attempt that was lost.
@@ -163,6 +164,7 @@
     until: float
     changed_at: float = 0.0
     quarantined_at: float = 0.0
+    duration_s: float = 0.0
     quarantined_by: str = ""
     crashes: list[Crash] = field(default_factory=list)
     shards: list[str] = field(default_factory=list)
@@ -171,6 +173,13 @@
     reports: dict[str, ReportedCrash] = field(default_factory=dict)
     stale_connections: int = 0
 
+    def quarantine(self, at: float, duration_s: float) -> None:
+        """Starts a quarantine of a given length at a given time."""
+        self.state = FingerprintState.QUARANTINED
+        self.quarantined_at = at
+        self.duration_s = duration_s
+        self.until = at + duration_s
+
     @property
     def told(self) -> int:
         """Number of crashes that only other instances have seen."""
@@ -503,9 +512,8 @@
     ) -> None:
         """Quarantines a fingerprint for a given time."""
         self.quarantine_count += 1
-        entry.state = FingerprintState.QUARANTINED
-        entry.until = now + seconds
-        entry.quarantined_at = entry.changed_at = now
+        entry.quarantine(now, seconds)
+        entry.changed_at = now
         self.entries.move_to_end(fingerprint)
 
     def on_peer_suspect(self, fingerprint: str, age: float, now: float) -> None:
@@ -599,12 +607,12 @@
             return False
         entry = self.get_or_add_entry(fingerprint, now)
         is_new = entry.state is not FingerprintState.QUARANTINED
-        if is_new:
-            entry.state = FingerprintState.QUARANTINED
-            entry.quarantined_at = now - age
+        # The age leaves out the time on the way, so that a report of the same
+        # quarantine seems to be of a later one.
+        if is_new or seconds > entry.duration_s:
+            entry.quarantine(now - age, seconds)
             entry.quarantined_by = reporter
             entry.changed_at = now
-        entry.until = max(entry.until, now + seconds - age)
         return is_new
 
     def count_states(self) -> dict[str, int]:
--- a/arbutusbridge/daemon/quarantinestore.py
+++ b/arbutusbridge/daemon/quarantinestore.py
@@ -160,7 +160,7 @@
         started_s = self.wall_clock() - (now - entry.quarantined_at)
         record = QuarantineRecord(
             round(started_s * 1000),
-            entry.until - entry.quarantined_at,
+            entry.duration_s,
             entry.quarantined_by or self.reporter,
             entry.describe(now)[:MAX_EVIDENCE_LINES],
         )
--- a/arbutusbridge/forwarding/notices.py
+++ b/arbutusbridge/forwarding/notices.py
@@ -81,7 +81,7 @@
                 QuarantineReport(
                     fingerprint,
                     now - entry.quarantined_at,
-                    entry.until - entry.quarantined_at,
+                    entry.duration_s,
                     entry.quarantined_by or own.name,
                 )
             )
--- a/tests/test_forwarding/test_evidence.py
+++ b/tests/test_forwarding/test_evidence.py
@@ -6,6 +6,7 @@
 
 from arbutusbridge.core.requests.quarantine import (
     MAX_ENTRIES,
+    QUARANTINE_DURATION_S,
     ChargeResult,
     CrashReport,
     FingerprintState,
@@ -15,6 +16,11 @@
 from arbutusbridge.forwarding.losses import MAX_LOSSES
 from arbutusbridge.forwarding.model import FINGERPRINT_SAMPLE_BYTES
 from arbutusbridge.forwarding.notices import MAX_NOTICE_FINGERPRINTS
+from arbutusbridge.forwarding.quarantinerecord import (
+    QuarantineRecord,
+    decode_record,
+    encode_record,
+)
 from tests.test_forwarding.fixtures import HOST
 from tests.test_forwarding.fleet import CRASHING, Fleet
 from tests.test_forwarding.test_crashing_requests import (
@@ -109,6 +115,20 @@
         fleet.run_until(fleet.now + CONTACT_S)
         self.assertIn("central-0", fleet.knowing(fingerprint))
 
+    # Guards against a quarantine that is prolonged by each exchange of notices,
+    # so that no instance accepts its record in the store any more.
+    def test_exchanged_quarantine_keeps_its_length(self) -> None:
+        fleet = make_fleet()
+        fingerprint = self.crash_at(fleet, "north-0", "south-1")
+        fleet.run_until(fleet.now + 60.0)
+        for forwarder in fleet.instances.values():
+            entry = forwarder.quarantine.entries[fingerprint]
+            record = QuarantineRecord(0, entry.duration_s, "north-0")
+            self.assertIsNotNone(decode_record(encode_record(record)))
+            self.assertEqual(
+                entry.quarantined_at + QUARANTINE_DURATION_S, entry.until
+            )
+
     # Guards against evidence that is told once and lost with the message.
     def test_lost_broadcasts_are_made_up_for(self) -> None:
         fleet = make_fleet()
