Check upstreams at which a new suspect still runs

What callers saw: a search that crashes upstreams 30 ms into the run crashed two more than needed before the verdict. Cause: crashes at about the same moment count as one, since an outage looks alike, also where one upstream was up after the other had crashed and nobody had looked. A new suspect's other open attempts now have their upstreams checked by a new connection; one that accepts and crashes later is evidence of its own.

--- a/arbutusbridge/forwarding/attempts.py
+++ b/arbutusbridge/forwarding/attempts.py
@@ -189,7 +189,9 @@
         now + overdue_timeout(typical_s),
         typical_s,
         extra=extra,
-        fresh=fresh,
+        # Only a suspect is sent on a connection that shows its upstream to be
+        # up.
+        alive_at=now if fresh else -math.inf,
         counted=upstream.limit is not None,
     )
     upstream.demand.add(now)
--- a/arbutusbridge/forwarding/losses.py
+++ b/arbutusbridge/forwarding/losses.py
@@ -20,10 +20,11 @@
 )
 from arbutusbridge.forwarding import isolation, notices
 from arbutusbridge.forwarding.evidence import CrashCheck, Loss
+from arbutusbridge.forwarding.exchange import Exchange
 from arbutusbridge.forwarding.messages import CheckUpstream
 
 if TYPE_CHECKING:
-    from arbutusbridge.forwarding.exchange import Exchange, Part
+    from arbutusbridge.forwarding.exchange import Part
     from arbutusbridge.forwarding.model import Announcement
     from arbutusbridge.forwarding.shared import SharedState
     from arbutusbridge.forwarding.upstreams import OpenAttempt, Upstream
@@ -71,11 +72,11 @@
         # It accepted this attempt after its crash: it has started again, and
         # its announcement is not known yet.
         check = add_check(name, f"{check.name}+", upstream, shared, now)
-    # Only a suspect is sent on a connection that shows its upstream to be up.
-    alive_at = attempt.sent_at if attempt.fresh else -math.inf
     if check.crashed is False:
         check.since = now
-    loss = Loss(exchange.request, part.service, part, exchange, now, alive_at)
+    loss = Loss(
+        exchange.request, part.service, part, exchange, now, attempt.alive_at
+    )
     add_loss(check, loss)
     fingerprint = exchange.request.fingerprint
     shared.quarantine.record_loss(check.name, fingerprint, check.since)
@@ -148,6 +149,8 @@
     Returns:
       The losses whose parts need not wait any longer.
     """
+    if reachable:
+        record_alive(announcement, shared)
     check = shared.crash_checks.get(start_name(announcement))
     if check is None or check.crashed:
         return []
@@ -172,6 +175,39 @@
     return open_losses
 
 
+def check_open_attempts(
+    fingerprint: str, shared: SharedState, now: float, out: list[object]
+) -> None:
+    """Checks the upstreams at which a new suspect is still running.
+
+    Those that accept and crash later did so in a crash of their own.
+    """
+    for attempt in shared.attempts.values():
+        exchange = attempt.owner
+        assert isinstance(exchange, Exchange)
+        if (
+            exchange.request.fingerprint == fingerprint
+            and attempt.alive_at == -math.inf
+            and attempt.checked_at is None
+        ):
+            attempt.checked_at = now
+            out.append(CheckUpstream(attempt.upstream.announcement))
+
+
+def record_alive(announcement: Announcement, shared: SharedState) -> None:
+    """Records that an upstream accepted a connection.
+
+    It was up at some time after the check began.
+    """
+    upstream = shared.directory.by_name.get(announcement.upstream)
+    name = start_name(announcement)
+    if upstream is None or start_name(upstream.announcement) != name:
+        return
+    for attempt in upstream.open_attempts.values():
+        if attempt.checked_at is not None:
+            attempt.alive_at = max(attempt.alive_at, attempt.checked_at)
+
+
 def on_upstream_ended(
     upstream: Upstream,
     restarted: bool,
@@ -246,6 +282,7 @@
             )
         )
         notices.broadcast(fingerprint, shared, now, out)
+        check_open_attempts(fingerprint, shared, now, out)
         newly = before is not FingerprintState.QUARANTINED
         if result is ChargeResult.QUARANTINE and newly:
             shared.newly_quarantined.append(fingerprint)
--- a/arbutusbridge/forwarding/upstreams.py
+++ b/arbutusbridge/forwarding/upstreams.py
@@ -72,8 +72,10 @@
       typical_s: Typical reply time when it was sent.
       dropped: Whether its reply is no longer awaited.
       extra: Whether it counts as an extra arrival in the retry budget.
-      fresh: Whether its connection was used or opened just before, so that the
-        upstream was up.
+      alive_at: Time at which its upstream was certainly up, minus infinity if
+        that is not known.
+      checked_at: When its upstream was last checked while it was open, None if
+        it was not.
       counted: Whether it has taken a token of the upstream's rate limit.
     """
 
@@ -86,7 +88,8 @@
     typical_s: float
     dropped: bool = False
     extra: bool = False
-    fresh: bool = False
+    alive_at: float = -math.inf
+    checked_at: float | None = None
     counted: bool = False
 
 
