Charge a crash after the final answer of its request

What callers saw: a search that crashes upstreams was answered "unservable" or timed out while its last attempt was still running; that attempt crashed one more upstream, and nobody charged it, so that the search was sent again when the service was back. Cause: losses of attempts that are no longer awaited were skipped. They are checked now, unless this instance has closed the connection itself. The new test failed before (no check).

--- a/arbutusbridge/forwarding/attempts.py
+++ b/arbutusbridge/forwarding/attempts.py
@@ -450,6 +450,7 @@
     """
     for attempt in part.open_attempts:
         attempt.dropped = True
+        attempt.cancelled = close_connection
         out.append(
             DropAttempt(
                 attempt.attempt_id, attempt.upstream.name, close_connection
--- a/arbutusbridge/forwarding/forwarder.py
+++ b/arbutusbridge/forwarding/forwarder.py
@@ -181,10 +181,13 @@
             if attempt is None:
                 continue
             self.update_upstream(attempt, reply, now, out)
-            if attempt.dropped:
-                continue
             exchange, part = attempt.owner, attempt.part
             assert isinstance(exchange, Exchange) and isinstance(part, Part)
+            if attempt.dropped:
+                # The request may be answered, but its upstream has closed.
+                if reply.connection_closed and not attempt.cancelled:
+                    losses.on_loss(attempt, exchange, part, self, now, out)
+                continue
             part.open_attempts.remove(attempt)
             if reply.connection_closed:
                 part.losses += 1
--- a/arbutusbridge/forwarding/upstreams.py
+++ b/arbutusbridge/forwarding/upstreams.py
@@ -71,6 +71,7 @@
       overdue_at: When its reply becomes overdue.
       typical_s: Typical reply time when it was sent.
       dropped: Whether its reply is no longer awaited.
+      cancelled: Whether this instance closes its connection besides.
       extra: Whether it counts as an extra arrival in the retry budget.
       alive_at: Time at which its upstream was certainly up, minus infinity if
         that is not known.
@@ -87,6 +88,7 @@
     overdue_at: float
     typical_s: float
     dropped: bool = False
+    cancelled: bool = False
     extra: bool = False
     alive_at: float = -math.inf
     checked_at: float | None = None
--- a/tests/test_forwarding/test_late_crashes.py
+++ b/tests/test_forwarding/test_late_crashes.py
@@ -8,9 +8,20 @@
 
 import testtools
 
-from arbutusbridge.forwarding import RefusedAnswer
+from arbutusbridge.core.requests.quarantine import FingerprintState
+from arbutusbridge.forwarding import AttemptEnd, CheckUpstream, RefusedAnswer
 from arbutusbridge.forwarding.gather import GatherRequest
-from tests.test_forwarding.fixtures import HOST
+from tests.test_forwarding.fixtures import (
+    HOST,
+    TIMEOUT_S,
+    ended,
+    make_forwarder,
+    only,
+    plain,
+    request,
+    sends_of,
+    upstream,
+)
 from tests.test_forwarding.fleet import CRASHING, Fleet
 from tests.test_forwarding.test_crashing_requests import (
     CONTACT_S,
@@ -131,3 +142,23 @@
         self.assertFalse(
             quarantine.fingerprints.is_recent(request.fingerprint, fleet.now)
         )
+
+
+class AnsweredRequestTest(testtools.TestCase):
+    """A crash after the final answer of the request that caused it."""
+
+    # Guards against the crash of an attempt that is no longer awaited, which
+    # was charged to nobody.
+    def test_crash_after_the_final_answer_is_charged(self) -> None:
+        forwarder = make_forwarder([plain()], [upstream("u1", "records")])
+        late_request = request(target="/fetch/x")
+        sent_at = late_request.arrived
+        (send,) = sends_of(forwarder.handle_request(late_request, sent_at))
+        out = forwarder.handle_timer(late_request, sent_at + TIMEOUT_S)
+        only(out, RefusedAnswer)
+        end = ended(send, AttemptEnd.LOST, connection_closed=True)
+        lost_at = sent_at + TIMEOUT_S + 0.1
+        check = only(forwarder.replies([end], lost_at), CheckUpstream)
+        forwarder.handle_check(check.upstream, False, lost_at + 0.01)
+        state = forwarder.suspicion(late_request, lost_at + 0.01)
+        self.assertIs(FingerprintState.SUSPECT, state)
