Name the request that explains most crashes, over all instances

Cause: each instance weighed a crash by what it had lost there itself. A search lost alone at one instance was charged in full, although another instance had lost the crashing one in the same crash; and where several were lost together, none was evidence, nothing was reported, and weights never grew. Now instances report all that they lost without a result; the request lost in most of a crash's crashes explains it; a verdict waits 0.1 s for the reports, while nothing is sent; notices name those with most crashes first. The tests of quarantines in the store let the 0.1 s pass after the reports; their checks are unchanged.

--- a/arbutusbridge/core/requests/quarantine.py
+++ b/arbutusbridge/core/requests/quarantine.py
@@ -16,9 +16,11 @@
 import math
 from collections import Counter, OrderedDict, deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING, Any, TypeVar
 
+from arbutusbridge.core.requests.crashlosses import CrashLosses
+
 if TYPE_CHECKING:
     import random
 
@@ -158,6 +160,8 @@
         of other shards.
       reports: Crashes reported by other instances, by upstream.
       stale_connections: Number of its attempts on stale connections.
+      fingerprint: The fingerprint.
+      losses: Requests lost in each crash anywhere, shared by all entries.
     """
 
     state: FingerprintState
@@ -172,6 +176,8 @@
     excused: set[str] = field(default_factory=set)
     reports: dict[str, ReportedCrash] = field(default_factory=dict)
     stale_connections: int = 0
+    fingerprint: str = ""
+    losses: CrashLosses = field(default_factory=CrashLosses)
 
     def quarantine(self, at: float, duration_s: float) -> None:
         """Starts a quarantine of a given length at a given time."""
@@ -191,10 +197,12 @@
     @property
     def is_sole_suspect(self) -> bool:
         """Whether some crash, here or elsewhere, involved no other request."""
-        is_sole = any(len(crash.fingerprints) == 1 for crash in self.crashes)
-        return is_sole or any(
-            one.weight >= 1.0 for one in self.reports.values()
-        )
+        return any(crash.weight >= 1.0 for crash in self.known_crashes())
+
+    @property
+    def crash_count(self) -> int:
+        """Number of crashes charged to it, those seen twice counted twice."""
+        return len(self.crashes) + len(self.reports)
 
     @property
     def crash_span(self) -> float:
@@ -202,16 +210,26 @@
         times = [crash.at for crash in self.crashes]
         return max(times) - min(times) if times else 0.0
 
+    def weight_in(self, upstream: str, share: float) -> float:
+        """Returns its weight in a crash, given its share at one instance."""
+        if upstream not in self.losses.by_crash:
+            return share
+        return self.losses.weight(self.fingerprint, upstream, share)
+
     def known_crashes(self) -> list[ReportedCrash]:
         """Returns all crashes, own and reported, each once and oldest first."""
-        found = dict(self.reports)
+        found = {
+            upstream: replace(one, weight=self.weight_in(upstream, one.weight))
+            for upstream, one in self.reports.items()
+        }
         for crash in self.crashes:
             if crash.upstream in self.excused:
                 continue
-            weight = 1 / max(1, len(crash.fingerprints))
+            share = 1 / max(1, len(crash.fingerprints))
             reported = self.reports.get(crash.upstream)
             if reported is not None:
-                weight = min(weight, reported.weight)
+                share = min(share, reported.weight)
+            weight = self.weight_in(crash.upstream, share)
             alive_at = self.alive_at.get(crash.upstream, math.inf)
             # Own crashes of one upstream at different times count each.
             name = f"{crash.upstream} {crash.at}"
@@ -308,9 +326,20 @@
       fingerprints: Fingerprints with recent results.
       callers: Callers with recent results.
       quarantine_count: Number of fingerprints quarantined by this instance.
+      settle_s: Time for which reports of other instances are awaited before a
+        fingerprint is quarantined, 0 if upstreams are not named with their
+        starts, so that instances cannot add up what they lost in a crash.
+      losses: Requests lost in each crash, here and elsewhere.
+      pending: Fingerprints with enough evidence, each with the time at which it
+        is weighed again.
     """
 
-    def __init__(self, canary: CanaryRule | None = None) -> None:
+    def __init__(
+        self, canary: CanaryRule | None = None, settle_s: float = 0.0
+    ) -> None:
+        self.settle_s = settle_s
+        self.losses = CrashLosses()
+        self.pending: dict[str, float] = {}
         self.canary = canary or canary_for_unfamiliar
         self.entries: OrderedDict[str, FingerprintEntry] = OrderedDict()
         self.crashes: deque[Crash] = deque(maxlen=MAX_RECENT_CRASHES)
@@ -336,6 +365,8 @@
 
     def record_loss(self, upstream: str, fingerprint: str, now: float) -> None:
         """Records that a request was lost at an upstream."""
+        if self.settle_s:
+            self.losses.add(upstream, fingerprint)
         for crash in reversed(self.crashes):
             if now - crash.at > SAME_CRASH_WINDOW_S:
                 break
@@ -402,8 +433,13 @@
         entry: FingerprintEntry,
         had_result: bool,
         now: float,
+        settled: bool = False,
     ) -> ChargeResult:
-        """Quarantines a suspect if the evidence against it suffices."""
+        """Quarantines a suspect if the evidence against it suffices.
+
+        If other instances may report other requests lost in the same crashes,
+        that waits until their reports are in.
+        """
         crash_count = len(entry.independent_crashes())
         if not entry.is_sole_suspect or self.looks_like_outage(
             fingerprint, now
@@ -415,19 +451,38 @@
                 or sudden
             ):
                 return ChargeResult.NOTHING
-            self.impose_quarantine(
-                fingerprint, entry, now, AMBIGUOUS_QUARANTINE_DURATION_S
-            )
-            return ChargeResult.QUARANTINE
-        if entry.evidence >= QUARANTINE_EVIDENCE_THRESHOLD:
-            self.impose_quarantine(
-                fingerprint, entry, now, QUARANTINE_DURATION_S
-            )
-            return ChargeResult.QUARANTINE
-        return ChargeResult.SUSPECT
+            duration_s = AMBIGUOUS_QUARANTINE_DURATION_S
+        elif entry.evidence >= QUARANTINE_EVIDENCE_THRESHOLD:
+            duration_s = QUARANTINE_DURATION_S
+        else:
+            return ChargeResult.SUSPECT
+        if self.settle_s and not settled:
+            self.pending.setdefault(fingerprint, now + self.settle_s)
+            return ChargeResult.SUSPECT
+        self.impose_quarantine(fingerprint, entry, now, duration_s)
+        return ChargeResult.QUARANTINE
+
+    def settle(self, now: float) -> list[str]:
+        """Weighs the evidence whose reports are in by now.
+
+        Returns:
+          The fingerprints that are now quarantined.
+        """
+        due = [one for one, at in self.pending.items() if at <= now]
+        quarantined = []
+        for fingerprint in due:
+            del self.pending[fingerprint]
+            if self.state_of(fingerprint, now) is not FingerprintState.SUSPECT:
+                continue
+            entry = self.entries[fingerprint]
+            result = self.weigh(fingerprint, entry, False, now, settled=True)
+            if result is ChargeResult.QUARANTINE:
+                quarantined.append(fingerprint)
+        return quarantined
 
     def retract_crash(self, upstream: str) -> None:
         """Forgets the crash of an upstream that turned out to be running."""
+        self.losses.remove(upstream)
         for crash in list(self.crashes):
             if crash.upstream != upstream:
                 continue
@@ -458,7 +513,10 @@
         entry = self.entries.get(fingerprint)
         if entry is None:
             entry = FingerprintEntry(
-                FingerprintState.SUSPECT, now + SUSPECT_TTL_S
+                FingerprintState.SUSPECT,
+                now + SUSPECT_TTL_S,
+                fingerprint=fingerprint,
+                losses=self.losses,
             )
             self.entries[fingerprint] = entry
             if len(self.entries) > MAX_ENTRIES:
@@ -544,6 +602,7 @@
             if earlier is not None and earlier.weight >= report.weight:
                 return ChargeResult.NOTHING
         entry = self.get_or_add_entry(report.fingerprint, now)
+        self.losses.add(report.upstream, report.fingerprint)
         entry.reports[report.upstream] = ReportedCrash(
             report.weight,
             now - report.age_s,
@@ -577,7 +636,8 @@
         for crash in entry.crashes:
             if crash.upstream in entry.excused:
                 continue
-            weight = 1 / max(1, len(crash.fingerprints))
+            share = 1 / max(1, len(crash.fingerprints))
+            weight = entry.weight_in(crash.upstream, share)
             earlier = reports.get(crash.upstream)
             if earlier is None or weight < earlier.weight:
                 reports[crash.upstream] = CrashReport(
@@ -635,6 +695,7 @@
           Whether it was suspected and no longer is.
         """
         self.fingerprints.add(fingerprint, at)
+        self.losses.clear(fingerprint)
         entry = self.entries.get(fingerprint)
         if entry is None or entry.state is not FingerprintState.SUSPECT:
             return False
@@ -659,6 +720,7 @@
         """
         self.fingerprints.add(fingerprint, now)
         self.callers.add(caller, now)
+        self.losses.clear(fingerprint)
         if self.entries:
             entry = self.entries.get(fingerprint)
             if entry is not None and entry.state is FingerprintState.SUSPECT:
--- a/arbutusbridge/forwarding/attempts.py
+++ b/arbutusbridge/forwarding/attempts.py
@@ -266,6 +266,10 @@
     if shared.is_quarantined(exchange.request, now):
         part.given_up = True
         return
+    verdict_due_at = shared.verdict_due_at(exchange.request)
+    if verdict_due_at is not None:
+        part.check_at = verdict_due_at
+        return
     if exchange.relayed or shared.isolation.isolated:
         # The timer relays all such parts of a request together.
         exchange.relayed = exchange.peer_request is None
--- a/arbutusbridge/forwarding/canaries.py
+++ b/arbutusbridge/forwarding/canaries.py
@@ -95,6 +95,10 @@
             part.held_back = False
             part.given_up = True
         return
+    verdict_due_at = shared.verdict_due_at(exchange.request)
+    if verdict_due_at is not None:
+        exchange.next_canary_at = verdict_due_at
+        return
     if not exchange.has_result:
         if any(part.crash_check_until > now for part in exchange.parts):
             return
--- a/arbutusbridge/forwarding/dispatch.py
+++ b/arbutusbridge/forwarding/dispatch.py
@@ -17,11 +17,14 @@
 ) -> None:
     """Starts a request, or gives it up if too few shards can be served.
 
-    A quarantined one that a peer delegated is given up too; its own notice of
-    the quarantine goes to that peer first.
+    One that a peer delegated is given up too if it is quarantined, after a
+    notice of that to the peer, or if that is decided just now.
     """
     shared.exchanges[exchange.request] = exchange
-    if shared.is_quarantined(exchange.request, now):
+    if (
+        shared.is_quarantined(exchange.request, now)
+        or shared.verdict_due_at(exchange.request) is not None
+    ):
         for part in exchange.parts:
             part.given_up = True
     elif relay.start_if_cut_off(exchange, shared, now, out):
--- a/arbutusbridge/forwarding/forwarder.py
+++ b/arbutusbridge/forwarding/forwarder.py
@@ -111,6 +111,7 @@
     ) -> list[object]:
         """Starts a caller's request and returns the first actions."""
         out: list[object] = []
+        self.settle_verdicts(now, out)
         table = self.table
         if table is None:
             self.refuse(
@@ -126,7 +127,9 @@
             left_s = self.quarantine_left_s(request, now)
             self.refuse(request, Refusal.QUARANTINED, left_s, out, now)
             return out
-        if state is FingerprintState.SUSPECT and self.is_open(request):
+        if state is FingerprintState.SUSPECT and (
+            self.verdict_due_at(request) is not None or self.is_open(request)
+        ):
             retry_s = SUSPECT_RETRY_AFTER_S
             self.refuse(request, Refusal.SUSPECT, retry_s, out, now)
             return out
@@ -278,6 +281,7 @@
     def exchange_notices(self, now: float) -> list[object]:
         """Exchanges evidence against requests with peers, if it is due."""
         out: list[object] = []
+        self.settle_verdicts(now, out)
         notices.exchange(self, now, out)
         return out
 
@@ -298,6 +302,22 @@
         self.end_quarantined(now, out)
         return out
 
+    def settle_verdicts(self, now: float, out: list[object]) -> None:
+        """Quarantines the fingerprints whose evidence is complete."""
+        if not self.quarantine.pending:
+            return
+        for fingerprint in self.quarantine.settle(now):
+            entry = self.quarantine.entries[fingerprint]
+            detail: dict[str, object] = {
+                "fingerprint": fingerprint,
+                "duration_s": entry.duration_s,
+                "evidence": entry.describe(now),
+            }
+            out.append(Decision("", "quarantine", detail))
+            notices.broadcast([fingerprint], self, now, out)
+            self.newly_quarantined.append(fingerprint)
+        self.end_quarantined(now, out)
+
     def end_quarantined(self, now: float, out: list[object]) -> None:
         """Ends the open requests that have just been quarantined."""
         while self.newly_quarantined:
@@ -356,6 +376,7 @@
     def handle_timer(self, request: CallerRequest, now: float) -> list[object]:
         """Processes a due timer of a request and returns the next actions."""
         out: list[object] = []
+        self.settle_verdicts(now, out)
         exchange = self.exchanges.get(request)
         if exchange is None or now < exchange.timer_at:
             return out
--- a/arbutusbridge/forwarding/losses.py
+++ b/arbutusbridge/forwarding/losses.py
@@ -251,9 +251,14 @@
     now: float,
     out: list[object],
 ) -> None:
-    """Charges a crash to the requests that were lost in it."""
+    """Charges a crash to the requests that were lost in it.
+
+    Peers are told of all of them, also of those against which the crash is no
+    evidence yet: others may have lost one of them elsewhere.
+    """
     quarantine = shared.quarantine
     name = check.name
+    lost: list[str] = []
     for loss in losses:
         fingerprint = loss.request.fingerprint
         had_result = loss.exchange.has_result
@@ -261,13 +266,15 @@
         result = quarantine.charge(
             fingerprint, name, loss.service, had_result, now, loss.alive_at
         )
-        entry = quarantine.entries.get(fingerprint)
-        if result is ChargeResult.NOTHING or entry is None:
+        entry = quarantine.entries[fingerprint]
+        if not had_result and fingerprint not in lost:
+            lost.append(fingerprint)
+        if result is ChargeResult.NOTHING:
             detail: dict[str, object] = {
                 "fingerprint": fingerprint,
                 "upstream": name,
                 "had_result": had_result,
-                "evidence": entry.evidence if entry is not None else 0.0,
+                "evidence": entry.evidence,
             }
             request_id = loss.request.request_id
             out.append(Decision(request_id, "crash_not_charged", detail))
@@ -281,8 +288,8 @@
                 entry.describe(now),
             )
         )
-        notices.broadcast(fingerprint, shared, now, out)
         check_open_attempts(fingerprint, shared, now, out)
         newly = before is not FingerprintState.QUARANTINED
         if result is ChargeResult.QUARANTINE and newly:
             shared.newly_quarantined.append(fingerprint)
+    notices.broadcast(lost, shared, now, out)
--- a/arbutusbridge/forwarding/notices.py
+++ b/arbutusbridge/forwarding/notices.py
@@ -49,8 +49,8 @@
 """Time after its start in which an instance asks peers for their evidence."""
 
 MAX_NOTICE_FINGERPRINTS = 32
-"""Maximum number of fingerprints in one notice, latest evidence first. It keeps
-a notice below 10 KB, the bytes per second that control may use."""
+"""Maximum number of fingerprints in one notice, most crashes first. It keeps a
+notice below 10 KB, the bytes per second that control may use."""
 
 MAX_CONTACTS = 24
 """Maximum number of peers that an instance sends notices to by itself, so that
@@ -89,11 +89,15 @@
 
 
 def broadcast(
-    fingerprint: str, shared: SharedState, now: float, out: list[object]
+    fingerprints: list[str],
+    shared: SharedState,
+    now: float,
+    out: list[object],
 ) -> None:
-    """Sends new evidence against a fingerprint to all peers."""
-    if shared.gather.own_peer is not None:
-        notice = build_notice([fingerprint], False, shared, now)
+    """Sends new evidence against some fingerprints to all peers."""
+    if shared.gather.own_peer is not None and fingerprints:
+        first = fingerprints[:MAX_NOTICE_FINGERPRINTS]
+        notice = build_notice(first, False, shared, now)
         send_to_all(notice, shared, now, out)
 
 
@@ -176,12 +180,16 @@
 
 
 def latest_fingerprints(shared: SharedState) -> list[str]:
-    """Returns the fingerprints for a notice, quarantined ones first."""
+    """Returns the fingerprints for a notice, the most suspicious ones first.
+
+    An outage makes many suspects, each with few crashes.
+    """
     entries = shared.quarantine.entries
     return sorted(
         entries,
         key=lambda one: (
             entries[one].state is not FingerprintState.QUARANTINED,
+            -entries[one].crash_count,
             -entries[one].changed_at,
         ),
     )[:MAX_NOTICE_FINGERPRINTS]
--- a/arbutusbridge/forwarding/shared.py
+++ b/arbutusbridge/forwarding/shared.py
@@ -38,6 +38,11 @@
     from arbutusbridge.forwarding.upstreams import OpenAttempt
 
 
+SETTLE_S = 0.1
+"""Time for which a verdict waits for what other instances lost in the same
+crashes; a check of an upstream and a notice to another region take half."""
+
+
 @dataclass(slots=True)
 class GatherState:
     """Shards delegated to other instances, and accepted from them.
@@ -115,7 +120,7 @@
         self.get_confirmed_at: Callable[[], float] = lambda: started_at
         self.lag_s = 0.0
         self.last_attempt_id = 0
-        self.quarantine = Quarantine(single_canary_for_unfamiliar)
+        self.quarantine = Quarantine(single_canary_for_unfamiliar, SETTLE_S)
         self.crash_checks: dict[str, CrashCheck] = {}
         self.notices = NoticeState(refilled_at=started_at)
         self.newly_quarantined: list[str] = []
@@ -139,6 +144,10 @@
         """Returns whether a request is quarantined."""
         return self.suspicion(request, now) is FingerprintState.QUARANTINED
 
+    def verdict_due_at(self, request: CallerRequest) -> float | None:
+        """Returns when the evidence against a request is weighed, if it is."""
+        return self.quarantine.pending.get(request.fingerprint)
+
     def quarantine_left_s(self, request: CallerRequest, now: float) -> float:
         """Returns the time until the quarantine of a request ends."""
         entry = self.quarantine.entries.get(request.fingerprint)
--- a/tests/test_daemon/test_quarantinestore.py
+++ b/tests/test_daemon/test_quarantinestore.py
@@ -19,6 +19,7 @@
     QUARANTINE_PREFIX,
     decode_record,
 )
+from arbutusbridge.forwarding.shared import SETTLE_S
 from arbutusbridge.platform import DIALECT
 from arbutusbridge.platform.standins import StoreFault, StoreStandIn
 from arbutusbridge.standins.deployment import LOOPBACK
@@ -98,6 +99,9 @@
                 "f", upstream, 1.0, age_s, reporter, age_s + 0.1
             )
             self.instance.quarantine.on_crash_report(report, self.bench.now)
+        driver = self.instance.driver
+        self.bench.now += SETTLE_S
+        driver.carry_out(driver.forwarder.exchange_notices(self.bench.now))
 
     def pass_time(self, seconds: float) -> None:
         """Passes time in steps in which the store answers."""
--- a/tests/test_forwarding/fleet.py
+++ b/tests/test_forwarding/fleet.py
@@ -120,6 +120,8 @@
         by instance and upstream.
       lost_reports: Function that ends each running attempt, by instance and
         attempt id.
+      work_range_s: Shortest and longest processing time of a request that
+        crashes nothing, in seconds.
       crash_after_s: Time into a run at which a crashing request crashes its
         upstream, in seconds.
     """
@@ -152,6 +154,7 @@
         self.unsent: dict[tuple[str, int], Callable[..., None]] = {}
         self.told: dict[tuple[str, str], float] = {}
         self.lost_reports: dict[tuple[str, int], Callable[..., None]] = {}
+        self.work_range_s = WORK_RANGE_S
         self.crash_after_s = 0.0
         names = [
             (f"{place}-{number}", place)
@@ -419,7 +422,7 @@
             if CRASHING in action.request.target:
                 self.after(self.crash_after_s, crash)
                 return
-            self.after(self.rng.uniform(*WORK_RANGE_S), finish)
+            self.after(self.rng.uniform(*self.work_range_s), finish)
 
         def crash() -> None:
             if key in upstream.running:
--- a/tests/test_forwarding/test_evidence.py
+++ b/tests/test_forwarding/test_evidence.py
@@ -352,6 +352,27 @@
                 forwarder.quarantine.state_of(fingerprint, fleet.now)
             )
 
+    # Guards against a crash that is charged in full to the only request that an
+    # instance has lost in it, although others report another one.
+    def test_crash_is_shared_with_requests_of_other_instances(self) -> None:
+        fleet = make_fleet()
+        forwarder = fleet.instances["central-0"]
+        quarantine = forwarder.quarantine
+        for number in range(2):
+            name, at = f"u{number}@1", fleet.now + 0.1 * number
+            quarantine.record_loss(name, "other", at)
+            quarantine.charge("other", name, "s", False, at, at - 0.05)
+            report = CrashReport("crashing", name, 1.0, 0.0, "north-0", 0.05)
+            quarantine.on_crash_report(report, at + 0.02)
+        later = fleet.now + 1.0
+        forwarder.exchange_notices(later)
+        state = quarantine.state_of("other", later)
+        self.assertIs(FingerprintState.SUSPECT, state)
+        report = CrashReport("crashing", "u2@1", 1.0, 0.0, "north-0", 0.05)
+        quarantine.on_crash_report(report, later)
+        forwarder.exchange_notices(later + 1.0)
+        self.assertTrue(quarantine.quarantined("crashing", later + 1.0))
+
     # Guards against a suspicion that outlives a result of the request.
     def test_result_ends_the_suspicion_of_a_bystander(self) -> None:
         quarantine = Quarantine()
--- a/tests/test_forwarding/test_late_crashes.py
+++ b/tests/test_forwarding/test_late_crashes.py
@@ -20,6 +20,7 @@
     plain,
     request,
     sends_of,
+    sharded,
     upstream,
 )
 from tests.test_forwarding.fleet import CRASHING, Fleet
@@ -34,17 +35,26 @@
 
 PLACES = {"north": 3, "central": 3, "south": 2}
 OTHERS_INTERVAL_S = 0.022
+BUSY_INTERVAL_S = 0.005
+BUSY_WORK_RANGE_S = (0.02, 0.05)
 CALLER_POLL_S = 0.005
 RESENT_FOR_S = 25.0
+BUSY_RESENT_FOR_S = 7.0
 
 
-def make_fleet(crash_after_s: float, seed: int) -> Fleet:
-    """Returns instances that have served other searches for two seconds."""
-    fleet = Fleet(ROUTES, make_upstreams(), PLACES, seed)
+def make_fleet(crash_after_s: float, seed: int, busy: bool = False) -> Fleet:
+    """Returns instances that have served other searches for two seconds.
+
+    Busy upstreams are few and run many of them at any moment.
+    """
+    routes = [sharded(2), *ROUTES[1:]] if busy else ROUTES
+    fleet = Fleet(routes, make_upstreams(), PLACES, seed)
     fleet.crash_after_s = crash_after_s
+    if busy:
+        fleet.work_range_s = BUSY_WORK_RANGE_S
     fleet.send_series(
         lambda number: f"{SEARCH}other-{number}",
-        OTHERS_INTERVAL_S,
+        BUSY_INTERVAL_S if busy else OTHERS_INTERVAL_S,
         fleet.now + 2.0 + RESENT_FOR_S,
     )
     fleet.run_until(fleet.now + 2.0)
@@ -71,10 +81,11 @@
 class LateCrashTest(testtools.TestCase):
     """A search that crashes its upstreams 30 or 60 ms into the run."""
 
-    def check_resent(self, crash_after_s: float, seed: int) -> None:
-        fleet = make_fleet(crash_after_s, seed)
+    def check_resent(
+        self, fleet: Fleet, resent_for_s: float = RESENT_FOR_S
+    ) -> None:
         target = f"{SEARCH}{CRASHING}"
-        until = fleet.now + RESENT_FOR_S
+        until = fleet.now + resent_for_s
 
         def send_again() -> None:
             send_with_one_retry(fleet, target)
@@ -95,7 +106,7 @@
     def test_search_is_not_sent_again_after_a_whole_service_ended(self):
         for crash_after_s in (0.03, 0.06):
             for seed in (1, 2, 3):
-                self.check_resent(crash_after_s, seed)
+                self.check_resent(make_fleet(crash_after_s, seed))
 
     # Guards against a scatter whose other shards are sent before the canary
     # has shown anything, so that one search ends a whole service.
@@ -111,6 +122,18 @@
                     f"{crashes} crashes, {crash_after_s} s, seed {seed}",
                 )
 
+    # Guards against searches that are refused because they were lost at the
+    # same upstreams as the one that crashes them, at other instances, and
+    # against a crashing one that is not named because of them.
+    def test_search_is_told_from_those_that_it_takes_along(self) -> None:
+        for crash_after_s in (0.0, 0.03):
+            for seed in (1, 2, 3):
+                fleet = make_fleet(crash_after_s, seed, busy=True)
+                self.check_resent(fleet, BUSY_RESENT_FOR_S)
+                found = fleet.outcomes(f"{SEARCH}other")
+                refused = found["quarantined"] + found["crashed"]
+                self.assertEqual(0, refused, f"{found}, seed {seed}")
+
     # Guards against a reply to a peer that covers no shard and is taken for a
     # result, which ends the suspicion and makes the search familiar.
     def test_empty_reply_to_a_peer_keeps_the_suspicion(self) -> None:
