Send canaries to the shards that will reply soonest

What callers saw: since the other shards wait for a canary's result, searches take a reply time longer, and a paused or slow upstream holds all of them back. Now a canary goes to the best of eight shards by pace, queue and place of their upstreams, and the next one follows after 1.25 typical reply times instead of the 1.7 after which a reply counts as overdue; later ones wait four times as long each, so that a crash at 60 ms still ends 4 upstreams.

--- a/arbutusbridge/forwarding/canaries.py
+++ b/arbutusbridge/forwarding/canaries.py
@@ -9,14 +9,23 @@
 import math
 from typing import TYPE_CHECKING
 
-from arbutusbridge.core.requests.quarantine import draw_candidates
 from arbutusbridge.forwarding import attempts, delegation
 
 if TYPE_CHECKING:
     from arbutusbridge.forwarding.exchange import Exchange, Part
     from arbutusbridge.forwarding.shared import SharedState
 
-BACKOFF_FACTOR = 2.0
+CANDIDATES = 8
+"""Maximum number of shards drawn at random that a canary is chosen from, so
+that the canaries of many searches spread over all shards."""
+
+TYPICAL_FACTOR = 1.25
+"""Multiple of the typical reply time after which another canary is sent."""
+
+SLACK_S = 0.004
+"""Time added to that; it covers timer delays."""
+
+BACKOFF_FACTOR = 4.0
 """Factor by which the wait for a canary's reply grows with each further one."""
 
 
@@ -53,27 +62,25 @@
 ) -> None:
     """Sends canaries until at least one was sent.
 
-    Shards with an idle upstream nearby come first, since they reply soonest.
+    They go to the shards that will probably reply soonest, as all others wait.
     """
     wanted = exchange.canary_count
     held = [part for part in exchange.parts if part.held_back]
     sent: list[Part] = []
     while held and not sent:
-        candidates = draw_candidates(held, wanted, shared.rng)
-        candidates.sort(
-            key=lambda part: -shared.count_idle_upstreams(part, now)
-        )
+        candidates = shared.rng.sample(held, min(CANDIDATES, len(held)))
+        candidates.sort(key=lambda part: shared.reply_rank(part, now))
         for part in candidates[:wanted]:
             held.remove(part)
             part.held_back = False
             attempts.send_first_attempt(exchange, part, shared, now, out)
             if part.open_attempts:
                 sent.append(part)
-    overdue_s = max(
-        (part.open_attempts[0].overdue_at - now for part in sent),
-        default=math.inf,
+    typical_s = max(
+        (part.open_attempts[0].typical_s for part in sent), default=math.inf
     )
-    exchange.next_canary_at = now + overdue_s * exchange.canary_backoff
+    wait_s = (TYPICAL_FACTOR * typical_s + SLACK_S) * exchange.canary_backoff
+    exchange.next_canary_at = now + wait_s
     exchange.canary_backoff *= BACKOFF_FACTOR
 
 
--- a/arbutusbridge/forwarding/choice.py
+++ b/arbutusbridge/forwarding/choice.py
@@ -30,6 +30,18 @@
 """Fraction by which requests take longer while an upstream warms up."""
 
 
+OPEN_ATTEMPT_RANK = 0.3
+"""Part of a reply time that another attempt of this instance is likely to add,
+although the upstream has a free slot for it."""
+
+OTHER_REGION_RANK = 10.0
+"""Typical reply times for which an upstream of this region is waited for rather
+than one of another region."""
+
+UNAVAILABLE_RANK = 2 * OTHER_REGION_RANK
+"""The same for an upstream that does not respond."""
+
+
 class Locality:
     """Location of this instance among the data centres.
 
@@ -91,6 +103,20 @@
     return cost
 
 
+def reply_rank(upstream: Upstream, place: Locality, now: float) -> float:
+    """Returns a number that is lower the sooner an upstream will reply.
+
+    It is in typical reply times.
+    """
+    rank = upstream.pace * (1.0 + upstream.queue_per_slot(now))
+    rank += OPEN_ATTEMPT_RANK * len(upstream.open_attempts)
+    if not place.is_in_own_region(upstream.announcement.data_centre):
+        rank += OTHER_REGION_RANK
+    if not upstream.is_available(now):
+        rank += UNAVAILABLE_RANK
+    return rank
+
+
 def pick_cheapest(
     options: Collection[Upstream],
     route: Route,
--- a/arbutusbridge/forwarding/shared.py
+++ b/arbutusbridge/forwarding/shared.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
@@ -16,6 +17,7 @@
     ServiceBudget,
     allowance_share,
 )
+from arbutusbridge.forwarding.choice import reply_rank
 from arbutusbridge.forwarding.evidence import NoticeState
 from arbutusbridge.forwarding.gather import Peer, PeerTable
 from arbutusbridge.forwarding.isolationstate import IsolationState
@@ -153,13 +155,14 @@
         entry = self.quarantine.entries.get(request.fingerprint)
         return max(0.0, entry.until - now) if entry is not None else 0.0
 
-    def count_idle_upstreams(self, part: Part, now: float) -> int:
-        """Returns the upstreams in this region that could reply at once."""
-        return sum(
-            upstream.is_available(now)
-            and not upstream.open_attempts
-            and self.place.is_in_own_region(upstream.announcement.data_centre)
-            for upstream in self.directory.usable(part.service, now)
+    def reply_rank(self, part: Part, now: float) -> float:
+        """Returns a number that is lower the sooner a part may have a reply."""
+        return min(
+            (
+                reply_rank(upstream, self.place, now)
+                for upstream in self.directory.usable(part.service, now)
+            ),
+            default=math.inf,
         )
 
     def store_age_ms(self, now: float) -> int:
--- a/arbutusbridge/forwarding/upstreams.py
+++ b/arbutusbridge/forwarding/upstreams.py
@@ -16,6 +16,9 @@
     from arbutusbridge.forwarding.model import Announcement, Route
     from arbutusbridge.forwarding.terms import UpstreamTerms
 
+PACE_WEIGHT = 0.15
+"""Weight of a new reply time in the smoothed pace of an upstream."""
+
 SLOWNESS_WEIGHT = 0.4
 """Weight of a new reply time in the smoothed slowness of an upstream."""
 
@@ -103,6 +106,8 @@
       announcement: Latest announcement.
       open_attempts: Attempts without an outcome, including dropped ones.
       slowness: Smoothed ratio of its reply time to the typical one.
+      pace: Smoothed ratio of its reply time to the typical one, also where that
+        is normal.
       failure_rate: Smoothed fraction of failed attempts.
       observed_at: When slowness and failure rate were last updated.
       unreachable_until: Time before which it gets no attempts.
@@ -122,6 +127,7 @@
     announcement: Announcement
     open_attempts: dict[int, OpenAttempt] = field(default_factory=dict)
     slowness: float = 1.0
+    pace: float = 1.0
     failure_rate: float = 0.0
     observed_at: float = 0.0
     unreachable_until: float = 0.0
@@ -166,6 +172,8 @@
         self.decay(now)
         if end is AttemptEnd.RESULT:
             factor = (now - attempt.sent_at) / max(attempt.typical_s, 1e-4)
+            pace = min(factor, MAX_SLOWNESS)
+            self.pace += (pace - self.pace) * PACE_WEIGHT
             if factor < NORMAL_REPLY_FACTOR:
                 factor = 1.0
             factor = min(factor, MAX_SLOWNESS)
