Keep broadcasts for verdicts

What callers saw: nothing yet. A notice of a new quarantine took part in the limit on broadcasts; an outage uses these up with evidence just before, so that the verdict reached the peers with the exchanges, two of them a second. Four of the ten broadcasts that may follow each other are now for verdicts alone.

--- a/arbutusbridge/forwarding/evidence.py
+++ b/arbutusbridge/forwarding/evidence.py
@@ -14,6 +14,10 @@
 BROADCAST_BURST = 10.0
 """Number of broadcasts that may follow each other immediately."""
 
+RESERVED_FOR_VERDICTS = 4.0
+"""Number of these that only new quarantines use; an outage makes much evidence
+just before them."""
+
 BROADCASTS_PER_S = 2.0
 """Further broadcasts per second. A crash of many upstreams makes many suspects,
 which the exchanges spread."""
@@ -80,14 +84,14 @@
     exchanged_at: float = 0.0
     results: dict[str, float] = field(default_factory=dict)
 
-    def take_token(self, now: float) -> bool:
-        """Takes a token for a broadcast, if there is one."""
+    def take_token(self, now: float, reserved: float) -> bool:
+        """Takes a token for a broadcast, if there are more than reserved."""
         elapsed_s = max(0.0, now - self.refilled_at)
         self.tokens = min(
             BROADCAST_BURST, self.tokens + elapsed_s * BROADCASTS_PER_S
         )
         self.refilled_at = now
-        if self.tokens < 1.0:
+        if self.tokens < 1.0 + reserved:
             return False
         self.tokens -= 1.0
         return True
--- a/arbutusbridge/forwarding/forwarder.py
+++ b/arbutusbridge/forwarding/forwarder.py
@@ -314,7 +314,7 @@
                 "evidence": entry.describe(now),
             }
             out.append(Decision("", "quarantine", detail))
-            notices.broadcast([fingerprint], self, now, out)
+            notices.broadcast([fingerprint], self, now, out, is_verdict=True)
             self.newly_quarantined.append(fingerprint)
         self.end_quarantined(now, out)
 
--- a/arbutusbridge/forwarding/notices.py
+++ b/arbutusbridge/forwarding/notices.py
@@ -18,6 +18,7 @@
     ChargeResult,
     FingerprintState,
 )
+from arbutusbridge.forwarding.evidence import RESERVED_FOR_VERDICTS
 from arbutusbridge.forwarding.gather import SendGatherMessage
 from arbutusbridge.forwarding.quarantinemessages import (
     QuarantineNotice,
@@ -93,12 +94,13 @@
     shared: SharedState,
     now: float,
     out: list[object],
+    is_verdict: bool = False,
 ) -> None:
     """Sends new evidence against some fingerprints to all peers."""
     if shared.gather.own_peer is not None and fingerprints:
         first = fingerprints[:MAX_NOTICE_FINGERPRINTS]
         notice = build_notice(first, False, shared, now)
-        send_to_all(notice, shared, now, out)
+        send_to_all(notice, shared, now, out, is_verdict)
 
 
 def broadcast_result(
@@ -121,9 +123,11 @@
     shared: SharedState,
     now: float,
     out: list[object],
+    is_verdict: bool = False,
 ) -> None:
     """Sends a notice to all contacts, unless there were too many lately."""
-    if not shared.notices.take_token(now):
+    reserved = 0.0 if is_verdict else RESERVED_FOR_VERDICTS
+    if not shared.notices.take_token(now, reserved):
         shared.count("notice_delayed")
         return
     out += [
--- a/tests/test_forwarding/test_evidence.py
+++ b/tests/test_forwarding/test_evidence.py
@@ -12,7 +12,8 @@
     FingerprintState,
     Quarantine,
 )
-from arbutusbridge.forwarding import CallerRequest
+from arbutusbridge.forwarding import CallerRequest, notices
+from arbutusbridge.forwarding.gather import SendGatherMessage
 from arbutusbridge.forwarding.losses import MAX_LOSSES
 from arbutusbridge.forwarding.model import FINGERPRINT_SAMPLE_BYTES
 from arbutusbridge.forwarding.notices import MAX_NOTICE_FINGERPRINTS
@@ -129,6 +130,26 @@
                 entry.quarantined_at + QUARANTINE_DURATION_S, entry.until
             )
 
+    # Guards against a verdict that waits for the next exchange, because an
+    # outage has used up the broadcasts of its evidence.
+    def test_verdict_is_sent_at_once_after_much_evidence(self) -> None:
+        fleet = make_fleet()
+        forwarder = fleet.instances["north-0"]
+        now = fleet.now
+        for number in range(30):
+            report = CrashReport(f"f{number}", "u9@1", 0.1, 0.0, "a", 0.1)
+            forwarder.quarantine.on_crash_report(report, now)
+            notices.broadcast([f"f{number}"], forwarder, now, [])
+        for upstream, alive_age_s in (("u1@1", 2.0), ("u2@1", 0.5)):
+            report = CrashReport(
+                "crashing", upstream, 1.0, alive_age_s - 0.1, "a", alive_age_s
+            )
+            forwarder.quarantine.on_crash_report(report, now)
+        out: list[object] = []
+        forwarder.settle_verdicts(now + 0.2, out)
+        sent = [one for one in out if isinstance(one, SendGatherMessage)]
+        self.assertEqual(len(PLACES) * 2 - 1, len(sent))
+
     # Guards against evidence that is told once and lost with the message.
     def test_lost_broadcasts_are_made_up_for(self) -> None:
         fleet = make_fleet()
