Crash upstreams some time into a run in the soak

They do so at once or 5, 30 or 60 ms into the run, and in three runs of ten all upstreams that searches use crash and start anew together. The draws of the other faults are unchanged.

--- a/arbutusbridge/soak/environment.py
+++ b/arbutusbridge/soak/environment.py
@@ -64,6 +64,9 @@
 OPERATOR_RETRY_INTERVAL_S = 0.3
 """Interval at which a publish is retried while the store is faulty."""
 
+CRASH_DELAYS_S = (0.0, 0.005, 0.03, 0.06)
+"""Times into a run at which requests crash their upstreams."""
+
 CRASH_MARKER = "/crash-"
 """Part of the path of requests that crash the upstreams that run them."""
 
@@ -108,6 +111,10 @@
         upstream replaces the one in it.
       born: Number of upstreams started so far.
       crash_rng: Random numbers for crashes of upstreams.
+      crash_time_rng: Random numbers for when in a run upstreams crash, and for
+        outages of services.
+      crash_delays: Time into a run at which each crashing target crashes its
+        upstream, in seconds.
       contract_rng: Random numbers for limits of upstreams and cut links.
       cut_off: Instances that are cut off from all upstreams.
       version: Version of the configuration published last.
@@ -125,6 +132,8 @@
         self.rng = random.Random(seed)
         # A stream of its own, so that seeds keep their other faults.
         self.crash_rng = random.Random(f"crashes {seed}")
+        self.crash_time_rng = random.Random(f"crash times {seed}")
+        self.crash_delays: dict[str, float] = {}
         self.contract_rng = random.Random(f"contracts {seed}")
         self.poller = EPoll().register(self)
         self.timers = TimerService().register(self)
@@ -208,13 +217,21 @@
         self.announce(upstream.announcement)
 
     def on_crash(self, upstream: UpstreamStandIn, run: UpstreamRun) -> None:
-        """Records that a request crashes an upstream, and crashes it."""
+        """Crashes an upstream some time into the run of a request."""
+        delay_s = self.crash_delays.get(run.target, 0.0)
+        self.schedule(delay_s, lambda: self.crash_under(upstream, run))
+
+    def crash_under(self, upstream: UpstreamStandIn, run: UpstreamRun) -> None:
+        """Records that a request crashes an upstream, and crashes it.
+
+        It may have ended during the run.
+        """
+        slots = [s for s, one in self.upstreams.items() if one is upstream]
         crash = UpstreamCrash(
             self.clock(), run.upstream, run.request_id, run.target
         )
-        self.record.crashes.append(crash)
-        slots = [s for s, one in self.upstreams.items() if one is upstream]
         for slot in slots:
+            self.record.crashes.append(crash)
             self.crash_slot(slot, self.crash_rng.uniform(*CRASH_DOWN_RANGE_S))
 
     def crash_slot(self, slot: str, down_s: float) -> None:
@@ -245,10 +262,11 @@
     def start_crashing_caller(self, route: str, method: str) -> Caller:
         """Starts a caller that repeats one request that crashes upstreams."""
         number = len(self.callers)
+        target = f"/{route}{CRASH_MARKER}{number}"
+        delay_s = self.crash_time_rng.choice(CRASH_DELAYS_S)
+        self.crash_delays[target] = delay_s
         caller = self.create_caller(
-            f"crash{number}",
-            [(route, method, f"/{route}/")],
-            f"/{route}{CRASH_MARKER}{number}",
+            f"crash{number}", [(route, method, f"/{route}/")], target
         )
         self.callers.append(caller)
         return caller
@@ -333,16 +351,22 @@
         self.proxies[kind, target] = new_proxy
         return new_proxy
 
+    @property
+    def search_shards(self) -> tuple[str, ...]:
+        """Services that searches use at the moment."""
+        index = self.search_shard_set_index
+        return tuple(
+            f"{'st'[index]}{number}"
+            for number in range(self.shape.shards[index])
+        )
+
     def publish(self) -> None:
         """Publishes the next version; retries while the store is faulty."""
         if self.store.fault is not StoreFault.NONE:
             self.schedule(OPERATOR_RETRY_INTERVAL_S, self.publish)
             return
         self.version += self.rng.randint(1, 3)
-        shards = tuple(
-            f"{'st'[self.search_shard_set_index]}{number}"
-            for number in range(self.shape.shards[self.search_shard_set_index])
-        )
+        shards = self.search_shards
         common_fields: dict[str, Any] = {
             "host": HOST,
             "timeout_s": 1.5,
--- a/arbutusbridge/soak/faults.py
+++ b/arbutusbridge/soak/faults.py
@@ -37,6 +37,9 @@
 CRASHING_ROUTES = (("search", "GET"), ("desk", "GET"), ("once", "POST"))
 """Routes and methods of crashing requests."""
 
+SERVICE_OUTAGE_FRACTION = 0.3
+"""Fraction of the runs in which all upstreams of searches crash at once."""
+
 MAX_CRASHED_AT_ONCE = 12
 """Maximum number of upstreams that crash at once for no request."""
 
@@ -301,6 +304,14 @@
 """Faults of which a run has some in addition to the others."""
 
 
+def crash_services(environment: SoakEnvironment, seconds: float) -> None:
+    """Crashes all upstreams that searches use; they start anew together."""
+    services = set(environment.search_shards)
+    for slot, upstream in sorted(environment.upstreams.items()):
+        if upstream.announcement.service in services:
+            environment.crash_slot(slot, seconds)
+
+
 def name_limit(environment: SoakEnvironment, seconds: float) -> None:
     """Makes an upstream name a rate limit, then another one or none."""
     rng = environment.contract_rng
@@ -409,6 +420,11 @@
         duration_s = rng.uniform(0.3, MAX_FAULT_DURATION_S)
         fault = rng.choice(CRASH_FAULTS)
         lines.append(schedule(environment, at, fault, duration_s))
+    outage_rng = environment.crash_time_rng
+    if outage_rng.random() < SERVICE_OUTAGE_FRACTION:
+        at = outage_rng.uniform(0.0, seconds)
+        duration_s = outage_rng.uniform(0.3, MAX_FAULT_DURATION_S)
+        lines.append(schedule(environment, at, crash_services, duration_s))
     return lines
 
 
