Set no timer for the check of a delegated shard

What callers saw: nothing yet; found on virtual time with upstreams that close new connections: an instance that relays a shard handled its timer again and again at the same moment until the reply came, a busy loop in a real process. Cause: the end of a crash check retried a shard that had been relayed meanwhile, which made it due at once; checks of delegated shards are never carried out, but counted for the next timer. Neither happens now. The new test failed before (a timer at the present time).

--- a/arbutusbridge/forwarding/conclusion.py
+++ b/arbutusbridge/forwarding/conclusion.py
@@ -42,7 +42,11 @@
     conclude(exchange, shared, now, out)
     if exchange.finished:
         return
-    times = [part.check_at for part in exchange.parts if part.pending]
+    times = [
+        part.check_at
+        for part in exchange.parts
+        if part.pending and part.group is None
+    ]
     times += [
         group.check_at
         for group in exchange.groups
--- a/arbutusbridge/forwarding/forwarder.py
+++ b/arbutusbridge/forwarding/forwarder.py
@@ -247,7 +247,7 @@
             exchange, part = loss.exchange, loss.part
             if exchange.finished:
                 continue
-            if part.pending and not part.open_attempts:
+            if part.pending and not (part.open_attempts or part.group):
                 attempts.retry(exchange, part, self, now, out)
             conclusion.conclude_or_set_timer(exchange, self, now, out)
 
--- a/tests/test_forwarding/test_delegation.py
+++ b/tests/test_forwarding/test_delegation.py
@@ -13,6 +13,7 @@
     ProbeUpstream,
     Refusal,
     RefusedAnswer,
+    SetRequestTimer,
 )
 from arbutusbridge.forwarding.gather import (
     PEER_EXCLUSION_S,
@@ -72,6 +73,18 @@
         super().setUp()
         self.pair = PeerPair()
 
+    # Guards against timers that are due at once without end, because a check
+    # of a shard became due after it was delegated.
+    def test_due_check_of_a_delegated_shard_sets_no_timer(self) -> None:
+        arrived, _ = self.pair.start_request()
+        far = self.pair.far
+        exchange = far.exchanges[arrived]
+        due_at = exchange.timer_at = NOW + 0.001
+        exchange.parts[0].check_at = due_at
+        out = far.handle_timer(arrived, due_at)
+        timers = [one.at for one in out if isinstance(one, SetRequestTimer)]
+        self.assertTrue(timers and all(at > due_at for at in timers), timers)
+
     def test_peer_queries_upstreams_in_its_region_and_merges(self) -> None:
         arrived, gather_request = self.pair.start_request()
         self.assertIsInstance(gather_request, GatherRequest)
