Hold shards back that a peer held back behind its canary

What callers saw: a search whose canary at a peer had no result by the answer's time was sent to all shards of that peer at once from the first instance, 7 to 9 upstreams in one moment on virtual time with silent crashes. Cause: the peer's reply did not tell shards that it had tried from those that it had held back, and the first instance retried all of them. The reply names them now; they wait here for a result too. The new test failed before (4 shards sent, 2 tried).

--- a/arbutusbridge/forwarding/delegation.py
+++ b/arbutusbridge/forwarding/delegation.py
@@ -388,5 +388,8 @@
         for part in exchange.parts
         if (part.limited and not part.sends) or part.not_arrived
     ]
-    message = GatherReply(gather_request.gather_id, stamps, body, asked, unsent)
+    held_back = [part.service for part in exchange.parts if part.held_back]
+    message = GatherReply(
+        gather_request.gather_id, stamps, body, asked, unsent, held_back
+    )
     out.append(SendGatherMessage(gather_request.reply_to, message))
--- a/arbutusbridge/forwarding/gather.py
+++ b/arbutusbridge/forwarding/gather.py
@@ -180,6 +180,7 @@
       body: Greatest records of all these replies.
       asked: Upstreams that were tried without success, by shard.
       unsent: Shards for which nothing has reached an upstream.
+      held_back: Shards that waited for the result of a canary.
       response: Response of an upstream to a request without shards, if any.
       may_have_run: Whether a request without shards may have run.
       retry_after_s: Time after which to retry one that has not run, in
@@ -191,6 +192,7 @@
     body: bytes
     asked: dict[str, list[str]] = field(default_factory=dict)
     unsent: list[str] = field(default_factory=list)
+    held_back: list[str] = field(default_factory=list)
     response: RelayedResponse | None = None
     may_have_run: bool = False
     retry_after_s: float | None = None
--- a/arbutusbridge/forwarding/peermessages.py
+++ b/arbutusbridge/forwarding/peermessages.py
@@ -105,6 +105,10 @@
             part.given_up = False
             part.check_at = math.inf
             part.reply = UpstreamReply(0, AttemptEnd.RESULT, 200, stamp=stamp)
+        elif part.service in message.held_back:
+            # The canary of the peer has shown nothing yet.
+            part.held_back = not exchange.has_result
+            part.check_at = math.inf if part.held_back else now
         elif part.pending and not part.open_attempts:
             record_tried_upstreams(
                 part, message.asked.get(part.service, []), shared
--- a/tests/test_forwarding/test_delegation.py
+++ b/tests/test_forwarding/test_delegation.py
@@ -8,6 +8,9 @@
 
 import testtools
 
+from arbutusbridge.core.requests.quarantine import (
+    single_canary_for_unfamiliar,
+)
 from arbutusbridge.forwarding import (
     MergedAnswer,
     ProbeUpstream,
@@ -73,6 +76,24 @@
         super().setUp()
         self.pair = PeerPair()
 
+    # Guards against shards that a peer held back behind its canary and that are
+    # all sent from here once its reply is empty.
+    def test_shards_that_a_peer_held_back_wait_for_a_result(self) -> None:
+        far, near = self.pair.far, self.pair.near
+        far.quarantine.canary = single_canary_for_unfamiliar
+        _, gather_request = self.pair.start_request()
+        out = near.handle_peer_message(gather_request, NOW + 0.01)
+        far.handle_peer_message(out[0].message, NOW + 0.02)
+        (exchange,) = near.exchanges.values()
+        due_at = exchange.partial_answer_at
+        out = near.handle_timer(exchange.request, due_at)
+        reply = only(out, SendGatherMessage).message
+        self.assertIsInstance(reply, GatherReply)
+        out = far.handle_peer_message(reply, due_at + 0.01)
+        sent = {send.upstream.service for send in sends_of(out)}
+        self.assertEqual(set(reply.asked), sent)
+        self.assertTrue(len(sent) < SHARDS)
+
     # Guards against timers that are due at once without end, because a check
     # of a shard became due after it was delegated.
     def test_due_check_of_a_delegated_shard_sets_no_timer(self) -> None:
