Suspect a request whose upstreams fall silent without any result

What callers saw: a request whose upstreams crash without closing a connection was never charged and ended the service again and again. Cause: silence was recorded only for attempts still awaited, without the proof that the upstream had been up, and counted for nothing until a new start. It is recorded for all, with that proof; until the upstream ends or answers, such a request is sent to one upstream at a time.

--- a/arbutusbridge/forwarding/forwarder.py
+++ b/arbutusbridge/forwarding/forwarder.py
@@ -190,6 +190,8 @@
                 # The request may be answered, but its upstream has closed.
                 if reply.connection_closed and not attempt.cancelled:
                     losses.on_loss(attempt, exchange, part, self, now, out)
+                elif reply.timed_out and not attempt.cancelled:
+                    losses.on_silence(attempt, exchange, part, self, now)
                 continue
             part.open_attempts.remove(attempt)
             if reply.connection_closed:
--- a/arbutusbridge/forwarding/losses.py
+++ b/arbutusbridge/forwarding/losses.py
@@ -97,19 +97,23 @@
 ) -> None:
     """Records an attempt whose upstream never replied.
 
-    It is charged if the upstream turns out to have started again since.
+    It is charged if the upstream turns out to have ended. Until then a request
+    without any result is sent to one upstream at a time.
     """
     upstream = attempt.upstream
-    if upstream.removed or upstream.leaving_at < math.inf:
+    planned = upstream.leaving_at < math.inf
+    if upstream.removed or planned or exchange.has_result:
         return
     name = start_name(upstream.announcement)
     check = shared.crash_checks.get(name)
     if check is None:
         check = add_check(name, name, upstream, shared, now)
-        check.crashed = False
-    loss = Loss(exchange.request, part.service, part, exchange, now, -math.inf)
-    loss.refuted = True
+    loss = Loss(
+        exchange.request, part.service, part, exchange, now, attempt.alive_at
+    )
+    loss.refuted = check.crashed is False
     add_loss(check, loss)
+    shared.quarantine.get_or_add_entry(exchange.request.fingerprint, now)
 
 
 def add_loss(check: CrashCheck, loss: Loss) -> None:
--- a/tests/test_forwarding/test_late_crashes.py
+++ b/tests/test_forwarding/test_late_crashes.py
@@ -122,6 +122,14 @@
                     f"{crashes} crashes, {crash_after_s} s, seed {seed}",
                 )
 
+    # Guards against upstreams that fall silent under a search, which nobody
+    # charges, as no connection is closed or refused.
+    def test_search_that_silences_its_upstreams_is_not_sent_again(self):
+        for seed in (1, 2, 3):
+            fleet = make_fleet(0.0, seed)
+            fleet.crashes_are_silent = True
+            self.check_resent(fleet)
+
     # Guards against searches that are refused because they were lost at the
     # same upstreams as the one that crashes them, at other instances, and
     # against a crashing one that is not named because of them.
