Drop a verdict that is due when the request has a result

What callers saw: nothing yet, found in the reading of the change. A request whose verdict was due kept it for up to 0.1 s after a result, in which it would be refused, and a search could wait for its next timer if the verdict was due at another event. A result now ends both; verdicts are settled at each event. The new test failed before.

--- a/arbutusbridge/core/requests/quarantine.py
+++ b/arbutusbridge/core/requests/quarantine.py
@@ -708,6 +708,7 @@
         if entry.crashes or entry.reports:
             return False
         del self.entries[fingerprint]
+        self.pending.pop(fingerprint, None)
         return True
 
     def on_success(self, fingerprint: str, caller: str, now: float) -> bool:
@@ -721,6 +722,7 @@
         self.fingerprints.add(fingerprint, now)
         self.callers.add(caller, now)
         self.losses.clear(fingerprint)
+        self.pending.pop(fingerprint, None)
         if self.entries:
             entry = self.entries.get(fingerprint)
             if entry is not None and entry.state is FingerprintState.SUSPECT:
--- a/arbutusbridge/forwarding/forwarder.py
+++ b/arbutusbridge/forwarding/forwarder.py
@@ -178,6 +178,7 @@
     def replies(self, batch: list[UpstreamReply], now: float) -> list[object]:
         """Processes the outcomes of attempts and returns the next actions."""
         out: list[object] = []
+        self.settle_verdicts(now, out)
         updated_exchanges: dict[Exchange, None] = {}
         for reply in batch:
             attempt = self.attempts.pop(reply.attempt_id, None)
@@ -222,6 +223,7 @@
     ) -> list[object]:
         """Processes whether a lost upstream accepts a new connection."""
         out: list[object] = []
+        self.settle_verdicts(now, out)
         self.end_check(announcement, reachable, now, out)
         self.check_links(now, out)
         self.end_quarantined(now, out)
@@ -462,6 +464,7 @@
     ) -> list[object]:
         """Processes a message of a peer and returns the next actions."""
         out: list[object] = []
+        self.settle_verdicts(now, out)
         match message:
             case GatherRequest():
                 peermessages.on_gather_request(message, self, now, out)
--- a/tests/test_forwarding/test_evidence.py
+++ b/tests/test_forwarding/test_evidence.py
@@ -394,6 +394,23 @@
         forwarder.exchange_notices(later + 1.0)
         self.assertTrue(quarantine.quarantined("crashing", later + 1.0))
 
+    # Guards against a request that is refused because of a verdict that was to
+    # come, although it has had a result meanwhile.
+    def test_result_ends_a_verdict_that_is_due(self) -> None:
+        fleet = make_fleet()
+        forwarder = fleet.instances["central-0"]
+        request_id = fleet.send("central-0", f"{FETCH}other")
+        fingerprint = fingerprint_at(fleet, request_id)
+        for upstream, alive_age_s in (("u1@1", 2.0), ("u2@1", 0.5)):
+            age_s = alive_age_s - 0.1
+            report = CrashReport(
+                fingerprint, upstream, 1.0, age_s, "north-0", alive_age_s
+            )
+            forwarder.quarantine.on_crash_report(report, fleet.now)
+        self.assertTrue(forwarder.quarantine.pending)
+        forwarder.quarantine.on_success(fingerprint, HOST, fleet.now)
+        self.assertFalse(forwarder.quarantine.pending)
+
     # Guards against a suspicion that outlives a result of the request.
     def test_result_ends_the_suspicion_of_a_bystander(self) -> None:
         quarantine = Quarantine()
