Bound the requests that are kept for one crash

Memory of 512 crashes grew with the requests that a large outage takes along at all instances. 256 are kept for each; further ones are left out. The new test failed without the bound.

--- a/arbutusbridge/core/requests/crashlosses.py
+++ b/arbutusbridge/core/requests/crashlosses.py
@@ -12,6 +12,10 @@
 """Maximum number of crashes kept; the oldest is dropped."""
 
 
+MAX_LOST = 256
+"""Maximum number of requests kept for one crash; further ones are left out."""
+
+
 class CrashLosses:
     """Fingerprints that may be responsible for each crash.
 
@@ -26,7 +30,10 @@
 
     def add(self, crash: str, fingerprint: str) -> None:
         """Records that a request was lost in a crash."""
-        self.by_crash.setdefault(crash, set()).add(fingerprint)
+        lost = self.by_crash.setdefault(crash, set())
+        if len(lost) >= MAX_LOST:
+            return
+        lost.add(fingerprint)
         self.by_fingerprint[fingerprint].add(crash)
         if len(self.by_crash) > MAX_CRASHES:
             self.remove(next(iter(self.by_crash)))
--- a/tests/test_forwarding/test_evidence.py
+++ b/tests/test_forwarding/test_evidence.py
@@ -4,6 +4,11 @@
 
 import testtools
 
+from arbutusbridge.core.requests.crashlosses import (
+    MAX_CRASHES,
+    MAX_LOST,
+    CrashLosses,
+)
 from arbutusbridge.core.requests.quarantine import (
     MAX_ENTRIES,
     QUARANTINE_DURATION_S,
@@ -446,6 +451,17 @@
         self.assertEqual(MAX_ENTRIES, len(quarantine.entries))
         self.assertTrue(quarantine.quarantined("kept", 0.0))
 
+    # Guards against memory that grows with the requests that large outages
+    # take along at many instances.
+    def test_losses_of_crashes_are_bounded(self) -> None:
+        losses = CrashLosses()
+        for number in range(2 * MAX_LOST):
+            losses.add("u1@1", f"f{number}")
+        self.assertTrue(len(losses.by_fingerprint) <= MAX_LOST)
+        for number in range(2 * MAX_CRASHES):
+            losses.add(f"u2@{number}", "f0")
+        self.assertTrue(len(losses.by_crash) <= MAX_CRASHES)
+
     # Guards against notices that grow with the number of suspects.
     def test_notices_are_bounded(self) -> None:
         fleet = make_fleet()
