Send a suspect again once an outage would be over

Cause: twelve upstreams ended at once, within 19 ms; a search was lost at one upstream of a shard, and 4 ms later its retry was sent to the other one, which was up still and ended 9 ms after that: two crashes that seemed independent. Crashes count as independent if the upstream was up 20 ms after the one before, and a suspect is sent again, and its open attempts are checked, after that time. The next canary follows after 30 ms at least, so that both crashes are told apart. The new test failed before.

--- a/arbutusbridge/core/requests/quarantine.py
+++ b/arbutusbridge/core/requests/quarantine.py
@@ -72,6 +72,9 @@
 """Number of crashes from which a request without any result is quarantined even
 in an outage."""
 
+OUTAGE_SPREAD_S = 0.02
+"""Time within which the upstreams of one outage end one after another."""
+
 REPORT_MARGIN_S = 0.05
 """Time that a report may take, by which its times may be wrong."""
 
@@ -237,22 +240,32 @@
             found[name] = ReportedCrash(weight, crash.at, "", alive_at)
         return sorted(found.values(), key=lambda one: one.at)
 
-    def independent_crashes(self) -> list[float]:
-        """Returns the weights of the crashes that no single outage explains.
+    def crash_groups(self) -> list[tuple[float, float]]:
+        """Returns the time and weight of each group of related crashes.
 
-        Upstreams that crash at the same moment may have a common cause. One
-        that was up after another crash has not crashed in the same outage.
+        Upstreams that crash at about the same moment may have a common cause.
+        One that was up some time after another crash has not crashed in the
+        same outage.
         """
-        weights: list[float] = []
-        last_at = -math.inf
+        groups: list[tuple[float, float]] = []
         for crash in self.known_crashes():
-            margin_s = REPORT_MARGIN_S if crash.reporter else 0.0
-            if not weights or crash.alive_at > last_at + margin_s:
-                weights.append(crash.weight)
-                last_at = crash.at
+            margin_s = REPORT_MARGIN_S if crash.reporter else OUTAGE_SPREAD_S
+            if not groups or crash.alive_at > groups[-1][0] + margin_s:
+                groups.append((crash.at, crash.weight))
             else:
-                weights[-1] = max(weights[-1], crash.weight)
-        return weights
+                at, weight = groups[-1]
+                groups[-1] = (at, max(weight, crash.weight))
+        return groups
+
+    def independent_crashes(self) -> list[float]:
+        """Returns the weights of the crashes that no single outage explains."""
+        return [weight for _, weight in self.crash_groups()]
+
+    @property
+    def outage_over_at(self) -> float:
+        """Time after which a crash is independent of those so far."""
+        groups = self.crash_groups()
+        return groups[-1][0] + OUTAGE_SPREAD_S if groups else -math.inf
 
     @property
     def evidence(self) -> float:
--- a/arbutusbridge/forwarding/attempts.py
+++ b/arbutusbridge/forwarding/attempts.py
@@ -30,6 +30,9 @@
 RECHECK_INTERVAL_S = 0.02
 """Interval between two checks of a part for which no attempt could be sent."""
 
+TIMER_MARGIN_S = 0.001
+"""Time after a moment at which a timer is due that must be later than it."""
+
 MIN_RETRY_TIME_S = 0.02
 """Minimum time that must remain until the final answer for a retry to be sent;
 the reply to a later one could not arrive in time."""
@@ -279,6 +282,11 @@
     if part.crash_check_until > now:
         part.check_at = part.crash_check_until
         return
+    if is_suspect(exchange, part, shared, now):
+        outage_over_at = shared.outage_over_at(exchange.request)
+        if now <= outage_over_at:
+            part.check_at = outage_over_at + TIMER_MARGIN_S
+            return
     if waits_for_other_canary(exchange, shared, now):
         part.check_at = now + RECHECK_INTERVAL_S
         return
--- a/arbutusbridge/forwarding/canaries.py
+++ b/arbutusbridge/forwarding/canaries.py
@@ -9,7 +9,7 @@
 import math
 from typing import TYPE_CHECKING
 
-from arbutusbridge.forwarding import attempts, delegation
+from arbutusbridge.forwarding import attempts, delegation, losses
 
 if TYPE_CHECKING:
     from arbutusbridge.forwarding.exchange import Exchange, Part
@@ -25,6 +25,10 @@
 SLACK_S = 0.004
 """Time added to that; it covers timer delays."""
 
+MIN_WAIT_S = 0.03
+"""Minimum time after which another canary is sent, so that the crashes of both
+are told from an outage."""
+
 BACKOFF_FACTOR = 4.0
 """Factor by which the wait for a canary's reply grows with each further one."""
 
@@ -79,8 +83,8 @@
     typical_s = max(
         (part.open_attempts[0].typical_s for part in sent), default=math.inf
     )
-    wait_s = (TYPICAL_FACTOR * typical_s + SLACK_S) * exchange.canary_backoff
-    exchange.next_canary_at = now + wait_s
+    wait_s = max(MIN_WAIT_S, TYPICAL_FACTOR * typical_s + SLACK_S)
+    exchange.next_canary_at = now + wait_s * exchange.canary_backoff
     exchange.canary_backoff *= BACKOFF_FACTOR
 
 
@@ -109,9 +113,12 @@
     if not exchange.has_result:
         if any(part.crash_check_until > now for part in exchange.parts):
             return
-        if any(part.open_attempts for part in exchange.parts):
-            suspect = shared.suspicion(exchange.request, now) is not None
-            if suspect or now < exchange.next_canary_at:
+        is_open = any(part.open_attempts for part in exchange.parts)
+        if shared.suspicion(exchange.request, now) is not None:
+            advance_suspect(exchange, is_open, shared, now, out)
+            return
+        if is_open:
+            if now < exchange.next_canary_at:
                 return
             shared.count("canary_overdue")
         send_canaries(exchange, shared, now, out)
@@ -121,3 +128,24 @@
     for part in held:
         part.held_back = False
     send_all(exchange, held, shared, now, out)
+
+
+def advance_suspect(
+    exchange: Exchange,
+    is_open: bool,
+    shared: SharedState,
+    now: float,
+    out: list[object],
+) -> None:
+    """Sends the next canary of a suspect, or checks those that still run.
+
+    Either waits until an outage that may have been the cause so far is over.
+    """
+    outage_over_at = shared.outage_over_at(exchange.request)
+    if now <= outage_over_at:
+        exchange.next_canary_at = outage_over_at + attempts.TIMER_MARGIN_S
+    elif is_open:
+        fingerprint = exchange.request.fingerprint
+        losses.check_open_attempts(fingerprint, shared, now, out)
+    else:
+        send_canaries(exchange, shared, now, out)
--- a/arbutusbridge/forwarding/losses.py
+++ b/arbutusbridge/forwarding/losses.py
@@ -292,7 +292,6 @@
                 entry.describe(now),
             )
         )
-        check_open_attempts(fingerprint, shared, now, out)
         newly = before is not FingerprintState.QUARANTINED
         if result is ChargeResult.QUARANTINE and newly:
             shared.newly_quarantined.append(fingerprint)
--- a/arbutusbridge/forwarding/shared.py
+++ b/arbutusbridge/forwarding/shared.py
@@ -150,6 +150,15 @@
         """Returns when the evidence against a request is weighed, if it is."""
         return self.quarantine.pending.get(request.fingerprint)
 
+    def outage_over_at(self, request: CallerRequest) -> float:
+        """Returns when a suspect may be sent again.
+
+        A crash soon after another one may be of the same outage. The result is
+        minus infinity without a crash.
+        """
+        entry = self.quarantine.entries.get(request.fingerprint)
+        return entry.outage_over_at if entry is not None else -math.inf
+
     def quarantine_left_s(self, request: CallerRequest, now: float) -> float:
         """Returns the time until the quarantine of a request ends."""
         entry = self.quarantine.entries.get(request.fingerprint)
--- a/tests/test_forwarding/test_evidence.py
+++ b/tests/test_forwarding/test_evidence.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import testtools
 
 from arbutusbridge.core.requests.crashlosses import (
@@ -224,6 +226,18 @@
         fleet.run_until(fleet.now + 9.0)
         self.check_none_refused(fleet)
 
+    # Guards against an outage whose upstreams end within some milliseconds, in
+    # which a search is lost, and its retry at the other upstream of the shard.
+    def test_outage_that_spreads_is_no_second_crash(self) -> None:
+        quarantine = Quarantine(settle_s=0.1)
+        for upstream, at, alive_at in (
+            ("u1@1", 0.0, -math.inf),
+            ("u2@1", 0.013, 0.0045),
+        ):
+            quarantine.record_loss(upstream, "f", at)
+            quarantine.charge("f", upstream, "s", True, at, alive_at)
+        self.assertEqual([], quarantine.settle(0.2))
+
     # Guards against an outage that hits a request with the same content at
     # several instances, each of which reports the crash that it has seen.
     def test_outage_under_equal_requests_refuses_no_request(self) -> None:
