Drop branches that verdicts no longer take

Since verdicts of forwarding wait for the reports of other instances, a charge or a report never quarantines by itself; settle_verdicts does. The branches that ended open requests there were dead.

--- a/arbutusbridge/forwarding/losses.py
+++ b/arbutusbridge/forwarding/losses.py
@@ -14,10 +14,7 @@
 
 from arbutusbridge.core.messages import Decision
 from arbutusbridge.core.requests.charging import build_charge_decision
-from arbutusbridge.core.requests.quarantine import (
-    ChargeResult,
-    FingerprintState,
-)
+from arbutusbridge.core.requests.quarantine import ChargeResult
 from arbutusbridge.forwarding import isolation, notices
 from arbutusbridge.forwarding.evidence import CrashCheck, Loss
 from arbutusbridge.forwarding.exchange import Exchange
@@ -266,7 +263,6 @@
     for loss in losses:
         fingerprint = loss.request.fingerprint
         had_result = loss.exchange.has_result
-        before = quarantine.state_of(fingerprint, now)
         result = quarantine.charge(
             fingerprint, name, loss.service, had_result, now, loss.alive_at
         )
@@ -292,7 +288,4 @@
                 entry.describe(now),
             )
         )
-        newly = before is not FingerprintState.QUARANTINED
-        if result is ChargeResult.QUARANTINE and newly:
-            shared.newly_quarantined.append(fingerprint)
     notices.broadcast(lost, shared, now, out)
--- a/arbutusbridge/forwarding/notices.py
+++ b/arbutusbridge/forwarding/notices.py
@@ -227,8 +227,6 @@
             "result": charged.value,
         }
         out.append(Decision("", "crash_reported", detail))
-        if charged is ChargeResult.QUARANTINE:
-            shared.newly_quarantined.append(report.fingerprint)
     for one in notice.quarantines:
         adopt_quarantine(one, "peer", shared, now, out)
     if notice.wants_reply and quarantine.entries:
