Keep callers' connections through a planned stop as long as promised

Cause: a stop closed every connection that had been idle for 0.25 s once the balancer's lag was over, and its listener with the connections that the kernel had accepted. Requests on their way to either were cut off without an answer.

Change: answers state for how long a connection may be idle (Keep-Alive, half of the time limit of a stop), and a stop closes it only then. What has arrived is read before an idle connection is closed, and waiting connections are accepted before the listener is closed.

--- a/arbutusbridge/daemon/forwardinstance.py
+++ b/arbutusbridge/daemon/forwardinstance.py
@@ -66,6 +66,11 @@
 """Interval at which the settings file is checked for changes, so that they also
 apply without a signal."""
 
+KEEP_ALIVE_STOP_FRACTION = 0.5
+"""Fraction of the time limit of a planned stop for which idle connections of
+callers are kept open, so that they can be closed in time without a request on
+its way."""
+
 PEER_CHANNELS: dict[type, str] = {
     **dict.fromkeys(get_args(GatherMessage), ForwardingDriver.channel),
     QuarantineNotice: ForwardingDriver.channel,
@@ -126,6 +131,7 @@
             self.timers,
             wire,
             ForwardingDriver.channel,
+            int(settings.stop_seconds * KEEP_ALIVE_STOP_FRACTION),
         ).register(self)
         self.pools = RelayPools(
             self.hub,
--- a/arbutusbridge/daemon/ingress.py
+++ b/arbutusbridge/daemon/ingress.py
@@ -131,6 +131,8 @@
       request_started_at: Time at which the unfinished request began, None
         between requests.
       last_used_at: Time of the last data on the connection.
+      keep_alive_s: Time for which the last answer promised to keep the idle
+        connection open, in seconds.
       close_deadline: Time at which a connection that accepts no more requests
         is closed, None while it accepts them.
     """
@@ -147,14 +149,28 @@
         self.pending = b""
         self.request_started_at: float | None = None
         self.last_used_at = now
+        self.keep_alive_s = 0
         self.close_deadline: float | None = None
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request or an answer is under way."""
+        return bool(
+            self.request is not None
+            or self.request_started_at is not None
+            or self.pending
+            or self.parser.queue
+        )
+
 
 class Ingress(BaseComponent):
     """Accepts callers, dispatches their requests and writes the answers.
 
     Attributes:
       target: Channel of the component that handles the requests.
+      keep_alive_s: Longest time for which answers promise to keep an idle
+        connection open, in whole seconds; 0 for no promise. A planned stop
+        waits for it.
       connections: Caller connections by file descriptor.
       waiting: Connections by the request that is being answered.
       draining: Whether every answer closes its connection.
@@ -170,12 +186,14 @@
         timers: TimerService,
         wire: WireFormat,
         target: str,
+        keep_alive_s: int = 0,
     ) -> None:
         super().__init__()
         self.hub = hub
         self.timers = timers
         self.wire = wire
         self.target = target
+        self.keep_alive_s = keep_alive_s
         self.limits = CallerLimits(header_count=MAX_HEADERS)
         self.connections: dict[int, IngressConnection] = {}
         self.waiting: dict[CallerRequest, IngressConnection] = {}
@@ -297,7 +315,12 @@
         connection.request = None
         connection.last_used_at = now = self.timers.clock()
         stays_open = connection.keeps_open and not self.draining
-        self.write(connection, self.wire.encode_answer(answer, stays_open))
+        keep_alive_s = min(self.keep_alive_s, int(self.limits.idle_seconds))
+        connection.keep_alive_s = keep_alive_s
+        self.write(
+            connection,
+            self.wire.encode_answer(answer, stays_open, keep_alive_s),
+        )
         if connection.sock.fileno() < 0:
             return
         if not stays_open:
@@ -358,6 +381,12 @@
         except OSError:
             self.close(connection)
 
+    def close_idle(self, connection: IngressConnection) -> None:
+        """Closes an idle connection, unless it has a request by now."""
+        self.read(connection)
+        if connection.sock.fileno() >= 0 and not connection.is_busy:
+            self.close(connection)
+
     def close(self, connection: IngressConnection) -> None:
         """Closes a connection and drops the request being answered on it."""
         descriptor = connection.sock.fileno()
@@ -392,27 +421,33 @@
             if now - connection.request_started_at > limits.request_seconds:
                 self.send_refusal(connection, REQUEST_TOO_SLOW)
         elif now - connection.last_used_at > limits.idle_seconds + IDLE_GRACE_S:
-            self.close(connection)
+            self.close_idle(connection)
 
     def stop_listening(self) -> None:
-        """Closes the listener and keeps accepted connections."""
+        """Closes the listener and keeps accepted connections.
+
+        Closing it resets the connections that wait to be accepted, so that
+        these are accepted first.
+        """
         if self.listener is not None:
+            self.on_acceptable(READABLE)
             self.hub.remove(self.listener.fileno())
             self.listener.close()
             self.listener = None
 
     def close_idle_longer_than(self, seconds: float) -> None:
-        """Closes every connection idle for at least the given seconds."""
-        cutoff = self.timers.clock() - seconds
+        """Closes every connection idle for at least the given seconds.
+
+        One that an answer promised to keep open for longer is closed later.
+        """
+        now = self.timers.clock()
         for connection in list(self.connections.values()):
-            busy = (
-                connection.request is not None
-                or connection.request_started_at is not None
-            )
-            if busy or connection.pending or connection.parser.queue:
+            if connection.is_busy:
                 continue
-            if connection.last_used_at <= cutoff:
-                self.close(connection)
+            idle_s = now - connection.last_used_at
+            # The threshold covers requests that are on their way.
+            if idle_s >= connection.keep_alive_s + seconds:
+                self.close_idle(connection)
 
 
 def measure_round_trip(sock: socket.socket) -> float:
--- a/arbutusbridge/forwarding/wireformat.py
+++ b/arbutusbridge/forwarding/wireformat.py
@@ -28,8 +28,8 @@
     Attributes:
       decode_request: Takes method, target, headers, body and time of arrival;
         an error tells the caller what is wrong.
-      encode_answer: Takes a final answer and whether to keep the connection
-        open.
+      encode_answer: Takes a final answer, whether to keep the connection open,
+        and for how long it may be idle, in whole seconds; 0 if not stated.
       encode_attempt: Takes an attempt and the current time.
       decode_reply: Takes the id of an attempt, status, headers and body.
       belongs_to_request: Takes the id of a request and the headers of a
@@ -43,7 +43,7 @@
     decode_request: Callable[
         [str, str, Headers, bytes, float], Result[CallerRequest, str]
     ]
-    encode_answer: Callable[[object, bool], bytes]
+    encode_answer: Callable[[object, bool, int], bytes]
     encode_attempt: Callable[[SendAttempt, float], bytes]
     decode_reply: Callable[[int, int, Headers, bytes], UpstreamReply]
     belongs_to_request: Callable[[str, dict[bytes, bytes]], bool]
--- a/arbutusbridge/platform/http.py
+++ b/arbutusbridge/platform/http.py
@@ -251,8 +251,16 @@
     )
 
 
-def encode_answer(answer: object, keep_alive: bool) -> bytes:
-    """Encodes the final answer to a caller."""
+def encode_answer(
+    answer: object, keep_alive: bool, idle_timeout_s: int = 0
+) -> bytes:
+    """Encodes the final answer to a caller.
+
+    Args:
+      answer: The answer.
+      keep_alive: Whether the connection stays open.
+      idle_timeout_s: Time for which it may then be idle, 0 if not stated.
+    """
     headers: Headers = []
     if isinstance(answer, RelayedAnswer):
         status, body = answer.reply.status, answer.reply.body
@@ -279,6 +287,8 @@
     lines.append(b"Content-Length: %d" % len(body))
     if not keep_alive:
         lines.append(b"Connection: close")
+    elif idle_timeout_s:
+        lines.append(b"Keep-Alive: timeout=%d" % idle_timeout_s)
     head = b"\r\n".join(lines) + b"\r\n\r\n"
     if answer.request.method == "HEAD":
         return head
