Exchange the messages of wide requests over connections that are open

Cause: an instance among 195 receives a wide request every 13 s. The canary went over a new connection to an upstream besides. Requests with few shards in a data centre used other teams than those with many.

Teams are formed for all shards that a data centre holds.

--- a/arbutusbridge/daemon/forwarding.py
+++ b/arbutusbridge/daemon/forwarding.py
@@ -250,7 +250,11 @@
         )
 
     def share(self, instances: int) -> None:
-        """Divides connections and extra attempts among the instances."""
+        """Divides connections and extra attempts among the instances.
+
+        Connections to the peers that this instance will probably exchange
+        messages with are opened before the first of them.
+        """
         self.forwarder.update_instance_count(instances)
         table = self.forwarder.table
         if table is not None:
@@ -259,6 +263,9 @@
                 self.forwarder.instances,
                 self.forwarder.primary_senders,
             )
+        if self.peers is not None:
+            now = self.timers.clock()
+            self.peers.connect(self.forwarder.find_likely_peers(now))
 
     def finish_all(self) -> None:
         """Answers every open request with the replies received so far."""
--- a/arbutusbridge/daemon/forwardinstance.py
+++ b/arbutusbridge/daemon/forwardinstance.py
@@ -261,8 +261,6 @@
         forwarder = self.forwarding.forwarder
         forwarder.gather.peer_table.update(peers)
         self.forwarding.share(count)
-        if self.peers is not None:
-            self.peers.connect(forwarder.find_likely_peers(self.timers.clock()))
 
     def _signal_handler(self, number: int, _frame: Any) -> None:
         """Replaces the handler of circuits, which would stop without draining.
--- a/arbutusbridge/forwarding/canaries.py
+++ b/arbutusbridge/forwarding/canaries.py
@@ -68,6 +68,8 @@
 
     They go to the shards that will probably reply soonest, as all others wait.
     """
+    if delegate_canary(exchange, shared, now, out):
+        return
     wanted = exchange.canary_count
     held = [part for part in exchange.parts if part.held_back]
     sent: list[Part] = []
@@ -83,11 +85,42 @@
     typical_s = max(
         (part.open_attempts[0].typical_s for part in sent), default=math.inf
     )
+    schedule_next(exchange, typical_s, now)
+
+
+def schedule_next(exchange: Exchange, typical_s: float, now: float) -> None:
+    """Sets when another canary is sent if this one has no result by then."""
     wait_s = max(MIN_WAIT_S, TYPICAL_FACTOR * typical_s + SLACK_S)
     exchange.next_canary_at = now + wait_s * exchange.canary_backoff
     exchange.canary_backoff *= BACKOFF_FACTOR
 
 
+def delegate_canary(
+    exchange: Exchange, shared: SharedState, now: float, out: list[object]
+) -> bool:
+    """Delegates the first canary of a wide scatter to a helper, if it can.
+
+    A helper queries these shards for many instances, so that its connections
+    are open and it knows which upstreams reply soon. A suspect is sent from
+    here, and so are the canaries after the first, which may be overdue because
+    of the helper.
+    """
+    if exchange.groups or shared.suspicion(exchange.request, now) is not None:
+        return False
+    held = [part for part in exchange.parts if part.held_back]
+    group = delegation.delegate_one_shard(exchange, held, shared, now, out)
+    if group is None:
+        return False
+    (part,) = group.parts
+    part.held_back = False
+    exchange.canary_group = group
+    typical_s = shared.reply_times.typical(
+        exchange.route, group.peer.data_centre
+    )
+    schedule_next(exchange, typical_s + group.peer.ack_s, now)
+    return True
+
+
 def release_if_due(
     exchange: Exchange, shared: SharedState, now: float, out: list[object]
 ) -> None:
@@ -113,7 +146,9 @@
     if not exchange.has_result:
         if any(part.crash_check_until > now for part in exchange.parts):
             return
-        is_open = any(part.open_attempts for part in exchange.parts)
+        is_open = any(part.open_attempts for part in exchange.parts) or (
+            has_delegated_canary(exchange)
+        )
         if shared.suspicion(exchange.request, now) is not None:
             advance_suspect(exchange, is_open, shared, now, out)
             return
@@ -130,6 +165,14 @@
     send_all(exchange, held, shared, now, out)
 
 
+def has_delegated_canary(exchange: Exchange) -> bool:
+    """Returns whether a helper still queries the shard of the first canary."""
+    group = exchange.canary_group
+    return group is not None and any(
+        part.group is group for part in group.parts
+    )
+
+
 def advance_suspect(
     exchange: Exchange,
     is_open: bool,
--- a/arbutusbridge/forwarding/choice.py
+++ b/arbutusbridge/forwarding/choice.py
@@ -54,12 +54,6 @@
         self.data_centre = data_centre
         self.regions = regions
 
-    @property
-    def nearby_data_centres(self) -> list[str]:
-        """Data centres of this region, including the instance's own."""
-        data_centres = {*self.regions, self.data_centre}
-        return sorted(one for one in data_centres if self.is_in_own_region(one))
-
     def is_in_own_region(self, data_centre: str) -> bool:
         """Returns whether a data centre is in the region of this instance."""
         if data_centre == self.data_centre:
--- a/arbutusbridge/forwarding/delegation.py
+++ b/arbutusbridge/forwarding/delegation.py
@@ -84,6 +84,58 @@
         delegate_far_shards(exchange, far, shared, now, out)
 
 
+def delegate_one_shard(
+    exchange: Exchange,
+    parts: list[Part],
+    shared: SharedState,
+    now: float,
+    out: list[object],
+) -> DelegatedGroup | None:
+    """Delegates one shard of a wide request to the helper that queries it.
+
+    The helper may try one upstream. Returns None if the request is not wide, or
+    if this instance is one of its helpers.
+    """
+    own = shared.gather.own_peer
+    if own is None or exchange.peer_request is not None:
+        return None
+    near, far = split_by_region(parts, shared, now)
+    held = near or far
+    if not division.is_wide(len(held), own.capacity):
+        return None
+    data_centre = choose_data_centre(held, shared)
+    if data_centre is None:
+        return None
+    shards = [
+        part for part, data_centres in held if data_centre in data_centres
+    ]
+    helpers = find_helpers(data_centre, len(shards), shared, now)
+    shares = division.divide_by_capacity(shards, helpers) if helpers else []
+    if not shares or own in helpers:
+        return None
+    peer, share = shared.rng.choice(shares)
+    part = shared.rng.choice(share)
+    return send_to_peer(
+        exchange, peer, [part], shared, now, out, upstreams_left=1
+    )
+
+
+def find_helpers(
+    data_centre: str, shards: int, shared: SharedState, now: float
+) -> list[Peer]:
+    """Returns the instances of a data centre that shards are divided among.
+
+    This instance may be one of them.
+    """
+    own = shared.gather.own_peer
+    assert own is not None
+    members = shared.gather.peer_table.members(data_centre)
+    if own.data_centre == data_centre:
+        members.append(own)
+    held = shared.held_counts[data_centre]
+    return division.select_helpers(members, own.name, shards, held, now)
+
+
 def delegate_far_shards(
     exchange: Exchange,
     far: HeldShards,
@@ -96,11 +148,23 @@
     if data_centre is None:
         return
     parts = [part for part, data_centres in far if data_centre in data_centres]
-    peer = shared.gather.peer_table.pick_peer(data_centre, now, shared.rng)
+    peer = pick_far_peer(data_centre, len(parts), shared, now)
     if peer is not None and len(parts) >= MIN_GROUP_SHARDS:
         send_to_peer(exchange, peer, parts, shared, now, out)
 
 
+def pick_far_peer(
+    data_centre: str, shards: int, shared: SharedState, now: float
+) -> Peer | None:
+    """Returns the peer of another region that shards are delegated to.
+
+    Where wide requests are divided, it is a helper of this instance.
+    """
+    if not shared.wide_shards:
+        return shared.gather.peer_table.pick_peer(data_centre, now, shared.rng)
+    return next(iter(find_helpers(data_centre, shards, shared, now)), None)
+
+
 def delegate_to_helpers(
     exchange: Exchange,
     held: HeldShards,
@@ -121,10 +185,7 @@
             part for part, data_centres in held if data_centre in data_centres
         ]
         held = [one for one in held if data_centre not in one[1]]
-        members = shared.gather.peer_table.members(data_centre)
-        if own.data_centre == data_centre:
-            members.append(own)
-        helpers = division.select_helpers(members, own.name, len(parts), now)
+        helpers = find_helpers(data_centre, len(parts), shared, now)
         for peer, share in division.divide_by_capacity(parts, helpers):
             if peer is not own:
                 send_to_peer(exchange, peer, share, shared, now, out)
@@ -138,10 +199,25 @@
     now: float,
     out: list[object],
     relayed: bool = False,
-) -> None:
+    upstreams_left: int | None = None,
+) -> DelegatedGroup:
     """Delegates shards, or a request without shards, to a peer.
 
     A peer that may run a request that must not be repeated is waited for.
+
+    Args:
+      exchange: The request.
+      peer: Peer that queries the shards.
+      parts: The shards.
+      shared: State of this instance.
+      now: The time.
+      out: Actions, to which the message is appended.
+      relayed: Whether this instance is cut off from the upstreams.
+      upstreams_left: Number of upstreams of each shard that the peer may try,
+        None for all that the route still allows.
+
+    Returns:
+      The group of the shards.
     """
     gather = shared.gather
     assert gather.own_peer is not None
@@ -160,6 +236,9 @@
     exchange.groups.append(group)
     for part in parts:
         part.group = group
+    tried = max(part.asked_by_peers + len(part.asked) for part in parts)
+    if upstreams_left is not None:
+        tried = max(tried, exchange.route.most_upstreams - upstreams_left)
     # An acknowledgement takes a round trip, so one way is half of it.
     way = peer.ack_s / 2 + REPLY_MARGIN_S
     request = exchange.request
@@ -178,13 +257,14 @@
                 [part.service for part in parts],
                 max(0.0, exchange.partial_answer_at - now - 2 * way),
                 max(0.0, exchange.give_up_at - now - 2 * way),
-                max(part.asked_by_peers + len(part.asked) for part in parts),
+                tried,
                 group.check_at - now + CANCEL_DELAY_S,
                 exchange.canary_count,
                 relayed,
             ),
         )
     )
+    return group
 
 
 HeldShards = list[tuple[Part, set[str]]]
--- a/arbutusbridge/forwarding/division.py
+++ b/arbutusbridge/forwarding/division.py
@@ -85,24 +85,26 @@
 
 
 def select_helpers(
-    peers: Sequence[Peer], own_name: str, shards: int, now: float
+    peers: Sequence[Peer], own_name: str, shards: int, held: int, now: float
 ) -> list[Peer]:
     """Returns the instances that query a number of shards for this one.
 
     An instance always uses the same team, and members of other teams in place
-    of unavailable ones.
+    of unavailable ones. Few shards go to the first members of the team that
+    many go to, so that the same instances query them for all others.
 
     Args:
       peers: Instances of the data centre that holds the shards, including this
         one if it runs there.
       own_name: Name of this instance.
       shards: Shards to query.
+      held: Shards that the data centre holds.
       now: The time.
     """
     if not peers or not shards:
         return []
-    teams = form_teams(peers, shards)
-    own_team = zlib.crc32(own_name.encode()) % len(teams)
+    teams = form_teams(peers, max(shards, held))
+    own_team = team_index(own_name, len(teams))
     queue = [
         peer
         for team in teams[own_team:] + teams[:own_team]
@@ -112,6 +114,41 @@
     return select_members(queue, shards)
 
 
+def team_index(name: str, teams: int) -> int:
+    """Returns the index of the team that an instance uses."""
+    return zlib.crc32(name.encode()) % teams
+
+
+def select_served(
+    peers: Sequence[Peer],
+    own_name: str,
+    shards: int,
+    held: int,
+    entries: Sequence[Peer],
+) -> list[Peer]:
+    """Returns the instances that this one queries shards for.
+
+    Args:
+      peers: Instances of the data centre that holds the shards, including this
+        one.
+      own_name: Name of this instance.
+      shards: Shards that these entries delegate to the data centre.
+      held: Shards that the data centre holds.
+      entries: Instances that delegate them.
+    """
+    if not peers or not shards:
+        return []
+    teams = form_teams(peers, max(shards, held))
+    serving = {
+        index
+        for index, team in enumerate(teams)
+        if any(one.name == own_name for one in select_members(team, shards))
+    }
+    return [
+        one for one in entries if team_index(one.name, len(teams)) in serving
+    ]
+
+
 def count_primary_senders(
     peers: Sequence[Peer], own_name: str, shards: int
 ) -> int:
--- a/arbutusbridge/forwarding/exchange.py
+++ b/arbutusbridge/forwarding/exchange.py
@@ -118,6 +118,8 @@
       next_canary_at: When another canary is sent, as those so far have no
         result.
       canary_backoff: Multiple of the usual wait for the next canary.
+      canary_group: Shard that a helper sends as the canary, None if there is
+        none or it has ended.
     """
 
     request: CallerRequest
@@ -140,6 +142,7 @@
     canary_count: int = 0
     next_canary_at: float = math.inf
     canary_backoff: float = 1.0
+    canary_group: DelegatedGroup | None = None
 
     @classmethod
     def begin(
--- a/arbutusbridge/forwarding/forwarder.py
+++ b/arbutusbridge/forwarding/forwarder.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from arbutusbridge.core.messages import Decision
@@ -21,6 +22,7 @@
     losses,
     notices,
     peermessages,
+    preconnect,
     relay,
 )
 from arbutusbridge.forwarding.exchange import Exchange, Part
@@ -64,10 +66,6 @@
 MAX_LAG_S = 0.1
 """Maximum lag that is counted; a longer one is a pause of the process."""
 
-MAX_REMOTE_CONNECTIONS = 8
-"""Maximum peers of other regions to which connections are opened in advance; a
-first message over a new connection takes several one-way delays longer."""
-
 LAGS_PER_REQUEST = 2.0
 """Number of times that the lag delays a request: when it is read and when it is
 answered."""
@@ -401,32 +399,18 @@
         return conclusion.abandon(request, self, now)
 
     def find_likely_peers(self, now: float) -> list[Peer]:
-        """Returns the peers that requests will probably be delegated to."""
-        gather = self.gather
-        peers = list(gather.peer_table.peers.values())
-        peers_needed = [
-            one
-            for one in peers
-            if not self.place.is_in_own_region(one.data_centre)
-        ][:MAX_REMOTE_CONNECTIONS]
-        if gather.own_peer is not None:
-            for data_centre in self.place.nearby_data_centres:
-                shards = self.count_held_shards(data_centre)
-                members = gather.peer_table.members(data_centre)
-                name = gather.own_peer.name
-                peers_needed += division.select_helpers(
-                    members, name, shards, now
-                )
-        return peers_needed
+        """Returns the peers with which messages will probably be exchanged."""
+        return preconnect.select_peers(self, now)
 
     def update_instance_count(self, instances: int) -> None:
         """Updates the number of instances and of primary senders."""
         self.instances = instances
         self.wide_shards = self.find_wide_shards()
+        self.held_counts = self.count_held_shards()
         self.primary_senders = 0
         own = self.gather.own_peer
         if own is not None and self.wide_shards:
-            held = self.count_held_shards(own.data_centre)
+            held = self.held_counts[own.data_centre]
             members = [*self.gather.peer_table.members(own.data_centre), own]
             self.primary_senders = division.count_primary_senders(
                 members, own.name, held
@@ -446,15 +430,12 @@
         wide = division.is_wide(len(shards), weakest)
         return frozenset(shards) if wide else frozenset()
 
-    def count_held_shards(self, data_centre: str) -> int:
-        """Returns how many of the wide shards a data centre holds."""
-        services = self.directory.services
-        return sum(
-            any(
-                one.announcement.data_centre == data_centre
-                for one in services.get(service, {}).values()
-            )
+    def count_held_shards(self) -> Counter[str]:
+        """Counts the wide shards that each data centre holds."""
+        return Counter(
+            data_centre
             for service in self.wide_shards
+            for data_centre in self.directory.data_centres(service)
         )
 
     def handle_peer_message(
--- a/arbutusbridge/forwarding/relay.py
+++ b/arbutusbridge/forwarding/relay.py
@@ -158,7 +158,10 @@
     own = shared.gather.own_peer
     weakest = min(peer.capacity for peer in members)
     if own is not None and division.is_wide(len(parts), weakest):
-        helpers = division.select_helpers(members, own.name, len(parts), now)
+        held = shared.held_counts[members[0].data_centre]
+        helpers = division.select_helpers(
+            members, own.name, len(parts), held, now
+        )
         if helpers:
             return division.divide_by_capacity(parts, helpers)
     pending = Counter(
--- a/arbutusbridge/forwarding/shared.py
+++ b/arbutusbridge/forwarding/shared.py
@@ -85,6 +85,7 @@
         wide requests, 0 if this instance is not one of them.
       wide_shards: Shards of the widest route, if it is too wide for one
         instance.
+      held_counts: Number of wide shards that each data centre holds.
       decision_counts: Decisions by name, for the metrics.
       lag_s: Smoothed lag of timers, a measure of how busy this instance is.
       get_confirmed_at: Returns when the store last confirmed its contents.
@@ -118,6 +119,7 @@
         self.instances = 1
         self.primary_senders = 0
         self.wide_shards: frozenset[str] = frozenset()
+        self.held_counts: Counter[str] = Counter()
         self.decision_counts: Counter[str] = Counter()
         self.get_confirmed_at: Callable[[], float] = lambda: started_at
         self.lag_s = 0.0
@@ -194,10 +196,7 @@
         """Returns this instance's share of a service's fixed allowance."""
         if service not in self.wide_shards:
             return 1.0 / max(1, self.instances)
-        data_centres = {
-            upstream.announcement.data_centre
-            for upstream in self.directory.services.get(service, {}).values()
-        }
+        data_centres = self.directory.data_centres(service)
         return allowance_share(
             self.instances, self.primary_senders, len(data_centres)
         )
--- a/arbutusbridge/forwarding/upstreams.py
+++ b/arbutusbridge/forwarding/upstreams.py
@@ -314,6 +314,13 @@
             del self.services[service]
         return upstream
 
+    def data_centres(self, service: str) -> set[str]:
+        """Returns the data centres with an upstream of a service."""
+        return {
+            upstream.announcement.data_centre
+            for upstream in self.services.get(service, {}).values()
+        }
+
     def usable(self, service: str, now: float) -> list[Upstream]:
         """Returns the upstreams of a service that may get a request.
 
--- a/tests/test_forwarding/fleet.py
+++ b/tests/test_forwarding/fleet.py
@@ -103,6 +103,7 @@
     """Instances, upstreams and callers.
 
     Attributes:
+      capacity: CPU capacity of each instance, in cores.
       instances: Forwarders by name.
       upstreams: Upstreams by name.
       arrivals: Attempts that reached an upstream.
@@ -134,8 +135,10 @@
         upstreams: list[Announcement],
         places: dict[str, int],
         seed: int = 1,
+        capacity: float = 1.0,
     ) -> None:
         self.rng = random.Random(seed)
+        self.capacity = capacity
         self.now = 100.0
         self.events: list[tuple[float, int, Callable[[], None]]] = []
         self.numbers = itertools.count()
@@ -184,7 +187,12 @@
         for upstream in self.upstreams.values():
             forwarder.announce(upstream.announcement, self.now)
         peers = [
-            Peer(other, self.places[other], self.address_of(other))
+            Peer(
+                other,
+                self.places[other],
+                self.address_of(other),
+                self.capacity,
+            )
             for other in self.places
         ]
         forwarder.gather.own_peer = next(p for p in peers if p.name == name)
--- a/tests/test_forwarding/test_division.py
+++ b/tests/test_forwarding/test_division.py
@@ -50,7 +50,9 @@
     """Selection of helpers, which is the same at every instance."""
 
     def test_each_share_takes_about_the_target_time(self) -> None:
-        selected = division.select_helpers(fleet(), "south-1", SHARDS, NOW)
+        selected = division.select_helpers(
+            fleet(), "south-1", SHARDS, SHARDS, NOW
+        )
         shares = division.divide_by_capacity(range(SHARDS), selected)
         for peer, share in shares:
             duration_s = len(share) * division.SHARD_CPU_TIME_S / peer.capacity
@@ -60,17 +62,28 @@
         )
 
     def test_strong_instances_get_most_shards(self) -> None:
-        selected = division.select_helpers(fleet(), "south-1", SHARDS, NOW)
+        selected = division.select_helpers(
+            fleet(), "south-1", SHARDS, SHARDS, NOW
+        )
         self.assertEqual(
             [STRONG, STRONG], [one.capacity for one in selected[:2]]
         )
         self.assertLess(len(selected), 7)
 
+    # Guards against searches with few shards in a data centre that use other
+    # instances than those with many, which then hold more connections.
+    def test_few_shards_go_to_members_of_the_team_for_many(self) -> None:
+        peers = [peer for n in range(7) for peer in fleet(f"north{n}")]
+        for name in ("south-1", "south-2", "south-3", "central-1"):
+            many = division.select_helpers(peers, name, SHARDS, SHARDS, NOW)
+            few = division.select_helpers(peers, name, 9, SHARDS, NOW)
+            self.assertEqual(many[: len(few)], few)
+
     def test_unavailable_helper_is_replaced_and_the_others_stay(self) -> None:
         peers = fleet()
-        before = division.select_helpers(peers, "south-1", SHARDS, NOW)
+        before = division.select_helpers(peers, "south-1", SHARDS, SHARDS, NOW)
         before[-1].excluded_until = NOW + 1
-        after = division.select_helpers(peers, "south-1", SHARDS, NOW)
+        after = division.select_helpers(peers, "south-1", SHARDS, SHARDS, NOW)
         self.assertEqual(before[:-1], after[: len(before) - 1])
         self.assertNotIn(before[-1], after)
 
