Go on with shards that are missing at the target; number the message fields

What it left out was asked for again by the entry, whose share of the retry budget is small among hundreds of instances, so that a request that lacked a few shards ended as lost (502) with nine tenths of its deadline left.

The last reply of a group replaces its previous one, so that no record is merged twice. The messages say so in two new fields. For these, messages have numbered fields with defaults (protocol 0x16); an instance announces what it understands in its key, and any other peer, those of the production build among them, gets protocol 0x15 as before. Messages of a later build are skipped and counted.

One test of test_delegation.py now sends its reply through the oldest protocol, where the shards are asked for from here as before, and checks that an update alone sends nothing.

--- a/arbutusbridge/daemon/forwardinstance.py
+++ b/arbutusbridge/daemon/forwardinstance.py
@@ -37,7 +37,10 @@
     StoreUpdate,
 )
 from arbutusbridge.forwarding.gather import GatherMessage, Peer
-from arbutusbridge.forwarding.gatherwire import InstanceRecord
+from arbutusbridge.forwarding.gatherwire import (
+    CURRENT_PROTOCOL,
+    InstanceRecord,
+)
 from arbutusbridge.forwarding.limitmessages import DemandNotice, ShareNotice
 from arbutusbridge.forwarding.limits import count_limited
 from arbutusbridge.forwarding.presence import (
@@ -144,10 +147,18 @@
         if settings.peers is not None:
             own = (settings.peers.ip, settings.peers.port)
             self.peers = PeerMessenger(
-                own, self.hub, self.metrics, PEER_CHANNELS
+                own,
+                self.hub,
+                self.metrics,
+                PEER_CHANNELS,
+                self.forwarding.forwarder.gather.peer_table.protocol_of,
             ).register(self)
             self.forwarding.forwarder.gather.own_peer = Peer(
-                settings.name, settings.data_centre, own, settings.capacity
+                settings.name,
+                settings.data_centre,
+                own,
+                settings.capacity,
+                protocol=CURRENT_PROTOCOL,
             )
         self.forwarding.attach(self.ingress, self.pools, self.peers)
         self.store = PlatformClient(
@@ -399,4 +410,5 @@
         settings.peers.ip,
         settings.peers.port,
         settings.capacity,
+        CURRENT_PROTOCOL,
     )
--- a/arbutusbridge/daemon/forwardmetrics.py
+++ b/arbutusbridge/daemon/forwardmetrics.py
@@ -77,6 +77,11 @@
             "Bytes of messages between instances.",
             ["way"],
         )
+        self.peer_skipped = self.counter(
+            "forward_peer_messages_skipped",
+            "Messages of other instances that were not handled, by reason.",
+            ["reason"],
+        )
         self.store_calls = self.counter(
             "forward_store_calls", "Calls to the store, watches among them."
         )
--- a/arbutusbridge/daemon/peermessenger.py
+++ b/arbutusbridge/daemon/peermessenger.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING, Any
 
 from circuits import BaseComponent, handler
@@ -9,7 +10,11 @@
 from arbutusbridge.daemon.events import peer_message
 from arbutusbridge.daemon.logs import get_logger
 from arbutusbridge.daemon.peerlinks import PeerLinks, SendResult
-from arbutusbridge.errors import ProtocolError
+from arbutusbridge.errors import (
+    ArbutusbridgeError,
+    ProtocolError,
+    UnknownMessageError,
+)
 from arbutusbridge.forwarding.gatherwire import (
     MAX_MESSAGE_BYTES,
     decode_message,
@@ -17,6 +22,8 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     import pynng
 
     from arbutusbridge.daemon.forwardmetrics import ForwardMetrics
@@ -37,6 +44,10 @@
 
     Attributes:
       channels: Channel of the component that handles each type of message.
+      protocol_of: Returns the latest protocol that the peer at an address
+        understands.
+      skipped: Number of messages that were not handled, by reason; those that
+        are a power of two are logged.
     """
 
     channel = "peermessenger"
@@ -47,15 +58,18 @@
         hub: SocketHub,
         metrics: ForwardMetrics,
         channels: dict[type, str],
+        protocol_of: Callable[[tuple[str, int]], int],
     ) -> None:
         super().__init__()
         self.metrics = metrics
         self.channels = channels
+        self.protocol_of = protocol_of
+        self.skipped: Counter[str] = Counter()
         self.links = PeerLinks(address, MAX_MESSAGE_BYTES, hub, self.on_message)
 
     def send(self, address: tuple[str, int], message: PeerMessage) -> None:
         """Sends a message; the sender's timeout covers a lost one."""
-        data = encode_message(message)
+        data = encode_message(message, self.protocol_of(address))
         outcome, error = self.links.send(address, data)
         self.metrics.peer_bytes.labels("sent").inc(len(data))
         if outcome is not SendResult.ACCEPTED:
@@ -80,14 +94,35 @@
         self.metrics.peer_bytes.labels("received").inc(len(data))
         try:
             message = decode_message(data)
+        except UnknownMessageError as err:
+            # The peer runs a later build; its other messages are understood.
+            self.skip("unknown peer message skipped", err, raw)
+            return
         except ProtocolError as err:
-            logger.warning(
-                "invalid peer message refused", extra={"error": str(err)}
-            )
+            self.skip("invalid peer message refused", err, raw)
             raw.pipe.close()
             return
         self.fire(peer_message(message), self.channels[type(message)])
 
+    def skip(
+        self, text: str, err: ArbutusbridgeError, raw: pynng.Message
+    ) -> None:
+        """Counts a message that is not handled, and logs ever fewer of them."""
+        self.metrics.peer_skipped.labels(err.kind).inc()
+        self.skipped[err.kind] += 1
+        count = self.skipped[err.kind]
+        if count & (count - 1):
+            return
+        logger.warning(
+            text,
+            extra={
+                "count": count,
+                "peer": str(raw.pipe.remote_address),
+                "first_byte": raw.bytes[:1].hex(),
+                "error": str(err),
+            },
+        )
+
     @handler("stopped", channel="*")
     def on_stopped(self, _manager: Any) -> None:
         """Closes the sockets when the event loop ends."""
--- a/arbutusbridge/daemon/presence.py
+++ b/arbutusbridge/daemon/presence.py
@@ -192,5 +192,9 @@
     name = item.key.rpartition("/")[2]
     address = (instance_record.ip, instance_record.port)
     return Peer(
-        name, instance_record.data_centre, address, instance_record.capacity
+        name,
+        instance_record.data_centre,
+        address,
+        instance_record.capacity,
+        protocol=instance_record.protocol,
     )
--- a/arbutusbridge/errors.py
+++ b/arbutusbridge/errors.py
@@ -39,3 +39,9 @@
     """Received bytes do not follow the expected protocol."""
 
     kind = "protocol"
+
+
+class UnknownMessageError(ArbutusbridgeError):
+    """A peer of a later build sent a message that this one does not know."""
+
+    kind = "unknown_message"
--- a/arbutusbridge/forwarding/conclusion.py
+++ b/arbutusbridge/forwarding/conclusion.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from arbutusbridge.core.messages import Decision
@@ -63,6 +64,7 @@
         ]
     if exchange.partial_answer_at > now:
         times.append(exchange.partial_answer_at)
+    times.append(exchange.next_update_at)
     earliest = min(times)
     if earliest < exchange.timer_at:
         exchange.timer_at = earliest
@@ -85,11 +87,11 @@
     exchange: Exchange, shared: SharedState, now: float, out: list[object]
 ) -> None:
     """Answers a sharded request once its answer cannot improve in time."""
+    if exchange.peer_request is not None:
+        conclude_delegated(exchange, shared, now, out)
+        return
     answered = exchange.answered
-    # A peer that delegated these shards decides itself whether they suffice.
-    sufficient = (
-        exchange.is_sufficient(answered) or exchange.peer_request is not None
-    )
+    sufficient = exchange.is_sufficient(answered)
     overdue = now >= exchange.partial_answer_at
     if (answered == exchange.attainable and sufficient) or (
         sufficient and overdue
@@ -101,6 +103,49 @@
         refuse(exchange, shared, now, out, timed_out=True)
 
 
+def conclude_delegated(
+    exchange: Exchange, shared: SharedState, now: float, out: list[object]
+) -> None:
+    """Replies to the peer that delegated shards.
+
+    The peer decides itself whether they suffice, so that they are queried until
+    none is left that may still reply. A peer that accepts updates gets those
+    that have replied meanwhile.
+    """
+    overdue = now >= exchange.partial_answer_at
+    updates = not math.isinf(exchange.next_update_at)
+    if (
+        exchange.answered == exchange.attainable
+        or now >= exchange.give_up_at
+        or (overdue and not updates)
+    ):
+        answer_merged(exchange, shared, now, out)
+    elif now >= exchange.next_update_at:
+        update_peer(exchange, shared, now, out)
+
+
+def update_peer(
+    exchange: Exchange, shared: SharedState, now: float, out: list[object]
+) -> None:
+    """Sends the shards that have replied so far; the others are still queried.
+
+    The first update is sent in any case, since the peer gives up one that does
+    not reply.
+    """
+    is_first = exchange.next_update_at == exchange.partial_answer_at
+    if is_first:
+        exchange.give_up_at = min(
+            exchange.give_up_at, now + delegation.update_period_s(exchange)
+        )
+    if is_first or exchange.answered > exchange.updated_with:
+        exchange.updated_with = exchange.answered
+        record_success(exchange, "partial", shared, now, out)
+        bodies = [part.reply.body for part in exchange.parts if part.reply]
+        body = merge_greatest(bodies, exchange.route.max_records)
+        delegation.send_reply(exchange, body, out, is_final=False)
+    exchange.next_update_at = now + delegation.update_interval_s(exchange)
+
+
 def conclude_unsharded(
     exchange: Exchange, shared: SharedState, now: float, out: list[object]
 ) -> None:
@@ -129,7 +174,8 @@
     """Answers with the merged records of the shards that replied."""
     replies = [part.reply for part in exchange.parts if part.reply is not None]
     missing = describe_missing(exchange, shared)
-    bodies = [reply.body for reply in replies] + exchange.peer_bodies
+    bodies = [reply.body for reply in replies]
+    bodies += exchange.peer_bodies.values()
     body = merge_greatest(bodies, exchange.route.max_records)
     outcome = "partial" if missing else "complete"
     if exchange.peer_request is not None:
@@ -329,8 +375,11 @@
         return out
     exchange.finished = True
     delegation.remove_exchange(exchange, shared, out)
+    # After an update, the caller has most likely got its answer, and replies
+    # that are due soon leave their connections usable.
+    cancels = exchange.route.idempotent and not exchange.updated_with
     for part in exchange.parts:
-        drop_open_attempts(part, exchange.route.idempotent, shared, out)
+        drop_open_attempts(part, cancels, shared, out)
     age_ms = round((now - request.arrived) * 1000)
     detail = {"route": exchange.route.name, "age_ms": age_ms}
     out.append(Decision(request.request_id, "caller_left", detail))
--- a/arbutusbridge/forwarding/delegation.py
+++ b/arbutusbridge/forwarding/delegation.py
@@ -45,6 +45,21 @@
 to the network delay."""
 
 
+MIN_UPDATE_INTERVAL_S = 0.03
+"""Minimum interval between two replies to a peer."""
+
+UPDATE_RATIO = 0.2
+"""Fraction of a route's target time between two replies to a peer."""
+
+MIN_UPDATE_PERIOD_S = 0.5
+"""Minimum time for which shards are queried after the first reply; upstreams
+that pause are back, and those that have crashed are known, within it."""
+
+UPDATE_TARGETS = 2.0
+"""The same time as a multiple of a route's target time; the greater of the two
+applies."""
+
+
 def delegate_shards(
     exchange: Exchange,
     parts: list[Part],
@@ -263,6 +278,8 @@
                 group.check_at - now + peer.ack_s / 2 + CANCEL_SLACK_S,
                 exchange.canary_count,
                 relayed,
+                # A relayed request goes to another peer instead.
+                accepts_updates=not relayed,
             ),
         )
     )
@@ -469,7 +486,22 @@
     out.append(SendGatherMessage(gather_request.reply_to, message))
 
 
-def send_reply(exchange: Exchange, body: bytes, out: list[object]) -> None:
+def update_interval_s(exchange: Exchange) -> float:
+    """Returns the interval between two replies to a peer, in seconds."""
+    return max(MIN_UPDATE_INTERVAL_S, UPDATE_RATIO * exchange.route.target_s)
+
+
+def update_period_s(exchange: Exchange) -> float:
+    """Returns how long shards are queried after the first update.
+
+    The result is in seconds.
+    """
+    return max(MIN_UPDATE_PERIOD_S, UPDATE_TARGETS * exchange.route.target_s)
+
+
+def send_reply(
+    exchange: Exchange, body: bytes, out: list[object], is_final: bool = True
+) -> None:
     """Sends the merged replies to the peer that delegated the request."""
     gather_request = exchange.peer_request
     assert gather_request is not None
@@ -491,6 +523,12 @@
     ]
     held_back = [part.service for part in exchange.parts if part.held_back]
     message = GatherReply(
-        gather_request.gather_id, stamps, body, asked, unsent, held_back
+        gather_request.gather_id,
+        stamps,
+        body,
+        asked,
+        unsent,
+        held_back,
+        is_final=is_final,
     )
     out.append(SendGatherMessage(gather_request.reply_to, message))
--- a/arbutusbridge/forwarding/exchange.py
+++ b/arbutusbridge/forwarding/exchange.py
@@ -112,7 +112,10 @@
       peer_request: Message of the peer that delegated the request, None for the
         request of a caller.
       groups: Groups of shards delegated to peers.
-      peer_bodies: Merged records that peers returned.
+      peer_bodies: Merged records that peers returned, by the id of the group.
+      next_update_at: When a further reply is sent to the peer that delegated
+        the request; infinite if none is.
+      updated_with: Number of shards in the last reply to that peer.
       second_upstream_at: When a second upstream of a shard may be tried.
       canary_count: Number of shards to query before the others, 0 for none.
       next_canary_at: When another canary is sent, as those so far have no
@@ -137,7 +140,9 @@
     finished: bool = False
     peer_request: GatherRequest | None = None
     groups: list[DelegatedGroup] = field(default_factory=list)
-    peer_bodies: list[bytes] = field(default_factory=list)
+    peer_bodies: dict[int, bytes] = field(default_factory=dict)
+    next_update_at: float = math.inf
+    updated_with: int = 0
     second_upstream_at: float = -math.inf
     canary_count: int = 0
     next_canary_at: float = math.inf
--- a/arbutusbridge/forwarding/gather.py
+++ b/arbutusbridge/forwarding/gather.py
@@ -94,6 +94,8 @@
       canary_count: Number of shards to query before the others, 0 for none.
       relayed: Whether the sender is cut off from the upstreams, so that the
         message stands for a request that it would have sent itself.
+      accepts_updates: Whether the sender accepts replies that lack shards and
+        are followed by others.
     """
 
     gather_id: int
@@ -111,6 +113,7 @@
     alone_s: float = 0.0
     canary_count: int = 0
     relayed: bool = False
+    accepts_updates: bool = False
 
 
 class DeclineReason(enum.Enum):
@@ -185,6 +188,8 @@
       may_have_run: Whether a request without shards may have run.
       retry_after_s: Time after which to retry one that has not run, in
         seconds.
+      is_final: Whether no further reply follows; the next one covers the shards
+        of this one as well.
     """
 
     gather_id: int
@@ -196,6 +201,7 @@
     response: RelayedResponse | None = None
     may_have_run: bool = False
     retry_after_s: float | None = None
+    is_final: bool = True
 
 
 @dataclass(slots=True)
@@ -254,6 +260,8 @@
         upstreams.
       consecutive_timeouts: Requests without a timely acknowledgement or reply
         since its last acknowledgement.
+      protocol: Latest protocol of messages that it understands, 0 for that of
+        the oldest build.
     """
 
     name: str
@@ -265,6 +273,7 @@
     excluded_until: float = 0.0
     isolated_until: float = 0.0
     consecutive_timeouts: int = 0
+    protocol: int = 0
 
     def is_available(self, now: float) -> bool:
         """Returns whether it may be sent a request."""
@@ -302,12 +311,14 @@
 
     Attributes:
       peers: All known peers by name.
+      protocols: Latest protocol of messages of each peer, by address.
       ack_times: Smoothed time to the acknowledgements of any peer, by data
         centre.
     """
 
     def __init__(self) -> None:
         self.peers: dict[str, Peer] = {}
+        self.protocols: dict[tuple[str, int], int] = {}
         self.ack_times: dict[str, float] = {}
 
     def record_ack(self, peer: Peer, seconds: float) -> None:
@@ -340,9 +351,20 @@
             )
             if previous is not None and same_address:
                 previous.capacity = peer.capacity
+                previous.protocol = peer.protocol
                 self.peers[peer.name] = previous
             else:
                 self.peers[peer.name] = peer
+        self.protocols = {
+            peer.address: peer.protocol for peer in self.peers.values()
+        }
+
+    def protocol_of(self, address: tuple[str, int]) -> int:
+        """Returns the latest protocol that the peer at an address understands.
+
+        Returns 0 for an unknown peer, which may be of the oldest build.
+        """
+        return self.protocols.get(address, 0)
 
     def members(self, data_centre: str) -> list[Peer]:
         """Returns the peers of a data centre."""
--- a/arbutusbridge/forwarding/gatherwire.py
+++ b/arbutusbridge/forwarding/gatherwire.py
@@ -1,5 +1,13 @@
 """Encoding of messages between instances in msgpack.
 
+Instances of two builds run side by side during an update. A message of protocol
+0x16 is a type number and a map of numbered fields: a field with its default is
+left out, and one with an unknown number is skipped. Fields are only added at
+the end of a message, with a default. The production build speaks protocol 0x15,
+whose fields are positional and fixed; peers that do not announce a later one
+get it, without the fields that were added since. docs/design/updates.md lists
+what each message means between two builds.
+
 The record of each instance in the store is JSON.
 """
 
@@ -12,7 +20,7 @@
 import msgpack
 from pydantic import Field, TypeAdapter, ValidationError
 
-from arbutusbridge.errors import ProtocolError
+from arbutusbridge.errors import ProtocolError, UnknownMessageError
 from arbutusbridge.forwarding.following import FollowRequest, StoreUpdate
 from arbutusbridge.forwarding.gather import (
     GatherAck,
@@ -25,8 +33,11 @@
 from arbutusbridge.forwarding.limitmessages import DemandNotice, ShareNotice
 from arbutusbridge.forwarding.quarantinemessages import QuarantineNotice
 
-PROTOCOL_VERSION = b"\x15"
-"""First byte of every message; messages with another value are rejected."""
+OLDEST_PROTOCOL = 0x15
+"""Protocol of the oldest build that is understood, the one in production."""
+
+CURRENT_PROTOCOL = 0x16
+"""Protocol of this build, announced in the record of the instance."""
 
 MAX_MESSAGE_BYTES = 4_194_304
 """Maximum size of an accepted message: all items of the store, packed, at the
@@ -55,21 +66,71 @@
 )
 """Message types; the index of a type is its number on the wire."""
 
+OLDEST_FIELD_COUNTS: dict[type, int] = {
+    GatherRequest: 15,
+    GatherAck: 2,
+    GatherReply: 9,
+    GatherCancel: 2,
+    FollowRequest: 2,
+    StoreUpdate: 7,
+    QuarantineNotice: 5,
+    DemandNotice: 4,
+    ShareNotice: 3,
+    IsolationNotice: 2,
+}
+"""Number of fields of each message of the oldest protocol."""
+
+FIELDS: dict[type, tuple[dataclasses.Field[Any], ...]] = {
+    kind: dataclasses.fields(kind) for kind in MESSAGE_TYPES
+}
+"""Fields of each message type; the index of a field is its number."""
+
+
+def default_of(field: dataclasses.Field[Any]) -> object:
+    """Returns the default of a field, or a value that equals no other."""
+    if field.default_factory is not dataclasses.MISSING:
+        return field.default_factory()
+    return field.default
+
+
+DEFAULTS: dict[type, tuple[object, ...]] = {
+    kind: tuple(default_of(field) for field in fields)
+    for kind, fields in FIELDS.items()
+}
+"""Defaults of the fields of each message type."""
+
 MESSAGE_ADAPTERS: list[TypeAdapter[Any]] = [
     TypeAdapter(kind) for kind in MESSAGE_TYPES
 ]
 
 
-def encode_message(message: PeerMessage) -> bytes:
-    """Encodes a message as the number of its type and its fields."""
-    fields = [
-        getattr(message, field.name) for field in dataclasses.fields(message)
-    ]
-    payload = msgpack.packb(
-        [MESSAGE_TYPES.index(type(message)), fields],
-        default=encode_value,
-    )
-    return PROTOCOL_VERSION + payload
+def encode_message(
+    message: PeerMessage, protocol: int = CURRENT_PROTOCOL
+) -> bytes:
+    """Encodes a message as the number of its type and its fields.
+
+    Args:
+      message: The message.
+      protocol: Protocol that the receiver speaks. A later one than that of this
+        build is replaced by it.
+    """
+    kind = type(message)
+    number = MESSAGE_TYPES.index(kind)
+    fields: Any
+    if protocol < CURRENT_PROTOCOL:
+        protocol = OLDEST_PROTOCOL
+        known = FIELDS[kind][: OLDEST_FIELD_COUNTS[kind]]
+        fields = [getattr(message, field.name) for field in known]
+    else:
+        protocol = CURRENT_PROTOCOL
+        values = [getattr(message, field.name) for field in FIELDS[kind]]
+        fields = {
+            index: value
+            for index, value in enumerate(values)
+            if value != DEFAULTS[kind][index]
+        }
+    payload = msgpack.packb([number, fields], default=encode_value)
+    return bytes([protocol]) + payload
 
 
 def encode_value(value: Any) -> Any:
@@ -83,22 +144,51 @@
     """Decodes a message.
 
     Raises:
-      ProtocolError: The message is damaged or has another protocol.
+      UnknownMessageError: The message is of a later build.
+      ProtocolError: The message is damaged, or of an earlier protocol than the
+        oldest that is understood.
     """
-    if data[:1] != PROTOCOL_VERSION:
+    protocol = data[0] if data else 0
+    if protocol > CURRENT_PROTOCOL:
+        raise UnknownMessageError(
+            f"Cannot decode a peer message of protocol 0x{protocol:02x}.",
+            "Update this instance; the peer must send it protocol "
+            f"0x{CURRENT_PROTOCOL:02x} until then.",
+        )
+    if protocol < OLDEST_PROTOCOL:
         raise ProtocolError(
-            f"Cannot decode a peer message of protocol "
-            f"{data[:1].hex() or 'none'}.",
-            "Run instances of the same release.",
+            f"Cannot decode a peer message of protocol 0x{protocol:02x}.",
+            "Update the peer to the release in production or a later one.",
         )
     try:
-        number, values = msgpack.unpackb(data[1:], use_list=True)
-        names = [
-            field.name for field in dataclasses.fields(MESSAGE_TYPES[number])
-        ]
-        fields: dict[str, Any] = dict(zip(names, values, strict=True))
+        number, values = msgpack.unpackb(
+            data[1:], use_list=True, strict_map_key=False
+        )
+        if protocol > OLDEST_PROTOCOL and number >= len(MESSAGE_TYPES):
+            raise UnknownMessageError(
+                f"Cannot decode a peer message of type {number}.",
+                "Update this instance; the peer must not send it this type "
+                "until then.",
+            )
+        kind = MESSAGE_TYPES[number]
+        names = [field.name for field in FIELDS[kind]]
+        if protocol == OLDEST_PROTOCOL:
+            known = names[: OLDEST_FIELD_COUNTS[kind]]
+            fields = dict(zip(known, values, strict=True))
+        else:
+            fields = {
+                names[index]: value
+                for index, value in values.items()
+                if index < len(names)
+            }
         return MESSAGE_ADAPTERS[number].validate_python(fields)
-    except (ValidationError, ValueError, TypeError, IndexError) as err:
+    except (
+        AttributeError,
+        IndexError,
+        TypeError,
+        ValidationError,
+        ValueError,
+    ) as err:
         raise ProtocolError(
             f"Cannot decode a peer message: {err}.",
             "Make sure that no data is corrupted on its way between instances.",
@@ -117,12 +207,15 @@
       ip: IP address at which it accepts messages of other instances.
       port: Port at that address.
       capacity: Its CPU capacity, in cores.
+      protocol: Latest protocol of messages that it understands. The build in
+        production announces none.
     """
 
     data_centre: PeerName
     ip: PeerName
     port: Annotated[int, Field(ge=1, le=65535)]
     capacity: Annotated[float, Field(gt=0, le=1024)] = 1.0
+    protocol: Annotated[int, Field(ge=0, le=255)] = OLDEST_PROTOCOL
 
 
 INSTANCE_RECORD_ADAPTER = TypeAdapter(InstanceRecord)
--- a/arbutusbridge/forwarding/peermessages.py
+++ b/arbutusbridge/forwarding/peermessages.py
@@ -65,7 +65,8 @@
     exchange = group.exchange
     reply_due_at = exchange.give_up_at
     if exchange.route.shards:
-        reply_due_at = exchange.partial_answer_at + PEER_REPLY_GRACE_S
+        due_at = max(exchange.partial_answer_at, now)
+        reply_due_at = due_at + PEER_REPLY_GRACE_S
     group.check_at = math.inf if group.given_up else reply_due_at
     if group.given_up:
         # The shards were taken back, but the peer queries them as well: the
@@ -83,14 +84,20 @@
     """Processes the reply of a peer for a group of shards.
 
     Its records are merged from all shards that it covers. It therefore replaces
-    the replies that arrived directly for them meanwhile.
+    the replies that arrived directly for them meanwhile, and the previous reply
+    of the same peer.
     """
-    group = shared.gather.groups.pop(message.gather_id, None)
+    group = shared.gather.groups.get(message.gather_id)
     if group is None:
         return
     exchange = group.exchange
     group.replied_at = now
-    group.check_at = math.inf
+    if message.is_final:
+        del shared.gather.groups[message.gather_id]
+        group.check_at = math.inf
+    elif not group.given_up:
+        period_s = delegation.update_period_s(exchange)
+        group.check_at = now + period_s + PEER_REPLY_GRACE_S
     if exchange.relayed:
         shared.count("relay_replied")
     if group.superseded:
@@ -98,11 +105,15 @@
     if not exchange.route.shards:
         on_response(message, group, shared, now, out)
         return
-    group.not_run = not message.asked and not message.stamps
-    exchange.peer_bodies.append(message.body)
+    has_run = message.asked or message.stamps or not message.is_final
+    group.not_run = not has_run
+    exchange.peer_bodies[group.gather_id] = message.body
     for part in group.parts:
-        part.group = None
         stamp = message.stamps.get(part.service)
+        if stamp is None and not message.is_final:
+            # The peer still queries it.
+            continue
+        part.group = None
         if stamp is not None:
             attempts.drop_open_attempts(part, False, shared, out)
             part.given_up = False
@@ -213,6 +224,8 @@
         peer_request=message,
         second_upstream_at=now + message.alone_s,
     )
+    if message.accepts_updates and route.shards:
+        exchange.next_update_at = exchange.partial_answer_at
     exchange.canary_count = message.canary_count
     if route.shards and shared.suspicion(request, now) is not None:
         exchange.canary_count = max(1, message.canary_count)
--- a/tests/test_daemon/test_following.py
+++ b/tests/test_daemon/test_following.py
@@ -24,6 +24,7 @@
 )
 from arbutusbridge.forwarding.gather import Peer, PeerTable
 from arbutusbridge.forwarding.gatherwire import (
+    CURRENT_PROTOCOL,
     InstanceRecord,
     encode_instance_record,
 )
@@ -65,6 +66,7 @@
             self.bench.hub,
             ForwardMetrics(),
             CHANNELS,
+            lambda _address: CURRENT_PROTOCOL,
         ).register(self.bench)
         self.peer_table = PeerTable()
         self.store_follower = StoreFollower(
--- /dev/null
+++ b/tests/test_forwarding/messagesamples.py
@@ -0,0 +1,75 @@
+"""A message of each type, for the encodings that builds have to understand."""
+
+from __future__ import annotations
+
+from arbutusbridge.core.requests.quarantine import CrashReport
+from arbutusbridge.forwarding.following import FollowRequest, StoreUpdate
+from arbutusbridge.forwarding.gather import (
+    DeclineReason,
+    GatherAck,
+    GatherCancel,
+    GatherReply,
+    GatherRequest,
+    IsolationNotice,
+    RelayedResponse,
+)
+from arbutusbridge.forwarding.limitmessages import (
+    DemandNotice,
+    ShareNotice,
+    TermsReport,
+)
+from arbutusbridge.forwarding.quarantinemessages import (
+    QuarantineNotice,
+    QuarantineReport,
+    ResultReport,
+)
+
+ADDRESS = ("10.0.0.1", 7380)
+TERMS = TermsReport("i-1", 5, 0.25, None)
+
+SAMPLES = {
+    "request": GatherRequest(
+        7,
+        ADDRESS,
+        "r1",
+        "GET",
+        "/leases/1?full",
+        "desk.example",
+        [(b"Accept", b"*/*")],
+        b"\0\xff",
+        ["s1", "s2"],
+        0.2,
+        1.9,
+        1,
+        0.05,
+        1,
+        True,
+    ),
+    "decline": GatherAck(7, DeclineReason.BUSY),
+    "ack": GatherAck(8),
+    "reply": GatherReply(
+        7, {"s1": "a.1"}, b"x" * 32, {"s2": ["i-2"]}, ["s3"], ["s4"]
+    ),
+    "response": GatherReply(
+        9,
+        {},
+        b"",
+        response=RelayedResponse(True, 200, [(b"X-A", b"\xff")], b"\0", "a.1"),
+        may_have_run=True,
+        retry_after_s=0.5,
+    ),
+    "cancel": GatherCancel(7, ADDRESS),
+    "follow": FollowRequest(ADDRESS, True),
+    "update": StoreUpdate(ADDRESS, 4, True, 77, 0.5, False, b"\1\2"),
+    "quarantine": QuarantineNotice(
+        ADDRESS,
+        True,
+        [CrashReport("f", "i-1@5", 0.5, 0.25, "north-1", 0.75)],
+        [QuarantineReport("f", 1.5, 600.0, "north-1", ["e"])],
+        [ResultReport("g", 0.125)],
+    ),
+    "demand": DemandNotice("north-1", ADDRESS, [TERMS], [0.5]),
+    "share": ShareNotice("north-1", [TERMS], [-1.0]),
+    "isolation": IsolationNotice("north-1", True),
+}
+"""Messages by name. An entry stays as it is; a new field gets a new entry."""
--- a/tests/test_forwarding/test_delegation.py
+++ b/tests/test_forwarding/test_delegation.py
@@ -28,6 +28,11 @@
     Peer,
     SendGatherMessage,
 )
+from arbutusbridge.forwarding.gatherwire import (
+    OLDEST_PROTOCOL,
+    decode_message,
+    encode_message,
+)
 from arbutusbridge.forwarding.peermessages import PEER_REPLY_GRACE_S
 from tests.test_forwarding.fixtures import (
     make_forwarder,
@@ -89,7 +94,12 @@
         out = near.handle_timer(exchange.request, due_at)
         reply = only(out, SendGatherMessage).message
         self.assertIsInstance(reply, GatherReply)
-        out = far.handle_peer_message(reply, due_at + 0.01)
+        # A peer of the oldest build sends no further reply.
+        self.assertFalse(reply.is_final)
+        out = far.handle_peer_message(reply, due_at + 0.005)
+        self.assertEqual([], sends_of(out))
+        data = encode_message(reply, OLDEST_PROTOCOL)
+        out = far.handle_peer_message(decode_message(data), due_at + 0.01)
         sent = {send.upstream.service for send in sends_of(out)}
         self.assertEqual(set(reply.asked), sent)
         self.assertTrue(len(sent) < SHARDS)
--- a/tests/test_forwarding/test_gatherwire.py
+++ b/tests/test_forwarding/test_gatherwire.py
@@ -2,49 +2,34 @@
 
 from __future__ import annotations
 
+import dataclasses
+import json
+from pathlib import Path
+
+import msgpack
 import testtools
 from hypothesis import given
 from hypothesis import strategies as st
 
-from arbutusbridge.errors import ProtocolError
-from arbutusbridge.forwarding.gather import (
-    DeclineReason,
-    GatherAck,
-    GatherCancel,
-    GatherReply,
-    GatherRequest,
-    IsolationNotice,
-    RelayedResponse,
-)
+from arbutusbridge.errors import ProtocolError, UnknownMessageError
+from arbutusbridge.forwarding.gather import GatherAck, GatherReply
 from arbutusbridge.forwarding.gatherwire import (
-    PROTOCOL_VERSION,
+    CURRENT_PROTOCOL,
+    FIELDS,
+    MESSAGE_TYPES,
+    OLDEST_FIELD_COUNTS,
+    OLDEST_PROTOCOL,
     InstanceRecord,
     decode_instance_record,
     decode_message,
     encode_instance_record,
     encode_message,
 )
-from arbutusbridge.forwarding.limitmessages import (
-    DemandNotice,
-    ShareNotice,
-    TermsReport,
-)
+from tests.test_forwarding.messagesamples import SAMPLES
 
-TERMS = TermsReport("i-1", 5, 0.25, None)
-
-GATHER_REQUEST = GatherRequest(
-    7,
-    ("10.0.0.1", 7380),
-    "r1",
-    "GET",
-    "/leases/1?full",
-    "desk.example",
-    [(b"Accept", b"*/*")],
-    b"\0\xff",
-    ["s1", "s2"],
-    0.2,
-    1.9,
-)
+FOLDER = Path(__file__).parent
+OLDEST_ENCODINGS = json.loads((FOLDER / "messages_15.json").read_text())
+CURRENT_ENCODINGS = json.loads((FOLDER / "messages_16.json").read_text())
 
 
 class MessageTest(testtools.TestCase):
@@ -52,34 +37,94 @@
 
     def test_every_message_type_round_trips(self) -> None:
         for message in (
-            GATHER_REQUEST,
-            GatherAck(7, DeclineReason.BUSY),
-            GatherAck(8),
-            IsolationNotice("north-1", True),
-            GatherReply(7, {"s1": "a.1"}, b"x" * 32),
-            GatherReply(
-                7,
-                {},
-                b"",
-                response=RelayedResponse(
-                    True, 200, [(b"X-A", b"\xff")], b"\0", "a.1"
-                ),
-                retry_after_s=0.5,
-            ),
-            DemandNotice("north-1", ("10.0.0.1", 7380), [TERMS], [0.5]),
-            ShareNotice("north-1", [TERMS], [-1.0]),
-            GatherCancel(7, ("10.0.0.1", 7380)),
+            *SAMPLES.values(),
+            GatherReply(7, {"s1": "a.1"}, b"x" * 32, is_final=False),
         ):
             self.assertEqual(message, decode_message(encode_message(message)))
+        kinds = {type(message) for message in SAMPLES.values()}
+        self.assertEqual(set(MESSAGE_TYPES), kinds)
 
     @given(st.binary(max_size=64))
     def test_damage_is_a_typed_error_fuzz(self, data: bytes) -> None:
-        for text in (data, PROTOCOL_VERSION + data):
+        for text in (
+            data,
+            bytes([CURRENT_PROTOCOL]) + data,
+            bytes([OLDEST_PROTOCOL]) + data,
+        ):
             try:
                 decode_message(text)
-            except ProtocolError:
+            except (ProtocolError, UnknownMessageError):
                 continue
 
+
+class BuildsTest(testtools.TestCase):
+    """Messages between this build and others, during an update.
+
+    The encodings in the data files are those of released builds. Guards against
+    a change of a message that such a build does not understand.
+    """
+
+    def test_messages_of_released_builds_are_understood(self) -> None:
+        for name, message in SAMPLES.items():
+            for encodings in (OLDEST_ENCODINGS, CURRENT_ENCODINGS):
+                found = decode_message(bytes.fromhex(encodings[name]))
+                self.assertEqual(message, found)
+
+    def test_messages_to_released_builds_are_unchanged(self) -> None:
+        for name, message in SAMPLES.items():
+            for protocol, encodings in (
+                (0, OLDEST_ENCODINGS),
+                (OLDEST_PROTOCOL, OLDEST_ENCODINGS),
+                (CURRENT_PROTOCOL, CURRENT_ENCODINGS),
+                (CURRENT_PROTOCOL + 1, CURRENT_ENCODINGS),
+            ):
+                encoded = encode_message(message, protocol).hex()
+                self.assertEqual(encodings[name], encoded)
+
+    def test_added_fields_have_defaults(self) -> None:
+        for kind, fields in FIELDS.items():
+            for field in fields[OLDEST_FIELD_COUNTS[kind] :]:
+                self.assertTrue(
+                    field.default is not dataclasses.MISSING
+                    or field.default_factory is not dataclasses.MISSING,
+                    f"{kind.__name__}.{field.name}",
+                )
+
+    def test_added_fields_are_left_out_for_the_oldest_build(self) -> None:
+        update = GatherReply(7, {"s1": "a.1"}, b"", is_final=False)
+        found = decode_message(encode_message(update, OLDEST_PROTOCOL))
+        self.assertEqual(GatherReply(7, {"s1": "a.1"}, b""), found)
+
+    def test_unknown_fields_are_skipped(self) -> None:
+        number = MESSAGE_TYPES.index(GatherAck)
+        payload = msgpack.packb([number, {0: 8, 99: "of a later build"}])
+        data = bytes([CURRENT_PROTOCOL]) + payload
+        self.assertEqual(GatherAck(8), decode_message(data))
+
+    def test_unknown_types_and_protocols_are_told_from_damage(self) -> None:
+        of_type = msgpack.packb([len(MESSAGE_TYPES), {0: 8}])
+        for data in (
+            bytes([CURRENT_PROTOCOL]) + of_type,
+            bytes([CURRENT_PROTOCOL + 1]) + b"any",
+        ):
+            self.assertRaises(UnknownMessageError, decode_message, data)
+        for data in (b"", b"\x14", bytes([CURRENT_PROTOCOL]) + b"\x92\xff\x80"):
+            self.assertRaises(ProtocolError, decode_message, data)
+
+    def test_record_of_the_oldest_build_has_its_protocol(self) -> None:
+        value = b'{"data_centre":"n","ip":"10.0.0.1","port":1,"capacity":1.0}'
+        found = decode_instance_record(value)
+        assert found is not None
+        self.assertEqual(OLDEST_PROTOCOL, found.protocol)
+        later = value[:-1] + b',"protocol":200,"other":1}'
+        found = decode_instance_record(later)
+        assert found is not None
+        self.assertEqual(200, found.protocol)
+
+
+class RecordTest(testtools.TestCase):
+    """Record of an instance in the store."""
+
     def test_instance_record_round_trips_and_invalid_ones_are_none(
         self,
     ) -> None:
