--- a/arbutusbridge/cmd/soak.py
+++ b/arbutusbridge/cmd/soak.py
@@ -18,6 +18,7 @@
     faults: int = 10,
     seconds: float = 12.0,
     large: bool = False,
+    other_build: Path | None = None,
 ) -> int:
     """Run deployments of real instances under faults, one for each seed.
 
@@ -27,6 +28,9 @@
       faults: Number of faults in each run.
       seconds: Number of seconds within which the faults begin.
       large: Run deployments of 200 instances; they need about 10 GB of memory.
+      other_build: Folder that holds the package of another build, for example
+        an export of the commit in production. Instances of both builds then
+        run side by side, with updates and roll-backs as further faults.
 
     Returns:
       0 if every guarantee held, 1 if not, 2 for wrong usage.
@@ -34,6 +38,13 @@
     if not seeds:
         print("No seeds given. Remedy: soak 1 2 3.", file=sys.stderr)
         return EXIT_USAGE
+    if other_build is not None and not (other_build / "arbutusbridge").is_dir():
+        print(
+            f"No package in {other_build}. Remedy: export a commit there, "
+            "git archive COMMIT arbutusbridge | tar -x -C FOLDER.",
+            file=sys.stderr,
+        )
+        return EXIT_USAGE
     handler = start_logging("warning", sys.stderr)
     held = True
     for seed in seeds:
@@ -43,7 +54,9 @@
             )
             run_folder.mkdir(parents=True, exist_ok=True)
             shape = LARGE_SHAPE if large else None
-            result = run_soak(seed, run_folder, faults, seconds, shape)
+            result = run_soak(
+                seed, run_folder, faults, seconds, shape, other_build
+            )
         report(result)
         held = held and not result.breaches
     handler.close()
--- a/arbutusbridge/daemon/peermessenger.py
+++ b/arbutusbridge/daemon/peermessenger.py
@@ -69,7 +69,18 @@
 
     def send(self, address: tuple[str, int], message: PeerMessage) -> None:
         """Sends a message; the sender's timeout covers a lost one."""
-        data = encode_message(message, self.protocol_of(address))
+        try:
+            data = encode_message(message, self.protocol_of(address))
+        except UnknownMessageError as err:
+            logger.warning(
+                "message to peer not sent",
+                extra={
+                    "address": address,
+                    "outcome": err.kind,
+                    "error": str(err),
+                },
+            )
+            return
         outcome, error = self.links.send(address, data)
         self.metrics.peer_bytes.labels("sent").inc(len(data))
         if outcome is not SendResult.ACCEPTED:
--- a/arbutusbridge/forwarding/canaries.py
+++ b/arbutusbridge/forwarding/canaries.py
@@ -112,11 +112,11 @@
     if exchange.groups or shared.suspicion(exchange.request, now) is not None:
         return False
     held = [part for part in exchange.parts if part.held_back]
-    group = delegation.delegate_one_shard(exchange, held, shared, now, out)
+    group = delegation.delegate_canary_share(exchange, held, shared, now, out)
     if group is None:
         return False
-    (part,) = group.parts
-    part.held_back = False
+    for part in group.parts:
+        part.held_back = False
     exchange.canary_group = group
     typical_s = shared.reply_times.typical(
         exchange.route, group.peer.data_centre
@@ -164,9 +164,12 @@
         return
     exchange.next_canary_at = math.inf
     exchange.canary_count = 0
-    if has_delegated_canary(exchange):
-        assert exchange.canary_group is not None
-        held += delegation.take_back(exchange.canary_group, shared, now, out)
+    group = exchange.canary_group
+    if group is not None and has_delegated_canary(exchange):
+        if not group.peer.sends_updates:
+            held += delegation.take_back(group, shared, now, out)
+        elif not any(part.reply for part in group.parts):
+            delegation.release_group(group, shared, out)
     for part in held:
         part.held_back = False
     send_all(exchange, held, shared, now, out)
@@ -191,7 +194,7 @@
 
 
 def has_delegated_canary(exchange: Exchange) -> bool:
-    """Returns whether a helper still queries the shard of the first canary."""
+    """Returns whether a helper still queries shards for the first canary."""
     group = exchange.canary_group
     return group is not None and any(
         part.group is group for part in group.parts
--- a/arbutusbridge/forwarding/conclusion.py
+++ b/arbutusbridge/forwarding/conclusion.py
@@ -121,16 +121,23 @@
     ):
         answer_merged(exchange, shared, now, out)
     elif now >= exchange.next_update_at:
-        update_peer(exchange, shared, now, out)
+        update_regularly(exchange, shared, now, out)
+    elif (
+        exchange.peer_request is not None
+        and exchange.peer_request.reports_first
+        and exchange.answered
+        and not exchange.updated_with
+    ):
+        send_update(exchange, shared, now, out)
 
 
-def update_peer(
+def update_regularly(
     exchange: Exchange, shared: SharedState, now: float, out: list[object]
 ) -> None:
-    """Sends the shards that have replied so far; the others are still queried.
+    """Sends an update that is due, if there is news.
 
-    The first update is sent in any case, since the peer gives up one that does
-    not reply.
+    That at the target is sent in any case, since the peer gives up one that
+    does not reply.
     """
     is_first = exchange.next_update_at == exchange.partial_answer_at
     if is_first:
@@ -138,14 +145,21 @@
             exchange.give_up_at, now + delegation.update_period_s(exchange)
         )
     if is_first or exchange.answered > exchange.updated_with:
-        exchange.updated_with = exchange.answered
-        record_success(exchange, "partial", shared, now, out)
-        bodies = [part.reply.body for part in exchange.parts if part.reply]
-        body = merge_greatest(bodies, exchange.route.max_records)
-        delegation.send_reply(exchange, body, out, is_final=False)
+        send_update(exchange, shared, now, out)
     exchange.next_update_at = now + delegation.update_interval_s(exchange)
 
 
+def send_update(
+    exchange: Exchange, shared: SharedState, now: float, out: list[object]
+) -> None:
+    """Sends the shards that have replied; the others are still queried."""
+    exchange.updated_with = exchange.answered
+    record_success(exchange, "partial", shared, now, out)
+    bodies = [part.reply.body for part in exchange.parts if part.reply]
+    body = merge_greatest(bodies, exchange.route.max_records)
+    delegation.send_reply(exchange, body, out, is_final=False)
+
+
 def conclude_unsharded(
     exchange: Exchange, shared: SharedState, now: float, out: list[object]
 ) -> None:
--- a/arbutusbridge/forwarding/delegation.py
+++ b/arbutusbridge/forwarding/delegation.py
@@ -13,6 +13,7 @@
     MIN_GROUP_SHARDS,
     SIMILAR_COUNT_RATIO,
     GatherCancel,
+    GatherRelease,
     GatherReply,
     GatherRequest,
     RelayedResponse,
@@ -100,17 +101,19 @@
         delegate_far_shards(exchange, far, shared, now, out)
 
 
-def delegate_one_shard(
+def delegate_canary_share(
     exchange: Exchange,
     parts: list[Part],
     shared: SharedState,
     now: float,
     out: list[object],
 ) -> DelegatedGroup | None:
-    """Delegates one shard of a wide request to the helper that queries it.
+    """Delegates the share of one helper of a wide request before the others.
 
-    The helper may try one upstream. Returns None if the request is not wide, or
-    if this instance is one of its helpers.
+    The helper sends one shard as the canary and reports its reply. One that
+    sends no updates gets a single shard, of which it may try one upstream.
+    Returns None if the request is not wide, or if this instance is one of its
+    helpers.
     """
     own = shared.gather.own_peer
     if own is None or exchange.peer_request is not None:
@@ -130,6 +133,10 @@
     if not shares or own in helpers:
         return None
     peer, share = shared.rng.choice(shares)
+    if peer.sends_updates:
+        return send_to_peer(
+            exchange, peer, share, shared, now, out, reports_first=True
+        )
     part = shared.rng.choice(share)
     return send_to_peer(
         exchange, peer, [part], shared, now, out, upstreams_left=1
@@ -216,6 +223,7 @@
     out: list[object],
     relayed: bool = False,
     upstreams_left: int | None = None,
+    reports_first: bool = False,
 ) -> DelegatedGroup:
     """Delegates shards, or a request without shards, to a peer.
 
@@ -231,6 +239,7 @@
       relayed: Whether this instance is cut off from the upstreams.
       upstreams_left: Number of upstreams of each shard that the peer may try,
         None for all that the route still allows.
+      reports_first: Whether the peer reports the first shard that replies.
 
     Returns:
       The group of the shards.
@@ -280,6 +289,7 @@
                 relayed,
                 # A relayed request goes to another peer instead.
                 accepts_updates=not relayed,
+                reports_first=reports_first,
             ),
         )
     )
@@ -412,6 +422,16 @@
             attempts.send_first_attempt(exchange, part, shared, now, out)
 
 
+def release_group(
+    group: DelegatedGroup, shared: SharedState, out: list[object]
+) -> None:
+    """Tells a peer to send the shards that it holds back."""
+    own = shared.gather.own_peer
+    assert own is not None
+    message = GatherRelease(group.gather_id, own.address)
+    out.append(SendGatherMessage(group.peer.address, message))
+
+
 def take_back(
     group: DelegatedGroup, shared: SharedState, now: float, out: list[object]
 ) -> list[Part]:
--- a/arbutusbridge/forwarding/exchange.py
+++ b/arbutusbridge/forwarding/exchange.py
@@ -116,6 +116,7 @@
       next_update_at: When a further reply is sent to the peer that delegated
         the request; infinite if none is.
       updated_with: Number of shards in the last reply to that peer.
+      is_cleared: Whether a peer has told that another shard has a result.
       second_upstream_at: When a second upstream of a shard may be tried.
       canary_count: Number of shards to query before the others, 0 for none.
       next_canary_at: When another canary is sent, as those so far have no
@@ -143,6 +144,7 @@
     peer_bodies: dict[int, bytes] = field(default_factory=dict)
     next_update_at: float = math.inf
     updated_with: int = 0
+    is_cleared: bool = False
     second_upstream_at: float = -math.inf
     canary_count: int = 0
     next_canary_at: float = math.inf
@@ -211,7 +213,7 @@
     @property
     def has_result(self) -> bool:
         """Whether an upstream ran the request to its end."""
-        return any(
+        return self.is_cleared or any(
             part.reply is not None
             or (
                 part.failure is not None
--- a/arbutusbridge/forwarding/forwarder.py
+++ b/arbutusbridge/forwarding/forwarder.py
@@ -29,6 +29,7 @@
 from arbutusbridge.forwarding.gather import (
     GatherAck,
     GatherCancel,
+    GatherRelease,
     GatherReply,
     GatherRequest,
     IsolationNotice,
@@ -453,6 +454,8 @@
                 peermessages.on_ack(message, self, now, out)
             case GatherReply():
                 peermessages.on_reply(message, self, now, out)
+            case GatherRelease():
+                peermessages.on_release(message, self, now, out)
             case GatherCancel():
                 peermessages.on_cancel(message, self, now, out)
             case QuarantineNotice():
--- a/arbutusbridge/forwarding/gather.py
+++ b/arbutusbridge/forwarding/gather.py
@@ -22,6 +22,10 @@
     from arbutusbridge.forwarding.quarantinemessages import QuarantineNotice
 
 
+UPDATES_PROTOCOL = 0x16
+"""Protocol of messages from which on an instance sends updates after its first
+reply, and the first of them as soon as it has a result."""
+
 MIN_GROUP_SHARDS = 3
 """Minimum number of shards in another region for which one message is cheaper
 than a subrequest each."""
@@ -96,6 +100,8 @@
         message stands for a request that it would have sent itself.
       accepts_updates: Whether the sender accepts replies that lack shards and
         are followed by others.
+      reports_first: Whether to send the first of them as soon as a shard has
+        replied, because other shards wait for it.
     """
 
     gather_id: int
@@ -114,6 +120,7 @@
     canary_count: int = 0
     relayed: bool = False
     accepts_updates: bool = False
+    reports_first: bool = False
 
 
 class DeclineReason(enum.Enum):
@@ -217,6 +224,21 @@
     reply_to: tuple[str, int]
 
 
+@dataclass(slots=True)
+class GatherRelease:
+    """Message: another shard of a request has a result.
+
+    The peer sends the shards that it holds back behind its canary.
+
+    Attributes:
+      gather_id: Id of the request.
+      reply_to: Address at which the sender accepts messages.
+    """
+
+    gather_id: int
+    reply_to: tuple[str, int]
+
+
 @dataclass(slots=True)
 class IsolationNotice:
     """Message: whether an instance is cut off from all upstreams.
@@ -231,7 +253,12 @@
 
 
 GatherMessage = (
-    GatherRequest | GatherAck | GatherReply | GatherCancel | IsolationNotice
+    GatherRequest
+    | GatherAck
+    | GatherReply
+    | GatherCancel
+    | GatherRelease
+    | IsolationNotice
 )
 
 
@@ -275,6 +302,11 @@
     consecutive_timeouts: int = 0
     protocol: int = 0
 
+    @property
+    def sends_updates(self) -> bool:
+        """Whether it replies to a request more than once."""
+        return self.protocol >= UPDATES_PROTOCOL
+
     def is_available(self, now: float) -> bool:
         """Returns whether it may be sent a request."""
         return self.excluded_until <= now and self.isolated_until <= now
--- a/arbutusbridge/forwarding/gatherwire.py
+++ b/arbutusbridge/forwarding/gatherwire.py
@@ -26,6 +26,7 @@
     GatherAck,
     GatherCancel,
     GatherMessage,
+    GatherRelease,
     GatherReply,
     GatherRequest,
     IsolationNotice,
@@ -63,8 +64,10 @@
     DemandNotice,
     ShareNotice,
     IsolationNotice,
+    GatherRelease,
 )
-"""Message types; the index of a type is its number on the wire."""
+"""Message types; the index of a type is its number on the wire. Those without
+an entry in OLDEST_FIELD_COUNTS are not sent to peers of the oldest protocol."""
 
 OLDEST_FIELD_COUNTS: dict[type, int] = {
     GatherRequest: 15,
@@ -113,12 +116,20 @@
       message: The message.
       protocol: Protocol that the receiver speaks. A later one than that of this
         build is replaced by it.
+
+    Raises:
+      UnknownMessageError: The receiver does not understand this type.
     """
     kind = type(message)
     number = MESSAGE_TYPES.index(kind)
     fields: Any
     if protocol < CURRENT_PROTOCOL:
         protocol = OLDEST_PROTOCOL
+        if kind not in OLDEST_FIELD_COUNTS:
+            raise UnknownMessageError(
+                f"The peer does not understand {kind.__name__}.",
+                "Update the peer; its requests are served without it.",
+            )
         known = FIELDS[kind][: OLDEST_FIELD_COUNTS[kind]]
         fields = [getattr(message, field.name) for field in known]
     else:
@@ -185,6 +196,7 @@
     except (
         AttributeError,
         IndexError,
+        KeyError,
         TypeError,
         ValidationError,
         ValueError,
--- a/arbutusbridge/forwarding/losses.py
+++ b/arbutusbridge/forwarding/losses.py
@@ -289,3 +289,5 @@
             )
         )
     notices.broadcast(lost, shared, now, out)
+    for loss in losses:
+        notices.tell_delegating_peer(loss.exchange, shared, now, out)
--- a/arbutusbridge/forwarding/notices.py
+++ b/arbutusbridge/forwarding/notices.py
@@ -27,6 +27,7 @@
 )
 
 if TYPE_CHECKING:
+    from arbutusbridge.forwarding.exchange import Exchange
     from arbutusbridge.forwarding.gather import Peer
     from arbutusbridge.forwarding.shared import SharedState
 
@@ -103,6 +104,20 @@
         send_to_all(notice, shared, now, out, is_verdict)
 
 
+def tell_delegating_peer(
+    exchange: Exchange, shared: SharedState, now: float, out: list[object]
+) -> None:
+    """Tells the peer that delegated a request of the evidence against it.
+
+    It sends further canaries otherwise, and is not always among the contacts.
+    """
+    if exchange.peer_request is None or exchange.finished:
+        return
+    fingerprint = exchange.request.fingerprint
+    notice = build_notice([fingerprint], False, shared, now)
+    out.append(SendGatherMessage(exchange.peer_request.reply_to, notice))
+
+
 def broadcast_result(
     fingerprint: str, shared: SharedState, now: float, out: list[object]
 ) -> None:
--- a/arbutusbridge/forwarding/peermessages.py
+++ b/arbutusbridge/forwarding/peermessages.py
@@ -17,6 +17,7 @@
     DeclineReason,
     GatherAck,
     GatherCancel,
+    GatherRelease,
     GatherReply,
     GatherRequest,
     SendGatherMessage,
@@ -262,6 +263,20 @@
     return None
 
 
+def on_release(
+    message: GatherRelease,
+    shared: SharedState,
+    now: float,
+    out: list[object],
+) -> None:
+    """Sends the shards that wait for a canary, as another one has a result."""
+    key = (message.reply_to, message.gather_id)
+    exchange = shared.gather.taken.get(key)
+    if exchange is not None:
+        exchange.is_cleared = True
+        conclude_or_set_timer(exchange, shared, now, out)
+
+
 def on_cancel(
     message: GatherCancel, shared: SharedState, now: float, out: list[object]
 ) -> None:
--- a/arbutusbridge/soak/environment.py
+++ b/arbutusbridge/soak/environment.py
@@ -121,12 +121,23 @@
       search_shard_set_index: Index of the shard set that searches use, 0 or 1.
       desk_service_index: Index of the service of the ``desk`` route, 0 or 1.
       instances: Instance processes by name.
+      other_build: Folder that holds the package of another build, which some
+        instances run; None if all run this one.
+      update_rng: Random numbers for which instances run the other build.
     """
 
     channel = "soak"
 
-    def __init__(self, seed: int, shape: SoakShape, folder: Path) -> None:
+    def __init__(
+        self,
+        seed: int,
+        shape: SoakShape,
+        folder: Path,
+        other_build: Path | None = None,
+    ) -> None:
         super().__init__()
+        self.other_build = other_build
+        self.update_rng = random.Random(f"updates {seed}")
         self.shape = shape
         self.folder = folder
         self.rng = random.Random(seed)
@@ -448,9 +459,11 @@
             log_path = self.folder / f"{name}.log"
             # The checks read the log, which must not hold an earlier run.
             log_path.unlink(missing_ok=True)
-            instances[name] = InstanceProcess(
+            instance = InstanceProcess(
                 name, (ip, ports[0]), settings_path, log_path
             )
+            instance.build = self.update_rng.choice((None, self.other_build))
+            instances[name] = instance
         return instances
 
     def begin(self, ready: Callable[[], None]) -> None:
@@ -564,6 +577,18 @@
         for instance in self.instances.values():
             instance.end()
 
+    def update(self, name: str) -> None:
+        """Replaces an instance by one of the other build, with a planned stop.
+
+        One that is stopping or down starts with that build.
+        """
+        instance = self.instances[name]
+        if instance.build is None:
+            instance.build = self.other_build
+        else:
+            instance.build = None
+        self.kill(name, 0.0, signal.SIGTERM)
+
     def kill(
         self, name: str, down_s: float, signal_number: int = signal.SIGKILL
     ) -> None:
--- a/arbutusbridge/soak/faults.py
+++ b/arbutusbridge/soak/faults.py
@@ -359,6 +359,12 @@
 """Faults of which a run has one group in addition to the others."""
 
 
+def update_one(environment: SoakEnvironment, _seconds: float) -> None:
+    """Replaces an instance by one of the other build."""
+    name = environment.update_rng.choice(sorted(environment.instances))
+    environment.update(name)
+
+
 def stall_proxy(
     environment: SoakEnvironment,
     kind: str,
@@ -408,6 +414,7 @@
         fault = environment.rng.choice(FAULTS)
         lines.append(schedule(environment, at, fault, duration_s))
     lines += plan_crashes(environment, seconds)
+    lines += plan_updates(environment, seconds)
     return sorted(lines + plan_contracts(environment, seconds))
 
 
@@ -428,6 +435,20 @@
     return lines
 
 
+def plan_updates(environment: SoakEnvironment, seconds: float) -> list[str]:
+    """Schedules updates and roll-backs of instances; a line for each.
+
+    They come in turn, as operators replace one instance after the other.
+    """
+    if environment.other_build is None:
+        return []
+    count = max(2, len(environment.instances) // 2)
+    return [
+        schedule(environment, seconds * number / count, update_one, 0.0)
+        for number in range(count)
+    ]
+
+
 def plan_contracts(environment: SoakEnvironment, seconds: float) -> list[str]:
     """Schedules limits and cut links, and returns a line for each."""
     rng = environment.contract_rng
--- a/arbutusbridge/soak/processes.py
+++ b/arbutusbridge/soak/processes.py
@@ -28,6 +28,8 @@
       process: Process started last, None before the first start.
       exit_expected: Whether the process was told to exit, or its unexpected
         exit has been recorded.
+      build: Folder that holds the package of the build that it runs, None for
+        this one.
     """
 
     def __init__(
@@ -43,6 +45,7 @@
         self.log_path = log_path
         self.process: subprocess.Popen[bytes] | None = None
         self.exit_expected = False
+        self.build: Path | None = None
 
     def start(self) -> None:
         """Starts the process."""
@@ -51,6 +54,8 @@
         with self.log_path.open("ab") as log:
             self.process = subprocess.Popen(
                 [sys.executable, "-m", "arbutusbridge.cmd.forward"],
+                # The current folder comes first on the module search path.
+                cwd=self.build,
                 env=process_env,
                 stdout=log,
                 stderr=log,
--- a/arbutusbridge/soak/run.py
+++ b/arbutusbridge/soak/run.py
@@ -87,6 +87,7 @@
     fault_count: int = 10,
     fault_window_s: float = 12.0,
     shape: SoakShape | None = None,
+    other_build: Path | None = None,
 ) -> SoakResult:
     """Runs one deployment under faults.
 
@@ -97,10 +98,12 @@
       fault_count: Number of faults.
       fault_window_s: Time within which the faults begin.
       shape: Size of the deployment, selected by the seed if None.
+      other_build: Folder that holds the package of another build. Half of the
+        instances start with it, and some are updated or rolled back.
     """
     if shape is None:
         shape = random.Random(seed).choice(SHAPES)
-    environment = SoakEnvironment(seed, shape, folder)
+    environment = SoakEnvironment(seed, shape, folder, other_build)
     planned_faults: list[str] = []
 
     def begin_faults() -> None:
--- a/tests/test_forwarding/fleet.py
+++ b/tests/test_forwarding/fleet.py
@@ -43,7 +43,11 @@
 )
 from arbutusbridge.forwarding.allocation import CHECK_INTERVAL_S
 from arbutusbridge.forwarding.gather import Peer, SendGatherMessage
-from arbutusbridge.forwarding.gatherwire import decode_message, encode_message
+from arbutusbridge.forwarding.gatherwire import (
+    CURRENT_PROTOCOL,
+    decode_message,
+    encode_message,
+)
 from arbutusbridge.forwarding.notices import EXCHANGE_INTERVAL_S
 from arbutusbridge.forwarding.terms import NO_TERMS, UpstreamTerms
 from tests.test_forwarding.fixtures import BOUNDS, HOST, REGIONS
@@ -104,6 +108,8 @@
 
     Attributes:
       capacity: CPU capacity of each instance, in cores.
+      protocols: Protocol that the peers of an instance know of it, if it is
+        not that of this build.
       instances: Forwarders by name.
       upstreams: Upstreams by name.
       arrivals: Attempts that reached an upstream.
@@ -139,6 +145,7 @@
     ) -> None:
         self.rng = random.Random(seed)
         self.capacity = capacity
+        self.protocols: dict[str, int] = {}
         self.now = 100.0
         self.events: list[tuple[float, int, Callable[[], None]]] = []
         self.numbers = itertools.count()
@@ -192,6 +199,7 @@
                 self.places[other],
                 self.address_of(other),
                 self.capacity,
+                protocol=self.protocols.get(other, CURRENT_PROTOCOL),
             )
             for other in self.places
         ]
@@ -377,10 +385,13 @@
 
     def send_message(self, name: str, action: SendGatherMessage) -> None:
         """Delivers a message to a peer through its encoding."""
-        data = encode_message(action.message)
         (peer,) = [
             p for p in self.places if self.address_of(p) == action.address
         ]
+        protocol = self.instances[name].gather.peer_table.protocol_of(
+            action.address
+        )
+        data = encode_message(action.message, protocol)
 
         def arrive() -> None:
             if self.is_cut(name, peer):
--- a/tests/test_forwarding/messagesamples.py
+++ b/tests/test_forwarding/messagesamples.py
@@ -8,6 +8,7 @@
     DeclineReason,
     GatherAck,
     GatherCancel,
+    GatherRelease,
     GatherReply,
     GatherRequest,
     IsolationNotice,
@@ -71,5 +72,6 @@
     "demand": DemandNotice("north-1", ADDRESS, [TERMS], [0.5]),
     "share": ShareNotice("north-1", [TERMS], [-1.0]),
     "isolation": IsolationNotice("north-1", True),
+    "release": GatherRelease(7, ADDRESS),
 }
 """Messages by name. An entry stays as it is; a new field gets a new entry."""
--- a/tests/test_forwarding/test_gatherwire.py
+++ b/tests/test_forwarding/test_gatherwire.py
@@ -67,8 +67,9 @@
     def test_messages_of_released_builds_are_understood(self) -> None:
         for name, message in SAMPLES.items():
             for encodings in (OLDEST_ENCODINGS, CURRENT_ENCODINGS):
-                found = decode_message(bytes.fromhex(encodings[name]))
-                self.assertEqual(message, found)
+                if name in encodings:
+                    found = decode_message(bytes.fromhex(encodings[name]))
+                    self.assertEqual(message, found)
 
     def test_messages_to_released_builds_are_unchanged(self) -> None:
         for name, message in SAMPLES.items():
@@ -78,12 +79,15 @@
                 (CURRENT_PROTOCOL, CURRENT_ENCODINGS),
                 (CURRENT_PROTOCOL + 1, CURRENT_ENCODINGS),
             ):
-                encoded = encode_message(message, protocol).hex()
-                self.assertEqual(encodings[name], encoded)
+                if type(message) in OLDEST_FIELD_COUNTS or protocol > (
+                    OLDEST_PROTOCOL
+                ):
+                    encoded = encode_message(message, protocol).hex()
+                    self.assertEqual(encodings[name], encoded)
 
     def test_added_fields_have_defaults(self) -> None:
-        for kind, fields in FIELDS.items():
-            for field in fields[OLDEST_FIELD_COUNTS[kind] :]:
+        for kind, count in OLDEST_FIELD_COUNTS.items():
+            for field in FIELDS[kind][count:]:
                 self.assertTrue(
                     field.default is not dataclasses.MISSING
                     or field.default_factory is not dataclasses.MISSING,
@@ -95,6 +99,14 @@
         found = decode_message(encode_message(update, OLDEST_PROTOCOL))
         self.assertEqual(GatherReply(7, {"s1": "a.1"}, b""), found)
 
+    def test_added_type_is_not_encoded_for_the_oldest_build(self) -> None:
+        self.assertRaises(
+            UnknownMessageError,
+            encode_message,
+            SAMPLES["release"],
+            OLDEST_PROTOCOL,
+        )
+
     def test_unknown_fields_are_skipped(self) -> None:
         number = MESSAGE_TYPES.index(GatherAck)
         payload = msgpack.packb([number, {0: 8, 99: "of a later build"}])
--- a/tests/test_forwarding/test_seldom_used_links.py
+++ b/tests/test_forwarding/test_seldom_used_links.py
@@ -16,13 +16,16 @@
 from arbutusbridge.daemon.peerlinks import MAX_LINKS
 from arbutusbridge.forwarding import Forwarder, Locality
 from arbutusbridge.forwarding.gather import (
+    UPDATES_PROTOCOL,
     GatherAck,
+    GatherRelease,
     GatherRequest,
     Peer,
     SendGatherMessage,
 )
 from tests.test_forwarding.fixtures import (
     make_forwarder,
+    only,
     request,
     result,
     sends_of,
@@ -74,7 +77,13 @@
     forwarder.gather.own_peer = own
     forwarder.gather.peer_table.update(
         [
-            Peer(p.name, p.data_centre, p.address, p.capacity)
+            Peer(
+                p.name,
+                p.data_centre,
+                p.address,
+                p.capacity,
+                protocol=p.protocol,
+            )
             for p in peers
             if p is not own
         ]
@@ -132,6 +141,52 @@
             and isinstance(one.message, GatherRequest)
         ]
 
+    # Guards against a canary to an upstream that has paused, which its helper
+    # knows, and against a helper that waits twice.
+    def test_helper_chooses_the_canary_and_reports_its_reply(self) -> None:
+        for peer in self.entry.gather.peer_table.peers.values():
+            peer.protocol = UPDATES_PROTOCOL
+        out = self.entry.handle_request(request(at=NOW), NOW)
+        (action,) = self.messages(out)
+        services = action.message.services
+        self.assertGreater(len(services), 1)
+        helper = make_instance(instances(29), 1)
+        (send,) = sends_of(
+            helper.handle_peer_message(action.message, NOW + 0.01)
+        )
+        out = helper.replies([result(send, 1)], NOW + 0.02)
+        self.assertEqual(len(services) - 1, len(sends_of(out)))
+        update = only(out, SendGatherMessage).message
+        self.assertFalse(update.is_final)
+        out = self.entry.handle_peer_message(update, NOW + 0.03)
+        sent = [one for m in self.messages(out) for one in m.message.services]
+        sent += [one.upstream.service for one in sends_of(out)]
+        self.assertEqual(SHARDS - len(services), len(sent))
+        self.assertEqual(set(), set(sent) & set(services))
+
+    def test_result_elsewhere_releases_the_shards_of_the_helper(self) -> None:
+        for peer in self.entry.gather.peer_table.peers.values():
+            peer.protocol = UPDATES_PROTOCOL
+        out = self.entry.handle_request(request(at=NOW), NOW)
+        (action,) = self.messages(out)
+        helper = make_instance(instances(29), 1)
+        helper.handle_peer_message(action.message, NOW + 0.01)
+        ack = GatherAck(action.message.gather_id)
+        self.entry.handle_peer_message(ack, NOW + 0.003)
+        (exchange,) = self.entry.exchanges.values()
+        due_at = exchange.next_canary_at
+        (canary,) = sends_of(self.entry.handle_timer(exchange.request, due_at))
+        out = self.entry.replies([result(canary, 1)], due_at + 0.01)
+        (release,) = [
+            one.message
+            for one in out
+            if isinstance(one, SendGatherMessage)
+            and isinstance(one.message, GatherRelease)
+        ]
+        out = helper.handle_peer_message(release, due_at + 0.02)
+        waiting = len(action.message.services) - 1
+        self.assertEqual(waiting, len(sends_of(out)))
+
     def test_one_helper_sends_the_canary_to_one_upstream(self) -> None:
         out = self.entry.handle_request(request(at=NOW), NOW)
         self.assertEqual([], sends_of(out))
@@ -181,7 +236,7 @@
     """A wide search that crashes the upstreams that run it."""
 
     def make_fleet(self, crash_after_s: float, seed: int) -> Fleet:
-        """Returns 24 small instances that have served other searches."""
+        """Returns 30 small instances that have served other searches."""
         places = ("north", "central", "south")
         upstreams = [
             upstream(
@@ -191,7 +246,7 @@
             for copy in (0, 1)
         ]
         fleet = Fleet(
-            [sharded(SHARDS)], upstreams, dict.fromkeys(places, 8), seed, 0.516
+            [sharded(SHARDS)], upstreams, dict.fromkeys(places, 10), seed, 0.516
         )
         fleet.crash_after_s = crash_after_s
         fleet.send_series(
