Count the time in which a machine is suspended

Cause: deadlines, leases and shares of limits were measured with the monotonic clock, which stops while a machine is suspended. An instance then acted on permissions that had run out, and gave requests that had waited meanwhile their whole time again: they were sent to upstreams although nobody waited for them.

Change: the clock of the timer service is CLOCK_BOOTTIME. A request that is read after a turn of the event loop of more than 0.5 s is taken to have arrived at its begin. One whose deadline has passed is refused as not run, and nothing is sent.

--- a/arbutusbridge/daemon/ingress.py
+++ b/arbutusbridge/daemon/ingress.py
@@ -55,6 +55,10 @@
 """Time for which a closing connection is still read, so that a reset does not
 discard its last answer."""
 
+MAX_TURN_S = 0.5
+"""Longest turn of the event loop in which a request is taken to have arrived
+when it is read; timers end each wait sooner."""
+
 MAX_HEADERS = 128
 """Maximum number of headers of a request."""
 
@@ -288,8 +292,12 @@
             return
         raw = connection.parser.queue.popleft()
         assert isinstance(raw, RawRequest)
+        # During a long turn of the event loop, as after a pause, a request may
+        # have waited since its begin.
+        began_at = self.timers.turn_began_at
+        arrived = began_at if now - began_at > MAX_TURN_S else now
         decoded = self.wire.decode_request(
-            raw.method, raw.path, raw.raw_headers, raw.body, now
+            raw.method, raw.path, raw.raw_headers, raw.body, arrived
         )
         if isinstance(decoded, Err):
             remedy = f"Correct the request: {decoded.err_value}."
--- a/arbutusbridge/daemon/timers.py
+++ b/arbutusbridge/daemon/timers.py
@@ -1,4 +1,8 @@
-"""Timer service on the monotonic clock."""
+"""Timer service on a clock that only goes forward.
+
+It counts the time in which the machine is suspended, so that deadlines, leases
+and shares of limits end meanwhile as they do for others.
+"""
 
 from __future__ import annotations
 
@@ -14,12 +18,18 @@
     from collections.abc import Callable
 
 
+def boot_clock() -> float:
+    """Returns the time since the machine started, in seconds."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class TimerService(BaseComponent):
     """Fires one ``due`` event per channel with the tokens of expired timers.
 
     Attributes:
-      clock: Returns the monotonic time in seconds.
+      clock: Returns the time in seconds.
       wall_ms: Returns the wall-clock time in milliseconds since 1970.
+      turn_began_at: When the present turn of the event loop began.
       count: Number of timers set so far; orders timers of the same time.
     """
 
@@ -27,17 +37,18 @@
 
     def __init__(
         self,
-        clock: Callable[[], float] = time.monotonic,
+        clock: Callable[[], float] = boot_clock,
         wall_ms: Callable[[], int] = lambda: time.time_ns() // 1_000_000,
     ) -> None:
         super().__init__()
         self.clock = clock
         self.wall_ms = wall_ms
+        self.turn_began_at = clock()
         self.heap: list[tuple[float, int, str, Any]] = []
         self.count = 0
 
     def at(self, when: float, channel: str, token: Any) -> None:
-        """Sets a timer for a channel at a monotonic time."""
+        """Sets a timer for a channel at a time of the clock."""
         self.count += 1
         heapq.heappush(self.heap, (when, self.count, channel, token))
 
@@ -48,7 +59,7 @@
     @handler("generate_events")
     def on_generate_events(self, event: Any) -> None:
         """Fires expired timers and limits the timeout of the poller."""
-        now = self.clock()
+        now = self.turn_began_at = self.clock()
         expired: dict[str, list[Any]] = {}
         while self.heap and self.heap[0][0] <= now:
             _, _, channel, token = heapq.heappop(self.heap)
--- a/arbutusbridge/forwarding/dispatch.py
+++ b/arbutusbridge/forwarding/dispatch.py
@@ -18,11 +18,13 @@
     """Starts a request, or gives it up if too few shards can be served.
 
     One that a peer delegated is given up too if it is quarantined, after a
-    notice of that to the peer, or if that is decided just now.
+    notice of that to the peer, or if that is decided just now. So is one whose
+    deadline has passed.
     """
     shared.exchanges[exchange.request] = exchange
     if (
-        shared.is_quarantined(exchange.request, now)
+        now >= exchange.give_up_at
+        or shared.is_quarantined(exchange.request, now)
         or shared.verdict_due_at(exchange.request) is not None
     ):
         for part in exchange.parts:
--- a/tests/test_daemon/test_ingress.py
+++ b/tests/test_daemon/test_ingress.py
@@ -204,6 +204,20 @@
         self.caller.settimeout(5.0)
         self.assertIn(b"X-Request-Id: r7", self.answer(self.next_request()))
 
+    # Guards against a paused instance that gives requests the time again that
+    # they have waited meanwhile.
+    def test_request_that_waited_for_a_paused_instance_is_older(self) -> None:
+        self.bench.turn()
+        paused_at = self.bench.now
+        self.caller.sendall(get(1))
+        time.sleep(0.05)
+        self.bench.now += 3.0
+        (connection,) = self.ingress.connections.values()
+        self.ingress.read(connection)
+        request = self.next_request()
+        self.assertEqual(paused_at, request.arrived)
+        self.assertEqual(paused_at + 0.9, request.deadline)
+
     def test_refusal_has_a_retry_after_header(self) -> None:
         self.send(get(1))
         request = self.next_request()
--- a/tests/test_forwarding/test_plain.py
+++ b/tests/test_forwarding/test_plain.py
@@ -42,6 +42,21 @@
     return forwarder.handle_request(request(number, target, NOW), NOW)
 
 
+class ExpiredRequestTest(testtools.TestCase):
+    """Requests whose deadline has passed when they are read."""
+
+    # Guards against a request that is sent although nobody waits for it, as by
+    # an instance that was paused.
+    def test_nothing_is_sent_and_the_refusal_says_so(self) -> None:
+        for route in (plain(), plain(idempotent=False)):
+            forwarder = make_forwarder([route], TWO)
+            late = request(target="/fetch/x", at=NOW - 6.0)
+            out = forwarder.handle_request(late, NOW)
+            self.assertEqual([], sends_of(out))
+            answer = only(out, RefusedAnswer)
+            self.assertIs(Refusal.UNSERVABLE, answer.refusal)
+
+
 class RouteTest(testtools.TestCase):
     """Lookup of the route of a request."""
 
