Give no grace to an upstream that was leaving before the start

Cause: an upstream that leaves gets requests for 1.5 s more if its service has no other. The time began when an instance first saw it leaving, so that one that had just started used it again, however long it had been leaving: past its drain time.

Change: an upstream that becomes known as leaving has no grace.

Measured: test_upstream_that_was_leaving_before_the_start_is_not_used fails on the code before (one attempt sent).

--- a/arbutusbridge/forwarding/upstreams.py
+++ b/arbutusbridge/forwarding/upstreams.py
@@ -114,7 +114,8 @@
       load: Last reported load.
       load_reported_at: When that load was reported.
       warmed_up_at: When it has warmed up after its start.
-      leaving_at: When it was first seen draining, infinite if it is not.
+      leaving_at: When it was first seen draining, infinite if it is not and
+        minus infinity if it was draining when it became known.
       removed: Whether it must get no further attempts.
       backup_prepared_at: When a connection to its backup upstream was last
         prepared.
@@ -285,7 +286,9 @@
             self.by_name[name] = current
             service = self.services.setdefault(announcement.service, {})
             service[name] = current
-            self.update_leaving(current, announcement.leaving, now)
+            if announcement.leaving:
+                # It may have been leaving for long.
+                current.leaving_at = -math.inf
             return True
         current.announcement = announcement
         current.warmed_up_at = now + announcement.warm_up_s
--- a/tests/test_forwarding/test_plain.py
+++ b/tests/test_forwarding/test_plain.py
@@ -200,6 +200,15 @@
         out = forwarder.handle_request(request(2, "/fetch/x", late), late)
         self.assertIs(Refusal.UNSERVABLE, only(out, RefusedAnswer).refusal)
 
+    # Guards against a restarted instance that takes an upstream to have just
+    # begun to leave.
+    def test_upstream_that_was_leaving_before_the_start_is_not_used(self):
+        forwarder = make_forwarder([plain()], [])
+        forwarder.announce(upstream("u1", "records", leaving=True), NOW)
+        out = arrive(forwarder)
+        self.assertEqual([], sends_of(out))
+        self.assertIs(Refusal.UNSERVABLE, only(out, RefusedAnswer).refusal)
+
     def test_restart_under_the_same_id_resets_the_upstream(self) -> None:
         forwarder = make_forwarder([plain()], TWO[:1])
         before = forwarder.directory.by_name["u1"]
