Tell late copies of a response by its signature

Cause: a response without a request id was taken to belong to the request in flight. An upstream that does not name requests, or whose late second copy has lost the id, thus gave one caller the response of another on a connection that was in use again.

Change: a connection remembers the last eight signatures, which are of one response each, and whether its responses name their requests. A copy, or a success without an id where others had one, is skipped, and the connection is not used again.

Measured: two tests of test_relaypools.py fail on the code before: the old body was reported as the response to the next request. Its stand-in now signs each response by its request, as upstreams do.

--- a/arbutusbridge/daemon/relayconnection.py
+++ b/arbutusbridge/daemon/relayconnection.py
@@ -5,6 +5,7 @@
 import math
 import re
 import socket
+from collections import deque
 from typing import TYPE_CHECKING, Any
 
 from arbutusbridge.daemon.connection import MIN_FINAL_STATUS, Connection
@@ -13,6 +14,7 @@
     from collections.abc import Callable
 
     from arbutusbridge.forwarding.messages import Headers
+    from arbutusbridge.forwarding.wireformat import ResponseIdentity
 
 IP_BIND_ADDRESS_NO_PORT = 24
 """Socket option of Linux, which the socket module does not name."""
@@ -23,6 +25,13 @@
 """Margin before the idle timeout that an upstream announced. Within it the
 connection is not used, so that a request does not race with the close."""
 
+MAX_SIGNATURES = 8
+"""Number of responses whose signatures a connection remembers."""
+
+MIN_SUCCESS_STATUS = 200
+MIN_REDIRECT_STATUS = 300
+"""Bounds of the statuses of successes, the upper one excluded."""
+
 MAX_MISMATCHED_RESPONSES = 8
 """Maximum number of responses to other requests that are skipped before the
 connection is closed."""
@@ -37,8 +46,11 @@
     Attributes:
       source_ip: Address that the connection comes from, selected by the system
         if None.
-      belongs_to_request: Returns whether the headers of a response match a
-        request id.
+      read_identity: Returns what the headers of a response say of its request.
+      names_requests: Whether a response has named its request, so that others
+        do so as well.
+      signatures: Signatures of the last responses; one of another request has
+        another.
       request_id: Id of the request in flight.
       expects_body: Whether the response to that request has a body.
       headers: Headers of the response, as received.
@@ -56,11 +68,13 @@
     def __init__(
         self,
         *args: Any,
-        belongs_to_request: Callable[[str, dict[bytes, bytes]], bool],
+        read_identity: Callable[[dict[bytes, bytes]], ResponseIdentity],
         source_ip: str | None = None,
     ) -> None:
         self.source_ip = source_ip
-        self.belongs_to_request = belongs_to_request
+        self.read_identity = read_identity
+        self.names_requests = False
+        self.signatures: deque[str] = deque(maxlen=MAX_SIGNATURES)
         self.request_id = ""
         self.expects_body = True
         self.headers: Headers = []
@@ -118,7 +132,7 @@
             return
         self.headers_complete = True
         status = self.parser.get_status_code()
-        if not self.belongs_to_request(self.request_id, self.header_values):
+        if not self.is_expected(status):
             self.mismatched = True
             self.mismatches += 1
             if self.mismatches > MAX_MISMATCHED_RESPONSES:
@@ -131,6 +145,22 @@
         if found is not None:
             self.idle_timeout_s = float(found[1]) - IDLE_MARGIN_S
 
+    def is_expected(self, status: int) -> bool:
+        """Returns whether the response may belong to the request in flight.
+
+        An upstream may send a response a second time, late, when the connection
+        carries another request. An error may lack what a success has.
+        """
+        identity = self.read_identity(self.header_values)
+        signature = identity.signature
+        is_copy = bool(signature) and signature in self.signatures
+        self.signatures.append(signature)
+        if identity.request_id is not None:
+            self.names_requests = True
+            return identity.request_id == self.request_id and not is_copy
+        is_success = MIN_SUCCESS_STATUS <= status < MIN_REDIRECT_STATUS
+        return not is_copy and not (self.names_requests and is_success)
+
     def on_message_complete(self) -> None:
         """Stores the complete response; called by the parser."""
         if self.mismatched:
--- a/arbutusbridge/daemon/relaypools.py
+++ b/arbutusbridge/daemon/relaypools.py
@@ -125,7 +125,7 @@
         self.primary_senders = 0
         connect = functools.partial(
             RelayConnection,
-            belongs_to_request=wire.belongs_to_request,
+            read_identity=wire.read_identity,
             source_ip=source_ip,
         )
         self.protocol = JobProtocol(
--- a/arbutusbridge/forwarding/wireformat.py
+++ b/arbutusbridge/forwarding/wireformat.py
@@ -21,6 +21,19 @@
     )
 
 
+@dataclass(frozen=True, slots=True)
+class ResponseIdentity:
+    """What a response says of the request that it belongs to.
+
+    Attributes:
+      request_id: Id of the request, None if it names none.
+      signature: Signature of the response, empty without one.
+    """
+
+    request_id: str | None
+    signature: str
+
+
 @dataclass(frozen=True, slots=True)
 class WireFormat:
     """Functions that encode and decode the data of a platform.
@@ -32,8 +45,7 @@
         and for how long it may be idle, in whole seconds; 0 if not stated.
       encode_attempt: Takes an attempt and the current time.
       decode_reply: Takes the id of an attempt, status, headers and body.
-      belongs_to_request: Takes the id of a request and the headers of a
-        response, by name in lower case.
+      read_identity: Takes the headers of a response, by name in lower case.
       decode_configuration: Takes the value of the configuration key.
       decode_announcement: Takes the key and the value of an announcement.
       configuration_key: Key of the operators' configuration.
@@ -46,7 +58,7 @@
     encode_answer: Callable[[object, bool, int], bytes]
     encode_attempt: Callable[[SendAttempt, float], bytes]
     decode_reply: Callable[[int, int, Headers, bytes], UpstreamReply]
-    belongs_to_request: Callable[[str, dict[bytes, bytes]], bool]
+    read_identity: Callable[[dict[bytes, bytes]], ResponseIdentity]
     decode_configuration: Callable[[bytes], Result[RoutingConfiguration, str]]
     decode_announcement: Callable[[str, bytes], Result[Announcement, str]]
     configuration_key: str
--- a/arbutusbridge/platform/__init__.py
+++ b/arbutusbridge/platform/__init__.py
@@ -14,7 +14,7 @@
     http.encode_answer,
     http.encode_attempt,
     http.decode_reply,
-    http.belongs_to_request,
+    http.read_identity,
     documents.decode_configuration,
     documents.decode_announcement,
     documents.CONFIGURATION_KEY,
--- a/arbutusbridge/platform/http.py
+++ b/arbutusbridge/platform/http.py
@@ -20,6 +20,7 @@
 )
 from arbutusbridge.forwarding.model import CallerRequest
 from arbutusbridge.forwarding.terms import NO_TERMS, UpstreamTerms
+from arbutusbridge.forwarding.wireformat import ResponseIdentity
 
 if TYPE_CHECKING:
     from arbutusbridge.forwarding.messages import Headers, SendAttempt
@@ -151,15 +152,17 @@
     return b"\r\n".join(lines) + b"\r\n\r\n" + request.body
 
 
-def belongs_to_request(request_id: str, headers: dict[bytes, bytes]) -> bool:
-    """Returns whether a response may belong to a request.
+def read_identity(headers: dict[bytes, bytes]) -> ResponseIdentity:
+    """Returns what a response says of the request that it belongs to.
 
     Args:
-      request_id: Id of the request.
       headers: Headers of the response, by name in lower case.
     """
     echoed = headers.get(REQUEST_ID_HEADER)
-    return echoed is None or echoed.decode("latin-1") == request_id
+    return ResponseIdentity(
+        None if echoed is None else echoed.decode("latin-1"),
+        headers.get(STAMP_HEADER, b"").decode("latin-1"),
+    )
 
 
 def decode_reply(
--- a/tests/test_daemon/test_relaypools.py
+++ b/tests/test_daemon/test_relaypools.py
@@ -23,14 +23,15 @@
 OK = b"HTTP/1.1 200 OK\r\nX-Server-Stamp: a.1\r\n"
 
 
-def response(request_id: str, body: bytes = b"ok") -> bytes:
+def response(
+    request_id: str, body: bytes = b"ok", names_request: bool = True
+) -> bytes:
     """Returns a complete response to a request."""
+    named = f"X-Request-Id: {request_id}\r\n" if names_request else ""
     return (
-        OK
-        + f"X-Request-Id: {request_id}\r\n".encode()
-        + f"Content-Length: {len(body)}\r\n\r\n".encode()
-        + body
-    )
+        f"HTTP/1.1 200 OK\r\nX-Server-Stamp: a.{request_id}\r\n"
+        f"{named}Content-Length: {len(body)}\r\n\r\n"
+    ).encode() + body
 
 
 class Sink(BaseComponent):
@@ -133,6 +134,34 @@
         # Later responses on this connection cannot be matched to requests.
         self.assertEqual(b"", sock.recv(4096))
 
+    # Guards against the answer of another caller, from upstreams that do not
+    # name the request in their responses.
+    def test_late_copy_without_an_id_is_told_by_its_signature(self) -> None:
+        self.send(1)
+        sock = self.accept()
+        sock.sendall(response("r1", b"old", names_request=False))
+        self.assertEqual(b"old", self.reply().body)
+        self.send(2)
+        sock.recv(4096)
+        sock.sendall(response("r1", b"old", names_request=False))
+        self.bench.turn()
+        self.assertEqual([], self.sink.replies)
+        sock.sendall(response("r2", b"new", names_request=False))
+        self.assertEqual(b"new", self.reply().body)
+
+    def test_late_copy_that_lost_its_id_is_skipped(self) -> None:
+        self.send(1)
+        sock = self.accept()
+        sock.sendall(response("r1"))
+        self.reply()
+        self.send(2)
+        sock.recv(4096)
+        sock.sendall(response("r0", b"old", names_request=False))
+        self.bench.turn()
+        self.assertEqual([], self.sink.replies)
+        sock.sendall(response("r2", b"new"))
+        self.assertEqual(b"new", self.reply().body)
+
     def test_bytes_after_a_response_close_the_connection(self) -> None:
         self.send(1)
         sock = self.accept()
--- a/tests/test_platform/test_http.py
+++ b/tests/test_platform/test_http.py
@@ -21,6 +21,7 @@
     UpstreamReply,
 )
 from arbutusbridge.forwarding.terms import UpstreamTerms
+from arbutusbridge.forwarding.wireformat import ResponseIdentity
 from arbutusbridge.platform import http
 
 HEADERS = [
@@ -145,11 +146,11 @@
         ):
             http.decode_reply(1, status, [(name, value)], b"")
 
-    def test_response_to_another_request_is_detected(self) -> None:
-        self.assertTrue(http.belongs_to_request("r1", {}))
-        self.assertTrue(http.belongs_to_request("r1", {b"x-request-id": b"r1"}))
-        self.assertFalse(
-            http.belongs_to_request("r1", {b"x-request-id": b"r2"})
+    def test_response_names_its_request_and_signature(self) -> None:
+        self.assertEqual(ResponseIdentity(None, ""), http.read_identity({}))
+        headers = {b"x-request-id": b"r1", b"x-server-stamp": b"a.1"}
+        self.assertEqual(
+            ResponseIdentity("r1", "a.1"), http.read_identity(headers)
         )
 
 
