Log turns of the event loop that take more than a second

Cause: three listed failures of the soak are of an instance that read nothing for seconds; its log cannot tell whether it was busy, did not run, or had no callers.

Change: a line with the duration of the turn and the processor time in it. No decision depends on it.

--- a/tests/test_daemon/test_timers.py
+++ b/tests/test_daemon/test_timers.py
@@ -5,11 +5,28 @@
 import time
 from unittest import mock
 
+import logbook
 import testtools
 
 from arbutusbridge.daemon.timers import TimerService
 
 
+class LongTurnTest(testtools.TestCase):
+    """Turns of the event loop that keep callers waiting."""
+
+    def test_long_turn_is_logged_with_its_processor_time(self) -> None:
+        now = [100.0]
+        timers = TimerService(lambda: now[0])
+        with logbook.TestHandler() as handler:
+            for step_s in (0.2, 0.9, 2.5):
+                now[0] += step_s
+                timers.check_turn(now[0])
+        (line,) = handler.records
+        self.assertEqual("event loop delayed", line.message)
+        self.assertEqual(2500, line.extra["turn_ms"])
+        self.assertLess(line.extra["processor_ms"], 2500)
+
+
 class ClockTest(testtools.TestCase):
     """The clock that deadlines, leases and shares are measured with."""
 
