--- a/arbutusbridge/forwarding/canaries.py
+++ b/arbutusbridge/forwarding/canaries.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING
 
 from arbutusbridge.forwarding import attempts, delegation, losses
+from arbutusbridge.forwarding.gather import GatherRelease
 
 if TYPE_CHECKING:
     from arbutusbridge.forwarding.exchange import (
@@ -169,7 +170,7 @@
         if not group.peer.sends_updates:
             held += delegation.take_back(group, shared, now, out)
         elif not any(part.reply for part in group.parts):
-            delegation.release_group(group, shared, out)
+            delegation.notify_peer(group, GatherRelease, shared, out)
     for part in held:
         part.held_back = False
     send_all(exchange, held, shared, now, out)
--- a/arbutusbridge/forwarding/conclusion.py
+++ b/arbutusbridge/forwarding/conclusion.py
@@ -6,7 +6,13 @@
 from typing import TYPE_CHECKING
 
 from arbutusbridge.core.messages import Decision
-from arbutusbridge.forwarding import canaries, delegation, limits, notices
+from arbutusbridge.forwarding import (
+    canaries,
+    delegation,
+    limits,
+    notices,
+    peerreplies,
+)
 from arbutusbridge.forwarding.attempts import drop_open_attempts
 from arbutusbridge.forwarding.merge import merge_greatest
 from arbutusbridge.forwarding.messages import (
@@ -142,11 +148,11 @@
     is_first = exchange.next_update_at == exchange.partial_answer_at
     if is_first:
         exchange.give_up_at = min(
-            exchange.give_up_at, now + delegation.update_period_s(exchange)
+            exchange.give_up_at, now + peerreplies.update_period_s(exchange)
         )
     if is_first or exchange.answered > exchange.updated_with:
         send_update(exchange, shared, now, out)
-    exchange.next_update_at = now + delegation.update_interval_s(exchange)
+    exchange.next_update_at = now + peerreplies.update_interval_s(exchange)
 
 
 def send_update(
@@ -157,7 +163,7 @@
     record_success(exchange, "partial", shared, now, out)
     bodies = [part.reply.body for part in exchange.parts if part.reply]
     body = merge_greatest(bodies, exchange.route.max_records)
-    delegation.send_reply(exchange, body, out, is_final=False)
+    peerreplies.send_reply(exchange, body, out, is_final=False)
 
 
 def conclude_unsharded(
@@ -172,7 +178,7 @@
         reply = failure
     if reply is not None:
         if exchange.peer_request is not None:
-            delegation.send_response(exchange, reply, None, out)
+            peerreplies.send_response(exchange, reply, None, out)
         else:
             out.append(RelayedAnswer(exchange.request, reply))
         finish(exchange, shared, now, out, "relayed", status=reply.status)
@@ -193,7 +199,7 @@
     body = merge_greatest(bodies, exchange.route.max_records)
     outcome = "partial" if missing else "complete"
     if exchange.peer_request is not None:
-        delegation.send_reply(exchange, body, out)
+        peerreplies.send_reply(exchange, body, out)
     else:
         stamps = [reply.stamp for reply in replies]
         out.append(MergedAnswer(exchange.request, stamps, len(missing), body))
@@ -260,12 +266,12 @@
         refusal, retry = Refusal.LOST, FAILED_RETRY_AFTER_S
     missing = describe_missing(exchange, shared)
     if exchange.peer_request is not None and not exchange.route.shards:
-        delegation.send_response(exchange, None, retry, out)
+        peerreplies.send_response(exchange, None, retry, out)
     elif exchange.peer_request is not None:
         # The peer decides itself whether the replies so far are sufficient.
         bodies = [part.reply.body for part in exchange.parts if part.reply]
         body = merge_greatest(bodies, exchange.route.max_records)
-        delegation.send_reply(exchange, body, out)
+        peerreplies.send_reply(exchange, body, out)
     else:
         out.append(RefusedAnswer(exchange.request, refusal, retry))
     finish(exchange, shared, now, out, refusal.value, missing=missing)
--- a/arbutusbridge/forwarding/delegation.py
+++ b/arbutusbridge/forwarding/delegation.py
@@ -14,18 +14,14 @@
     SIMILAR_COUNT_RATIO,
     GatherCancel,
     GatherRelease,
-    GatherReply,
     GatherRequest,
-    RelayedResponse,
     SendGatherMessage,
 )
-from arbutusbridge.forwarding.messages import AttemptEnd
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from arbutusbridge.forwarding.gather import Peer
-    from arbutusbridge.forwarding.messages import UpstreamReply
     from arbutusbridge.forwarding.shared import SharedState
 
 SILENT = "silent"
@@ -46,21 +42,6 @@
 to the network delay."""
 
 
-MIN_UPDATE_INTERVAL_S = 0.03
-"""Minimum interval between two replies to a peer."""
-
-UPDATE_RATIO = 0.2
-"""Fraction of a route's target time between two replies to a peer."""
-
-MIN_UPDATE_PERIOD_S = 0.5
-"""Minimum time for which shards are queried after the first reply; upstreams
-that pause are back, and those that have crashed are known, within it."""
-
-UPDATE_TARGETS = 2.0
-"""The same time as a multiple of a route's target time; the greater of the two
-applies."""
-
-
 def delegate_shards(
     exchange: Exchange,
     parts: list[Part],
@@ -375,7 +356,7 @@
     group.given_up = True
     exchange = group.exchange
     if why != DECLINED:
-        send_cancel(group, shared, out)
+        notify_peer(group, GatherCancel, shared, out)
     detail = {"why": why, **group.describe()}
     detail["age_ms"] = round((now - exchange.request.arrived) * 1000)
     out.append(Decision(exchange.request.request_id, "peer_given_up", detail))
@@ -422,13 +403,16 @@
             attempts.send_first_attempt(exchange, part, shared, now, out)
 
 
-def release_group(
-    group: DelegatedGroup, shared: SharedState, out: list[object]
+def notify_peer(
+    group: DelegatedGroup,
+    kind: type[GatherCancel] | type[GatherRelease],
+    shared: SharedState,
+    out: list[object],
 ) -> None:
-    """Tells a peer to send the shards that it holds back."""
+    """Tells a peer to stop, or to send the shards that it holds back."""
     own = shared.gather.own_peer
     assert own is not None
-    message = GatherRelease(group.gather_id, own.address)
+    message = kind(group.gather_id, own.address)
     out.append(SendGatherMessage(group.peer.address, message))
 
 
@@ -442,7 +426,7 @@
     """
     group.given_up = group.superseded = True
     group.check_at = math.inf
-    send_cancel(group, shared, out)
+    notify_peer(group, GatherCancel, shared, out)
     parts = [part for part in group.parts if part.group is group]
     for part in parts:
         part.group = None
@@ -451,16 +435,6 @@
     return parts
 
 
-def send_cancel(
-    group: DelegatedGroup, shared: SharedState, out: list[object]
-) -> None:
-    """Tells a peer that its reply is no longer needed."""
-    own = shared.gather.own_peer
-    assert own is not None
-    message = GatherCancel(group.gather_id, own.address)
-    out.append(SendGatherMessage(group.peer.address, message))
-
-
 def remove_exchange(
     exchange: Exchange, shared: SharedState, out: list[object]
 ) -> None:
@@ -468,87 +442,9 @@
     gather = shared.gather
     for group in exchange.groups:
         if gather.groups.pop(group.gather_id, None) is not None:
-            send_cancel(group, shared, out)
+            notify_peer(group, GatherCancel, shared, out)
     gather_request = exchange.peer_request
     if gather_request is not None:
         gather.taken.pop(
             (gather_request.reply_to, gather_request.gather_id), None
         )
-
-
-def send_response(
-    exchange: Exchange,
-    reply: UpstreamReply | None,
-    retry_after_s: float | None,
-    out: list[object],
-) -> None:
-    """Sends the outcome of a request without shards to the peer it is from.
-
-    Args:
-      exchange: The request.
-      reply: Response of an upstream, None if there is none.
-      retry_after_s: Time after which to retry if it has not run.
-      out: Actions, to which the message is appended.
-    """
-    gather_request = exchange.peer_request
-    assert gather_request is not None
-    message = GatherReply(gather_request.gather_id, {}, b"")
-    message.may_have_run = exchange.may_have_run
-    message.retry_after_s = retry_after_s
-    if reply is not None:
-        message.response = RelayedResponse(
-            reply.end is AttemptEnd.RESULT,
-            reply.status,
-            reply.headers,
-            reply.body,
-            reply.stamp,
-        )
-    out.append(SendGatherMessage(gather_request.reply_to, message))
-
-
-def update_interval_s(exchange: Exchange) -> float:
-    """Returns the interval between two replies to a peer, in seconds."""
-    return max(MIN_UPDATE_INTERVAL_S, UPDATE_RATIO * exchange.route.target_s)
-
-
-def update_period_s(exchange: Exchange) -> float:
-    """Returns how long shards are queried after the first update.
-
-    The result is in seconds.
-    """
-    return max(MIN_UPDATE_PERIOD_S, UPDATE_TARGETS * exchange.route.target_s)
-
-
-def send_reply(
-    exchange: Exchange, body: bytes, out: list[object], is_final: bool = True
-) -> None:
-    """Sends the merged replies to the peer that delegated the request."""
-    gather_request = exchange.peer_request
-    assert gather_request is not None
-    replies = {
-        part.service: part.reply
-        for part in exchange.parts
-        if part.reply is not None
-    }
-    stamps = {service: one.stamp for service, one in replies.items()}
-    asked = {
-        part.service: [upstream.name for upstream in part.asked]
-        for part in exchange.parts
-        if part.reply is None and part.asked
-    }
-    unsent = [
-        part.service
-        for part in exchange.parts
-        if (part.limited and not part.sends) or part.not_arrived
-    ]
-    held_back = [part.service for part in exchange.parts if part.held_back]
-    message = GatherReply(
-        gather_request.gather_id,
-        stamps,
-        body,
-        asked,
-        unsent,
-        held_back,
-        is_final=is_final,
-    )
-    out.append(SendGatherMessage(gather_request.reply_to, message))
--- a/arbutusbridge/forwarding/peermessages.py
+++ b/arbutusbridge/forwarding/peermessages.py
@@ -8,7 +8,13 @@
 import math
 from typing import TYPE_CHECKING
 
-from arbutusbridge.forwarding import attempts, canaries, delegation, notices
+from arbutusbridge.forwarding import (
+    attempts,
+    canaries,
+    delegation,
+    notices,
+    peerreplies,
+)
 from arbutusbridge.forwarding.conclusion import abandon, conclude_or_set_timer
 from arbutusbridge.forwarding.dispatch import start_exchange
 from arbutusbridge.forwarding.exchange import Exchange, Part
@@ -97,7 +103,7 @@
         del shared.gather.groups[message.gather_id]
         group.check_at = math.inf
     elif not group.given_up:
-        period_s = delegation.update_period_s(exchange)
+        period_s = peerreplies.update_period_s(exchange)
         group.check_at = now + period_s + PEER_REPLY_GRACE_S
     if exchange.relayed:
         shared.count("relay_replied")
