Relay requests for a service that this instance alone cannot reach

Cause: an instance counts as cut off if no upstream responds.

Change: a request to one service whose upstreams all refuse connections, and of which nothing has reached any, is relayed to one peer. If that could not serve it either, the service is taken to be down for a second. Suspects of crashing upstreams are not relayed.

With the service down everywhere, fewer than two relays a second at each instance, and requests are refused within 10 ms in the median.

--- a/arbutusbridge/forwarding/attempts.py
+++ b/arbutusbridge/forwarding/attempts.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from arbutusbridge.core.messages import Decision
-from arbutusbridge.forwarding import limits
+from arbutusbridge.forwarding import isolation, limits
 from arbutusbridge.forwarding.choice import pick_cheapest
 from arbutusbridge.forwarding.messages import (
     ARRIVED_ENDS,
@@ -304,6 +304,10 @@
             part.limited = True
             part.check_at = ready_at
             return
+    if not too_late and isolation.relay_unreachable(
+        exchange, part, shared, now
+    ):
+        return
     if upstream is None or too_late or part.sends >= MAX_ATTEMPTS_PER_PART:
         part.given_up = True
         return
--- a/arbutusbridge/forwarding/dispatch.py
+++ b/arbutusbridge/forwarding/dispatch.py
@@ -29,7 +29,9 @@
     ):
         for part in exchange.parts:
             part.given_up = True
-    elif relay.start_if_cut_off(exchange, shared, now, out):
+    elif relay.start_if_cut_off(
+        exchange, shared, now, out
+    ) or relay.start_if_unreachable(exchange, shared, now, out):
         pass
     elif retain_servable_parts(exchange, shared, now):
         canaries.start_scatter(exchange, shared, now, out)
--- a/arbutusbridge/forwarding/isolation.py
+++ b/arbutusbridge/forwarding/isolation.py
@@ -21,10 +21,15 @@
 from arbutusbridge.forwarding.notices import contacts
 
 if TYPE_CHECKING:
+    from arbutusbridge.forwarding.exchange import Exchange, Part
     from arbutusbridge.forwarding.gather import Peer
     from arbutusbridge.forwarding.model import Announcement
     from arbutusbridge.forwarding.shared import SharedState
 
+MAX_RELAYS = 3
+"""Maximum number of peers that may have queried a part, one after the other. An
+instance that reaches other services relays to one."""
+
 MIN_FAILED_UPSTREAMS = 3
 """Number of upstreams that must have failed since the last response, as long as
 there are more."""
@@ -72,6 +77,36 @@
     return since_s < RAMP_S and shared.rng.random() > since_s / RAMP_S
 
 
+def relay_unreachable(
+    exchange: Exchange, part: Part, shared: SharedState, now: float
+) -> bool:
+    """Marks a request to be relayed if no upstream of its service accepts.
+
+    The links of this instance to that service may be cut while it reaches
+    others. A peer that could not serve it either shows that they are not.
+
+    Returns:
+      Whether it is to be relayed, to one peer.
+    """
+    if exchange.route.shards or exchange.peer_request is not None:
+        return False
+    if exchange.relayed or part.may_have_run or part.arrivals:
+        return False
+    if shared.suspicion(exchange.request, now) is not None:
+        return False
+    if shared.isolation.dead_services.get(part.service, -math.inf) > now:
+        return False
+    usable = shared.directory.usable(part.service, now)
+    if not usable or any(one.unreachable_until <= now for one in usable):
+        return False
+    exchange.relayed = True
+    part.relays = MAX_RELAYS - 1
+    # No attempt has reached an upstream.
+    part.asked.clear()
+    part.check_at = now
+    return True
+
+
 def update(shared: SharedState, now: float, out: list[object]) -> bool:
     """Decides whether this instance is cut off.
 
--- a/arbutusbridge/forwarding/isolationstate.py
+++ b/arbutusbridge/forwarding/isolationstate.py
@@ -25,6 +25,8 @@
       probed_at: When it last tried to connect to upstreams.
       announced_at: When peers were last told that it is.
       connected: Upstreams that it has connected to since it was cut off.
+      dead_services: Services that no peer could serve either, each with the
+        time until which they are not relayed.
     """
 
     responded_at: float
@@ -36,6 +38,7 @@
     probed_at: float = -math.inf
     announced_at: float = -math.inf
     connected: set[str] = field(default_factory=set)
+    dead_services: dict[str, float] = field(default_factory=dict)
 
     def record_response(self, now: float) -> None:
         """Records that an upstream responded."""
--- a/arbutusbridge/forwarding/peermessages.py
+++ b/arbutusbridge/forwarding/peermessages.py
@@ -30,6 +30,7 @@
 )
 from arbutusbridge.forwarding.messages import AttemptEnd, UpstreamReply
 from arbutusbridge.forwarding.model import CallerRequest
+from arbutusbridge.forwarding.upstreams import UNREACHABLE_EXCLUSION_S
 
 if TYPE_CHECKING:
     from arbutusbridge.forwarding.exchange import DelegatedGroup
@@ -174,6 +175,9 @@
             part.given_up = True
     else:
         part.may_have_run = part.may_have_run or message.may_have_run
+        if not part.may_have_run:
+            dead_until = now + UNREACHABLE_EXCLUSION_S
+            shared.isolation.dead_services[part.service] = dead_until
         exchange.peer_retry_after_s = message.retry_after_s
         part.check_at = now
         part.given_up = part.may_have_run
--- a/arbutusbridge/forwarding/relay.py
+++ b/arbutusbridge/forwarding/relay.py
@@ -18,9 +18,6 @@
     from arbutusbridge.forwarding.gather import Peer
     from arbutusbridge.forwarding.shared import SharedState
 
-MAX_RELAYS = 3
-"""Maximum number of peers that may have queried a part, one after the other."""
-
 MAX_PEERS = 8
 """Maximum number of peers that a part is relayed to, those that decline it
 included; they reply at once."""
@@ -49,6 +46,25 @@
     return True
 
 
+def start_if_unreachable(
+    exchange: Exchange, shared: SharedState, now: float, out: list[object]
+) -> bool:
+    """Relays a new request if no upstream of its service accepts connections.
+
+    Returns:
+      Whether it does; otherwise the request is to be sent from here.
+    """
+    if exchange.route.shards:
+        return False
+    (part,) = exchange.parts
+    if not available_peers(shared, now):
+        return False
+    if not isolation.relay_unreachable(exchange, part, shared, now):
+        return False
+    relay_parts(exchange, [part], shared, now, out)
+    return True
+
+
 def relay_due_parts(
     exchange: Exchange, shared: SharedState, now: float, out: list[object]
 ) -> None:
@@ -108,7 +124,7 @@
     for part in parts:
         part.given_up = (
             not peers
-            or part.relays >= MAX_RELAYS
+            or part.relays >= isolation.MAX_RELAYS
             or len(part.relayed_to) >= MAX_PEERS
         )
     remaining = [part for part in parts if not part.given_up]
--- a/tests/test_forwarding/fleet.py
+++ b/tests/test_forwarding/fleet.py
@@ -121,6 +121,8 @@
       cut_off: Instances that have lost their links to all upstreams, each with
         what becomes of its attempts: they ``hang``, or connections are reset
         and then ``refused``.
+      unreachable: Pairs of an instance and a service whose upstreams refuse its
+        connections.
       unsent: Function that ends each attempt that waits for a connection, by
         instance and attempt id.
       told: When an instance first got a response with a limit of an upstream,
@@ -163,6 +165,7 @@
         self.is_cut: Callable[[str, str], bool] = lambda _name, _peer: False
         self.entered: dict[str, str] = {}
         self.cut_off: dict[str, str] = {}
+        self.unreachable: set[tuple[str, str]] = set()
         self.unsent: dict[tuple[str, int], Callable[..., None]] = {}
         self.told: dict[tuple[str, str], float] = {}
         self.lost_reports: dict[tuple[str, int], Callable[..., None]] = {}
@@ -431,7 +434,9 @@
             if silent or self.cut_off.get(name) == HANGING:
                 hang()
                 return
-            if upstream.down or name in self.cut_off:
+            link = (name, action.upstream.service)
+            is_refused = name in self.cut_off or link in self.unreachable
+            if upstream.down or is_refused:
                 report(AttemptEnd.NOT_SENT, detail="not_sent")
                 return
             self.arrivals.append(
--- a/tests/test_forwarding/test_isolation.py
+++ b/tests/test_forwarding/test_isolation.py
@@ -76,6 +76,63 @@
     ]
 
 
+class UnreachableServiceTest(testtools.TestCase):
+    """An instance that reaches some services, and none of another one.
+
+    Connections that exist go on working, and new ones are refused, as after a
+    route has moved to a service without any.
+    """
+
+    def play(self, unreachable: set[tuple[str, str]]) -> Fleet:
+        """Sends searches and fetches for twelve seconds."""
+        fleet = make_fleet()
+        fleet.unreachable = unreachable
+        kinds = (SEARCH, FETCH, ONCE)
+        fleet.send_series(
+            lambda number: f"{kinds[number % 3]}{number}", 0.02, fleet.now + 12
+        )
+        fleet.run_until(fleet.now + 15.0)
+        return fleet
+
+    # Guards against an instance that serves nothing of a service which its
+    # peers reach.
+    def test_requests_are_relayed(self) -> None:
+        fleet = self.play({("north-0", "records")})
+        others = [name for name in fleet.instances if name != "north-0"]
+        elsewhere = fleet.served_share(others, 101.0, 112.0)
+        here = fleet.served_share(["north-0"], 101.0, 112.0)
+        self.assertTrue(elsewhere >= 0.98, elsewhere)
+        self.assertTrue(here >= MIN_SHARE * elsewhere, here)
+        runs = Counter(
+            arrival.request.request_id
+            for arrival in fleet.arrivals
+            if arrival.request.target.startswith(ONCE)
+        )
+        self.assertEqual(1, max(runs.values()))
+
+    # Guards against instances that pass the requests for a dead service on to
+    # each other.
+    def test_requests_for_a_dead_service_are_refused_soon(self) -> None:
+        fleet = make_fleet()
+        links = {(name, "records") for name in fleet.instances}
+        fleet = self.play(links)
+        relays = sum(
+            forwarder.decision_counts["relay_sent"]
+            for forwarder in fleet.instances.values()
+        )
+        # One a second at each instance, and some at once at first.
+        self.assertLess(relays, 2 * 12 * len(fleet.instances))
+        for target in (FETCH, ONCE):
+            self.assertEqual({"unservable"}, set(fleet.outcomes(target)))
+        waits = [
+            at - fleet.sent[number].arrived
+            for number, (at, _) in fleet.answers.items()
+            if fleet.sent[number].target.startswith((FETCH, ONCE))
+        ]
+        self.assertLess(max(waits), 0.5)
+        self.assertLess(sorted(waits)[len(waits) // 2], 0.01)
+
+
 class CutOffInstancesTest(testtools.TestCase):
     """Instances cut off from all upstreams, reached by callers and peers."""
 
