Accept an equal signature for the same request

A retry at the same upstream, on the same connection, may be answered with the signature of the first response if upstreams sign by request. It was skipped as a copy since the change of signatures; a copy is now one that was seen under another request id. test_same_request_may_have_the_same_signature_again fails on the code before.

--- a/arbutusbridge/daemon/relayconnection.py
+++ b/arbutusbridge/daemon/relayconnection.py
@@ -49,8 +49,8 @@
       read_identity: Returns what the headers of a response say of its request.
       names_requests: Whether a response has named its request, so that others
         do so as well.
-      signatures: Signatures of the last responses; one of another request has
-        another.
+      signatures: Signatures of the last responses, each with the id of its
+        request; a response to another request has another one.
       request_id: Id of the request in flight.
       expects_body: Whether the response to that request has a body.
       headers: Headers of the response, as received.
@@ -74,7 +74,7 @@
         self.source_ip = source_ip
         self.read_identity = read_identity
         self.names_requests = False
-        self.signatures: deque[str] = deque(maxlen=MAX_SIGNATURES)
+        self.signatures: deque[tuple[str, str]] = deque(maxlen=MAX_SIGNATURES)
         self.request_id = ""
         self.expects_body = True
         self.headers: Headers = []
@@ -153,8 +153,11 @@
         """
         identity = self.read_identity(self.header_values)
         signature = identity.signature
-        is_copy = bool(signature) and signature in self.signatures
-        self.signatures.append(signature)
+        is_copy = bool(signature) and any(
+            one == signature and request_id != self.request_id
+            for one, request_id in self.signatures
+        )
+        self.signatures.append((signature, self.request_id))
         if identity.request_id is not None:
             self.names_requests = True
             return identity.request_id == self.request_id and not is_copy
--- a/tests/test_daemon/test_relaypools.py
+++ b/tests/test_daemon/test_relaypools.py
@@ -149,6 +149,17 @@
         sock.sendall(response("r2", b"new", names_request=False))
         self.assertEqual(b"new", self.reply().body)
 
+    # Guards against a retry at the same upstream whose response is skipped.
+    def test_same_request_may_have_the_same_signature_again(self) -> None:
+        self.send(1)
+        sock = self.accept()
+        sock.sendall(response("r1"))
+        self.reply()
+        self.send(1)
+        sock.recv(4096)
+        sock.sendall(response("r1", b"again"))
+        self.assertEqual(b"again", self.reply().body)
+
     def test_late_copy_that_lost_its_id_is_skipped(self) -> None:
         self.send(1)
         sock = self.accept()
