Take no reply for another one of the same number

Cause: the ids of delegated groups began at 1 with each start. A link keeps up to 16 messages while its peer is down and delivers them to the next start there: a reply to an earlier start then named a group of this one, and its records were merged without their signatures. An update that was overtaken by a later one had the same effect (found on virtual time with messages out of order).

Change: ids begin at random. A reply that names shards that were not asked for, or fewer than an earlier one of the group, is ignored, with a log line.

Measured: test_reply_to_an_earlier_start_is_ignored and test_overtaken_update_is_ignored fail on the code before. A test of relays counted them by their ids and lists them now.

--- a/arbutusbridge/forwarding/exchange.py
+++ b/arbutusbridge/forwarding/exchange.py
@@ -264,6 +264,7 @@
         reply must be ignored.
       replied_at: When the reply arrived, infinite until then.
       not_run: Whether the peer has stated that nothing was run.
+      covered: Number of shards in the last reply.
     """
 
     gather_id: int
@@ -277,6 +278,7 @@
     superseded: bool = False
     replied_at: float = math.inf
     not_run: bool = False
+    covered: int = 0
 
     def describe(self) -> dict[str, object]:
         """Returns the fields that describe the group in log lines."""
--- a/arbutusbridge/forwarding/peermessages.py
+++ b/arbutusbridge/forwarding/peermessages.py
@@ -8,6 +8,7 @@
 import math
 from typing import TYPE_CHECKING
 
+from arbutusbridge.core.messages import Decision
 from arbutusbridge.forwarding import (
     attempts,
     canaries,
@@ -99,7 +100,13 @@
     if group is None:
         return
     exchange = group.exchange
+    if not is_reply_to(group, message):
+        detail = {"peer": group.peer.name, "shards": sorted(message.stamps)}
+        request_id = exchange.request.request_id
+        out.append(Decision(request_id, "peer_reply_ignored", detail))
+        return
     group.replied_at = now
+    group.covered = len(message.stamps)
     if message.is_final:
         del shared.gather.groups[message.gather_id]
         group.check_at = math.inf
@@ -146,6 +153,18 @@
     conclude_or_set_timer(exchange, shared, now, out)
 
 
+def is_reply_to(group: DelegatedGroup, message: GatherReply) -> bool:
+    """Returns whether a reply is the latest one for a group.
+
+    A link that is lost and opened again may deliver an earlier update later.
+    """
+    services = {part.service for part in group.parts}
+    return (
+        message.stamps.keys() <= services
+        and len(message.stamps) >= group.covered
+    )
+
+
 def on_response(
     message: GatherReply,
     group: DelegatedGroup,
--- a/arbutusbridge/forwarding/shared.py
+++ b/arbutusbridge/forwarding/shared.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import secrets
 from collections import Counter
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
@@ -45,6 +46,10 @@
 crashes; a check of an upstream and a notice to another region take half."""
 
 
+GATHER_ID_BITS = 62
+"""Bits of a random first id; ids stay below the greatest one on the wire."""
+
+
 @dataclass(slots=True)
 class GatherState:
     """Shards delegated to other instances, and accepted from them.
@@ -55,7 +60,8 @@
       groups: Delegated groups without a final reply, by id.
       taken: Requests accepted from others, by their address and id.
       accepts_requests: Whether requests of others are accepted.
-      last_gather_id: Id of the last group that was delegated.
+      last_gather_id: Id of the last group that was delegated. It begins at
+        random: replies to an earlier start of this instance may still arrive.
     """
 
     peer_table: PeerTable = field(default_factory=PeerTable)
@@ -65,7 +71,9 @@
         default_factory=dict
     )
     accepts_requests: bool = True
-    last_gather_id: int = 0
+    last_gather_id: int = field(
+        default_factory=lambda: secrets.randbits(GATHER_ID_BITS)
+    )
 
 
 class SharedState:
--- a/tests/test_forwarding/test_delegation.py
+++ b/tests/test_forwarding/test_delegation.py
@@ -104,6 +104,23 @@
         self.assertEqual(set(reply.asked), sent)
         self.assertTrue(len(sent) < SHARDS)
 
+    # Guards against a reply to an earlier start of this instance, which a link
+    # has kept meanwhile and which names a group of this start.
+    def test_reply_to_an_earlier_start_is_ignored(self) -> None:
+        far = self.pair.far
+        again = make_forwarder([sharded(SHARDS)], [], "south", seed=2)
+        ids = {one.gather.last_gather_id for one in (far, again)}
+        self.assertEqual(2, len(ids))
+        arrived, gather_request = self.pair.start_request()
+        old = GatherReply(
+            gather_request.gather_id, {"t7": "other.1"}, b"x" * 16
+        )
+        out = far.handle_peer_message(old, NOW + 0.01)
+        self.assertEqual([], sends_of(out))
+        exchange = far.exchanges[arrived]
+        self.assertEqual({}, exchange.peer_bodies)
+        self.assertIn(gather_request.gather_id, far.gather.groups)
+
     # Guards against timers that are due at once without end, because a check
     # of a shard became due after it was delegated.
     def test_due_check_of_a_delegated_shard_sets_no_timer(self) -> None:
--- a/tests/test_forwarding/test_isolation.py
+++ b/tests/test_forwarding/test_isolation.py
@@ -323,14 +323,16 @@
             request.fingerprint, "s0-0@0", "s0", False, fleet.now
         )
         self.assertIsNotNone(forwarder.suspicion(request, fleet.now))
-        relays = forwarder.gather.last_gather_id
-        for gather_id in range(1, relays + 1):
+        last_relay = forwarder.gather.last_gather_id
+        relays = list(forwarder.gather.groups)
+        self.assertNotEqual([], relays)
+        for gather_id in relays:
             reply = GatherReply(gather_id, {}, b"", {"s0": ["s0-0"]})
             fleet.carry_out(
                 "north-0", forwarder.handle_peer_message(reply, fleet.now)
             )
         fleet.run_until(fleet.now + 0.5)
-        self.assertEqual(relays, forwarder.gather.last_gather_id)
+        self.assertEqual(last_relay, forwarder.gather.last_gather_id)
 
     # Guards against an answer with the records of two peers for one shard, the
     # first of which replied after it had been given up.
--- a/tests/test_forwarding/test_missed_target.py
+++ b/tests/test_forwarding/test_missed_target.py
@@ -175,6 +175,22 @@
         self.assertTrue(self.exchange.finished)
         self.assertLess(due_at + 1.0, self.exchange.give_up_at)
 
+    # Guards against records that are merged without their signatures, because
+    # an update was overtaken by a later one.
+    def test_overtaken_update_is_ignored(self) -> None:
+        group = self.exchange.groups[0]
+        names = [part.service for part in group.parts]
+        self.assertGreater(len(names), 2)
+        for count in (2, 1):
+            stamps = {name: f"{name}.a" for name in names[:count]}
+            body = bytes([count]) * 16
+            reply = GatherReply(group.gather_id, stamps, body, is_final=False)
+            self.entry.handle_peer_message(reply, NOW + 0.05)
+        self.assertEqual(
+            bytes([2]) * 16, self.exchange.peer_bodies[group.gather_id]
+        )
+        self.assertEqual(2, self.exchange.answered)
+
     def test_request_sent_after_the_target_is_still_served(self) -> None:
         late = self.exchange.partial_answer_at + 0.01
         ask = self.asks[0]
