--- a/arbutusbridge/daemon/peermessenger.py
+++ b/arbutusbridge/daemon/peermessenger.py
@@ -46,7 +46,7 @@
       channels: Channel of the component that handles each type of message.
       protocol_of: Returns the latest protocol that the peer at an address
         understands.
-      skipped: Number of messages that were not handled, by reason; those that
+      unhandled: Number of messages that were not handled, by reason; those that
         are a power of two are logged.
     """
 
@@ -64,7 +64,7 @@
         self.metrics = metrics
         self.channels = channels
         self.protocol_of = protocol_of
-        self.skipped: Counter[str] = Counter()
+        self.unhandled: Counter[str] = Counter()
         self.links = PeerLinks(address, MAX_MESSAGE_BYTES, hub, self.on_message)
 
     def send(self, address: tuple[str, int], message: PeerMessage) -> None:
@@ -107,21 +107,21 @@
             message = decode_message(data)
         except UnknownMessageError as err:
             # The peer runs a later build; its other messages are understood.
-            self.skip("unknown peer message skipped", err, raw)
+            self.report_unhandled("unknown peer message skipped", err, raw)
             return
         except ProtocolError as err:
-            self.skip("invalid peer message refused", err, raw)
+            self.report_unhandled("invalid peer message refused", err, raw)
             raw.pipe.close()
             return
         self.fire(peer_message(message), self.channels[type(message)])
 
-    def skip(
+    def report_unhandled(
         self, text: str, err: ArbutusbridgeError, raw: pynng.Message
     ) -> None:
         """Counts a message that is not handled, and logs ever fewer of them."""
         self.metrics.peer_skipped.labels(err.kind).inc()
-        self.skipped[err.kind] += 1
-        count = self.skipped[err.kind]
+        self.unhandled[err.kind] += 1
+        count = self.unhandled[err.kind]
         if count & (count - 1):
             return
         logger.warning(
