Never send an update as a final reply

Cause: an update says so in a field that the oldest protocol does not have.

Change: an update is encoded in the present protocol, which the build that asked for it understands, whatever is known of its key.

--- a/arbutusbridge/forwarding/gatherwire.py
+++ b/arbutusbridge/forwarding/gatherwire.py
@@ -123,6 +123,10 @@
     kind = type(message)
     number = MESSAGE_TYPES.index(kind)
     fields: Any
+    if isinstance(message, GatherReply) and not message.is_final:
+        # Its request could only be sent by a build that understands it, also
+        # if the key of that instance is not known yet.
+        protocol = CURRENT_PROTOCOL
     if protocol < CURRENT_PROTOCOL:
         protocol = OLDEST_PROTOCOL
         if kind not in OLDEST_FIELD_COUNTS:
