--- a/arbutusbridge/forwarding/exchange.py
+++ b/arbutusbridge/forwarding/exchange.py
@@ -122,8 +122,8 @@
       next_canary_at: When another canary is sent, as those so far have no
         result.
       canary_backoff: Multiple of the usual wait for the next canary.
-      canary_group: Shard that a helper sends as the canary, None if there is
-        none or it has ended.
+      canary_group: Shards of the helper that sends the first canary, None if
+        it is sent from here.
     """
 
     request: CallerRequest
