Review: case 1 without a pause of the replica

The additional bytes after a rejection are the first part of a second copy, so that no moment has to be met.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,5 +1,5 @@
-"""A late second copy of a rejection begins on an idle connection and ends after
-a request that may run once was sent on it: that request runs twice."""
+"""After a rejection a replica sends additional bytes, the first part of a second
+copy; the next request on that connection, which may run once, runs twice."""
 
 import asyncio
 import sys
@@ -10,25 +10,22 @@
     TROUBLE, Client, Instance, Replica, main, route, service,
 )
 
-CLIENTS = 6
-PERIOD_S = 0.1  # of one client: 60 requests a second in all
-TROUBLES_AT_S, TROUBLE_S, LENGTH_S = (2.0, 10.0), 5.0, 17.0
-COPY_EVERY = 25  # 0.04 of the answers, at half of the replicas
-COPY_AFTER_S, PAUSE_S, PAUSE_EVERY_S = 0.005, 0.25, 6.0
+CLIENTS, SLOTS, WORK_S = 8, 2, 0.1
+PAUSE_S = 0.05  # of a client, between two requests: 53 a second in all
+TROUBLE_AT_S, TROUBLE_S, LENGTH_S = 2.0, 5.5, 11.0
+EVERY = 50  # 0.02 of the answers, at one of three replicas
+EXTRA_AFTER_S = 0.005
 
 
-class SheddingReplica(Replica):
+class GarblingReplica(Replica):
     """Rejects a request now and then, as one whose queue is full.
 
-    Some of its answers come a second time, late; the first one in each span is
-    a rejection, and the replica pauses while it sends that copy.
+    With the disruption, additional bytes follow after such an answer.
     """
 
-    copies = False
+    garbles = False
     begin = 0.0
-    span = 0.0
     count = 0
-    paused_at = -PAUSE_EVERY_S
 
     def rejection(self, request_id):
         return (
@@ -38,53 +35,35 @@
             "queue full\n"
         ).encode()
 
-    async def wait_for_pause(self):
-        """Waits while the replica pauses, on all of its connections."""
-        left = self.paused_at + PAUSE_S - self.record.now()
-        if left > 0:
-            await asyncio.sleep(left)
-
     async def run(self, request_id, target, writer):
         now = self.record.now() - self.begin
-        spans = [at for at in TROUBLES_AT_S if at <= now < at + TROUBLE_S]
-        first = spans and self.span != spans[0]
-        if first:
-            self.span, self.count = spans[0], 0
-        self.count += 1
-        if first:
-            # Rejected with or without the disruption.
-            answer = self.rejection(request_id)
-            self.record("rejects", replica=self.ident, id=request_id)
-        else:
+        during = TROUBLE_AT_S <= now < TROUBLE_AT_S + TROUBLE_S
+        self.count += self.garbles and during
+        if not (self.garbles and during and self.count % EVERY == 1):
             self.runs.append((self.record.now(), request_id))
             self.record("runs", replica=self.ident, id=request_id)
-            await asyncio.sleep(self.work_s)
-            answer = self.answer(request_id, self.body_for(request_id))
-        await self.wait_for_pause()
-        writer.write(answer)
-        await writer.drain()
-        copied = spans and self.copies and self.count % COPY_EVERY == 1
-        if not (TROUBLE and copied):
+            await self.work(request_id, target, writer)
             return
-        await asyncio.sleep(COPY_AFTER_S)
-        self.record("copy begins", replica=self.ident, id=request_id)
-        writer.write(answer[:-6])
-        await writer.drain()
-        if self.record.now() - self.paused_at >= PAUSE_EVERY_S:
-            self.paused_at = self.record.now()
-        await self.wait_for_pause()
-        writer.write(answer[-6:])
+        answer = self.rejection(request_id)
+        writer.write(answer)
         await writer.drain()
-        self.record("copy ends", replica=self.ident, id=request_id)
+        self.record("rejects", replica=self.ident, id=request_id)
+        if TROUBLE:
+            await asyncio.sleep(EXTRA_AFTER_S)
+            writer.write(answer[:-6])
+            await writer.drain()
+            self.record("additional bytes", replica=self.ident,
+                        after=request_id)
 
 
 async def play(fleet):
     store, record = fleet.store, fleet.record
-    for number in range(4):
-        replica = SheddingReplica(
-            f"i-{number}", "swaps", "north", store, record
+    for number in range(3):
+        replica = GarblingReplica(
+            f"i-{number}", "swaps", "north", store, record, SLOTS
         )
-        replica.copies = number < 2
+        replica.work_s = WORK_S
+        replica.garbles = number == 0
         await fleet.add(replica)
     store.configure(
         3,
@@ -100,7 +79,7 @@
     served = [0, 0]
 
     async def call(name):
-        await asyncio.sleep(PERIOD_S * int(name[1:]) / CLIENTS)
+        await asyncio.sleep(PAUSE_S * int(name[1:]) / CLIENTS)
         client = Client(instance, record)
         number = 0
         while record.now() - begin < LENGTH_S:
@@ -111,7 +90,7 @@
             )
             served[1] += 1
             served[0] += answer is not None and answer.status == 200
-            await asyncio.sleep(PERIOD_S)
+            await asyncio.sleep(PAUSE_S)
 
     await asyncio.gather(*(call(f"c{one}") for one in range(CLIENTS)))
     await asyncio.sleep(1.0)
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -14,7 +14,7 @@
 PERIOD_S = 0.1  # of one client: 60 requests a second in all
 TROUBLE_AT_S, TROUBLE_S, LENGTH_S = 2.0, 5.5, 10.0
 EXTRA_EVERY = 50  # 0.02 of the answers, at one of three replicas
-EXTRA_AFTER_S = 0.02
+EXTRA_AFTER_S = 0.005
 
 
 class GarblingReplica(Replica):
