--- a/review/1/case.py
+++ b/review/1/case.py
@@ -12,7 +12,7 @@
 
 CLIENTS, SLOTS, WORK_S = 8, 2, 0.1
 PAUSE_S = 0.05  # of a client, between two requests: 53 a second in all
-TROUBLE_AT_S, TROUBLE_S, LENGTH_S = 2.0, 5.5, 11.0
+TROUBLES_AT_S, TROUBLE_S, LENGTH_S = (2.0, 10.0), 5.5, 18.0
 EVERY = 50  # 0.02 of the answers, at one of three replicas
 EXTRA_AFTER_S = 0.005
 
@@ -26,6 +26,7 @@
     garbles = False
     begin = 0.0
     count = 0
+    span = None
 
     def rejection(self, request_id):
         return (
@@ -35,9 +36,18 @@
             "queue full\n"
         ).encode()
 
+    def begin_count(self, now):
+        """Returns whether the disruption is played; counts anew in each span."""
+        for at in TROUBLES_AT_S:
+            if at <= now < at + TROUBLE_S:
+                if self.span != at:
+                    self.span, self.count = at, 0
+                return True
+        return False
+
     async def run(self, request_id, target, writer):
         now = self.record.now() - self.begin
-        during = TROUBLE_AT_S <= now < TROUBLE_AT_S + TROUBLE_S
+        during = self.begin_count(now)
         self.count += self.garbles and during
         if not (self.garbles and during and self.count % EVERY == 1):
             self.runs.append((self.record.now(), request_id))
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -12,7 +12,7 @@
 
 CLIENTS = 6
 PERIOD_S = 0.1  # of one client: 60 requests a second in all
-TROUBLE_AT_S, TROUBLE_S, LENGTH_S = 2.0, 5.5, 10.0
+TROUBLES_AT_S, TROUBLE_S, LENGTH_S = (2.0, 10.0), 5.5, 18.0
 EXTRA_EVERY = 50  # 0.02 of the answers, at one of three replicas
 EXTRA_AFTER_S = 0.005
 
@@ -23,6 +23,16 @@
     garbles = False
     begin = 0.0
     count = 0
+    span = None
+
+    def begin_count(self, now):
+        """Returns whether the disruption is played; counts anew in each span."""
+        for at in TROUBLES_AT_S:
+            if at <= now < at + TROUBLE_S:
+                if self.span != at:
+                    self.span, self.count = at, 0
+                return True
+        return False
 
     async def work(self, request_id, target, writer):
         await asyncio.sleep(self.work_s)
@@ -30,7 +40,7 @@
         writer.write(answer)
         await writer.drain()
         now = self.record.now() - self.begin
-        during = TROUBLE_AT_S <= now < TROUBLE_AT_S + TROUBLE_S
+        during = self.begin_count(now)
         if not (TROUBLE and self.garbles and during):
             return
         self.count += 1
