--- a/review/5/case.py
+++ b/review/5/case.py
@@ -5,7 +5,7 @@
 import sys
 from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "lib"))
+sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 from fleet import (  # noqa: E402
     TROUBLE, Client, Instance, Replica, main, route, service,
 )
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,7 +3,7 @@
 # so that this only checks that they compile; nothing is downloaded.
 set -e
 cd "$(dirname "$0")"
-python3 - lib/*.py */case.py <<'PY'
+python3 - *.py */case.py <<'PY'
 import sys
 for path in sys.argv[1:]:
     compile(open(path).read(), path, "exec")
--- a/review/lib/fleet.py
+++ b/review/fleet.py
@@ -17,7 +17,7 @@
 from pathlib import Path
 from urllib.parse import parse_qs, urlsplit
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[1]
 DEPS = ROOT / "target" / "deps"
 HOST = "review.example"
 HISTORY_S = 20.0  # how long the store keeps its history
