Close a connection when bytes arrive without a request in flight

Cause: a connection did not know whether a request is in flight. Bytes on an idle connection were parsed, matched to the request before and kept as the beginning of a response; the next response completed them.

Change: any byte that arrives without a request in flight closes the connection, and each connection is read once more before a request is written to it: idle ones, those of requests that waited in the pool, and those to the store. Such a close is not reported as one of the upstream. Counter and log line.

Works because a connection then carries only responses that began after a request was written.

--- a/arbutusbridge/daemon/connection.py
+++ b/arbutusbridge/daemon/connection.py
@@ -62,7 +62,8 @@
 
     A second response to one request is not delivered. It closes the
     connection, because later responses could no longer be matched to their
-    requests.
+    requests. So do bytes that arrive while no request is in flight: they may be
+    the first part of a response whose rest would be the next response.
 
     Attributes:
       on_response: Called with the connection, status and body.
@@ -72,6 +73,9 @@
       alive: Whether the connection is not closed yet.
       refused: Whether the host refused the connection, as nothing listens
         there. A peer that is up may reset one that it does not want.
+      in_flight: Whether a request was sent whose response is not complete.
+      unsolicited: Whether it was closed because of bytes that arrived while no
+        request was in flight.
       response_started: Whether any byte arrived since the current request was
         sent.
       idle_since: Time at which the owner last marked the connection idle, on
@@ -107,6 +111,8 @@
         self.refused = False
         self.pending = b""
         self.bytes_sent = 0
+        self.in_flight = False
+        self.unsolicited = False
         self.response_started = False
         self.idle_since = 0.0
         self.bytes_received = 0
@@ -146,16 +152,6 @@
             and self.keep_alive
         )
 
-    def is_quiescent(self) -> bool:
-        """Returns whether an idle connection is open with no data to read."""
-        try:
-            self.sock.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return True
-        except OSError:
-            return False
-        return False
-
     def on_connected(self) -> None:
         """Starts to read and sends the pending data."""
         self.connected = True
@@ -170,6 +166,7 @@
         """Sends a new request."""
         self.bytes_sent = 0
         self.bytes_received = 0
+        self.in_flight = True
         self.response_started = False
         self.send(data)
 
@@ -205,7 +202,11 @@
             self.read()
 
     def read(self) -> None:
-        """Reads and parses available data, and delivers a complete response."""
+        """Reads and parses available data, and delivers a complete response.
+
+        On an idle connection it closes the connection if there is any data, or
+        if the peer has closed it.
+        """
         try:
             data = self.sock.recv(MAX_READ_BYTES)
         except BlockingIOError:
@@ -216,6 +217,10 @@
         if not data:
             self.on_eof()
             return
+        if not self.in_flight:
+            self.unsolicited = True
+            self.close()
+            return
         self.response_started = True
         self.bytes_received += len(data)
         try:
@@ -229,6 +234,7 @@
         if self.response is not None:
             status, body = self.response
             self.response = None
+            self.in_flight = False
             self.on_response(self, status, body)
         if self.out_of_sync:
             self.close()
--- a/arbutusbridge/daemon/forwardinstance.py
+++ b/arbutusbridge/daemon/forwardinstance.py
@@ -364,7 +364,9 @@
         metrics = self.metrics
         forwarder = self.forwarding.forwarder
         metrics.sync_total(metrics.store_calls, self.store.calls_made)
-        metrics.sync_total(metrics.connects, self.pools.protocol.connects)
+        protocol = self.pools.protocol
+        metrics.sync_total(metrics.connects, protocol.connects)
+        metrics.sync_total(metrics.unsolicited, protocol.unsolicited)
         for reason, count in self.ingress.refused.items():
             metrics.sync_total(metrics.callers_refused.labels(reason), count)
         for what, count in forwarder.decision_counts.items():
--- a/arbutusbridge/daemon/forwardmetrics.py
+++ b/arbutusbridge/daemon/forwardmetrics.py
@@ -67,6 +67,10 @@
         self.connects = self.counter(
             "forward_connects", "Connections to upstreams begun."
         )
+        self.unsolicited = self.counter(
+            "forward_unsolicited",
+            "Connections closed because of bytes without a request in flight.",
+        )
         self.callers_refused = self.counter(
             "forward_callers_refused",
             "Connections of callers told off and closed.",
--- a/arbutusbridge/daemon/instance.py
+++ b/arbutusbridge/daemon/instance.py
@@ -167,7 +167,9 @@
         """Copies counts that components keep into the metrics."""
         metrics = self.metrics
         metrics.sync_total(metrics.store_calls, self.platform.calls_made)
-        metrics.sync_total(metrics.connects, self.pools.protocol.connects)
+        protocol = self.pools.protocol
+        metrics.sync_total(metrics.connects, protocol.connects)
+        metrics.sync_total(metrics.unsolicited, protocol.unsolicited)
         for reason, count in self.entry.guard.refused.items():
             metrics.sync_total(metrics.callers_refused.labels(reason), count)
 
--- a/arbutusbridge/daemon/metrics.py
+++ b/arbutusbridge/daemon/metrics.py
@@ -91,6 +91,10 @@
         self.connects = self.counter(
             "connects", "Connections to upstreams begun."
         )
+        self.unsolicited = self.counter(
+            "unsolicited",
+            "Connections closed because of bytes without a request in flight.",
+        )
         self.callers_refused = self.counter(
             "callers_refused",
             "Connections of callers told off and closed.",
--- a/arbutusbridge/daemon/platform.py
+++ b/arbutusbridge/daemon/platform.py
@@ -195,11 +195,7 @@
         self.calls_made += 1
         call = OpenCall(token, on_done, self.calls_made, request.decode)
         try:
-            connection = (
-                self.idle_connections.pop()
-                if self.idle_connections
-                else self.connect()
-            )
+            connection = self.take_idle_connection() or self.connect()
         except OSError as err:
             logger.warning("store connection failed", extra={"error": str(err)})
             on_done(StoreResult(token, StoreStatus.UNAVAILABLE))
@@ -220,6 +216,16 @@
             self.calls_by_connection.pop(found[1], None)
             found[1].close()
 
+    def take_idle_connection(self) -> Connection | None:
+        """Returns an idle connection, None if there is none."""
+        while self.idle_connections:
+            connection = self.idle_connections[-1]
+            # Closes a connection that the store has closed or sent data on.
+            connection.read()
+            if connection.alive:
+                return self.idle_connections.pop()
+        return None
+
     def connect(self) -> Connection:
         """Opens a connection to the next address, round robin."""
         address = self.addresses[self.next_address % len(self.addresses)]
--- a/arbutusbridge/daemon/pool.py
+++ b/arbutusbridge/daemon/pool.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import errno
+import math
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -10,10 +11,13 @@
 
 from arbutusbridge.core.messages import ReplyKind
 from arbutusbridge.daemon.connection import Connection
+from arbutusbridge.daemon.logs import get_logger
 
 if TYPE_CHECKING:
     from arbutusbridge.daemon.hub import SocketHub
 
+logger = get_logger(__name__)
+
 DEFAULT_MAX_CONNECTIONS = 3
 """Maximum connections to one upstream before its share is known."""
 
@@ -38,6 +42,9 @@
 """Time after sending within which a close of a previously idle connection is
 attributed to the keep-alive timeout of the upstream."""
 
+UNSOLICITED_LOG_INTERVAL_S = 1.0
+"""Minimum interval of the log lines about unsolicited bytes of one upstream."""
+
 
 @dataclass(slots=True, eq=False)
 class Job:
@@ -90,6 +97,8 @@
         connection.
       connect: Opens a connection.
       connects: Number of connection attempts since the start of the process.
+      unsolicited: Number of connections closed because of bytes that arrived
+        while no request was in flight.
     """
 
     encode: Callable[[Job, Connection, float], bytes]
@@ -99,6 +108,7 @@
     handle_connect: Callable[[Any, bool], None] = lambda _upstream, _ok: None
     connect: Callable[..., Connection] = Connection
     connects: int = 0
+    unsolicited: int = 0
 
 
 class Pool:
@@ -118,6 +128,7 @@
         connect began.
       waiting: Queue of requests without a connection.
       retired: Whether the upstream was removed or has changed its address.
+      unsolicited_logged_at: Time of the last log line about unsolicited bytes.
     """
 
     def __init__(
@@ -140,6 +151,7 @@
         self.connecting: dict[Connection, float] = {}
         self.waiting: deque[Job] = deque()
         self.retired = False
+        self.unsolicited_logged_at = -math.inf
 
     @property
     def size(self) -> int:
@@ -163,16 +175,13 @@
             self.fail(job, ReplyKind.NOT_SENT)
             return
         while self.idle:
-            connection = self.idle.pop()
-            if job.fresh:
-                connection.close()
+            connection = self.idle[-1]
+            # Closes a connection that the upstream has closed or sent data on.
+            connection.read()
+            if not connection.alive:
                 continue
-            # A non-repeatable request must not be sent on a connection that
-            # the upstream has already closed.
-            is_ready = connection.is_usable(self.clock()) and (
-                not job.once or connection.is_quiescent()
-            )
-            if is_ready:
+            self.idle.pop()
+            if not job.fresh and connection.is_usable(self.clock()):
                 self.write_job(connection, job)
                 return
             connection.close()
@@ -243,7 +252,9 @@
             return
         now = self.clock()
         connection.idle_since = now
-        while self.waiting:
+        if self.waiting:
+            connection.read()
+        while self.waiting and connection.alive:
             job = self.waiting.popleft()
             if job.abandoned:
                 continue
@@ -252,7 +263,8 @@
                 continue
             self.write_job(connection, job)
             return
-        self.idle.append(connection)
+        if connection.alive:
+            self.idle.append(connection)
 
     def on_response(
         self, connection: Connection, status: int, body: bytes
@@ -278,6 +290,10 @@
         job = self.busy.pop(connection, None)
         if job is not None:
             self.on_lost(connection, job)
+        elif connection.unsolicited:
+            if connection in self.idle:
+                self.idle.remove(connection)
+            self.record_unsolicited()
         elif connection in self.idle:
             self.idle.remove(connection)
             idle_s = self.clock() - connection.idle_since
@@ -285,6 +301,21 @@
                 self.protocol.handle_idle_close(self.upstream)
         self.connect_for_waiting()
 
+    def record_unsolicited(self) -> None:
+        """Counts and logs a connection closed because of unsolicited bytes."""
+        self.protocol.unsolicited += 1
+        now = self.clock()
+        if now - self.unsolicited_logged_at >= UNSOLICITED_LOG_INTERVAL_S:
+            self.unsolicited_logged_at = now
+            detail = {
+                "address": f"{self.address[0]}:{self.address[1]}",
+                "connections": self.protocol.unsolicited,
+            }
+            logger.warning(
+                "connection closed: bytes without a request in flight",
+                extra=detail,
+            )
+
     def on_lost(self, connection: Connection, job: Job) -> None:
         """Fails or requeues the request of a lost connection."""
         if connection.bytes_sent:
