Stop using an upstream that says in its responses that it leaves

Cause: only announcements in the store made an upstream a leaving one; its responses, which all say so, were not read.

Change: the adapter decodes the header of any response but a misdirected one; the upstream gets no further attempt until its next start, whatever announcements say, and requests that wait for a connection to it are withdrawn and sent elsewhere, also after an announcement.

Works because the decision is made with the response, before the next attempt is chosen.

--- a/arbutusbridge/daemon/forwarding.py
+++ b/arbutusbridge/daemon/forwarding.py
@@ -225,6 +225,8 @@
             is_new = self.forwarder.announce(announcement, now)
             if is_new:
                 self.pools.retire(name)
+            elif announcement.leaving:
+                self.carry_out(self.forwarder.withdraw_unsent(name))
             logger.info(
                 "upstream announced" if is_new else "upstream updated",
                 extra={
--- a/arbutusbridge/daemon/relaypools.py
+++ b/arbutusbridge/daemon/relaypools.py
@@ -199,7 +199,7 @@
         job = Job(
             attempt,
             b"",
-            attempt.deadline,
+            min(attempt.deadline, attempt.send_by),
             attempt.deadline + RELAY_REPLY_GRACE_S,
             once=not attempt.idempotent,
             fresh=attempt.fresh,
--- a/arbutusbridge/forwarding/attempts.py
+++ b/arbutusbridge/forwarding/attempts.py
@@ -8,6 +8,7 @@
 from arbutusbridge.core.messages import Decision
 from arbutusbridge.forwarding import isolation, limits
 from arbutusbridge.forwarding.choice import pick_cheapest
+from arbutusbridge.forwarding.leaving import latest_send
 from arbutusbridge.forwarding.messages import (
     ARRIVED_ENDS,
     NOT_RUN_ENDS,
@@ -217,6 +218,7 @@
             exchange.attempt_deadline(now),
             route.idempotent,
             fresh,
+            latest_send(upstream),
         )
     )
 
--- a/arbutusbridge/forwarding/forwarder.py
+++ b/arbutusbridge/forwarding/forwarder.py
@@ -18,6 +18,7 @@
     dispatch,
     division,
     isolation,
+    leaving,
     limits,
     losses,
     notices,
@@ -101,6 +102,12 @@
         """
         return self.directory.announce(announcement, now)
 
+    def withdraw_unsent(self, upstream: str) -> list[object]:
+        """Returns actions that send waiting requests elsewhere."""
+        out: list[object] = []
+        leaving.withdraw_unsent(self.directory.by_name[upstream], out)
+        return out
+
     def withdraw(self, upstream: str) -> None:
         """Removes an upstream whose announcement was removed."""
         self.directory.remove(upstream)
@@ -358,6 +365,10 @@
                 now,
                 out,
             )
+        if reply.leaving:
+            leaving.learn_leaving(
+                upstream, exchange.request.request_id, now, out
+            )
         upstream.record_outcome(attempt, reply.end, now)
         if reply.end is AttemptEnd.LOST and not attempt.dropped:
             out.append(build_loss_decision(attempt, exchange, reply, now))
--- a/arbutusbridge/forwarding/messages.py
+++ b/arbutusbridge/forwarding/messages.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import math
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -77,6 +78,7 @@
         happens when the upstream crashes.
       timed_out: Whether the upstream never replied.
       terms: What the upstream asks of the instances, None if it says nothing.
+      leaving: Whether the upstream says that it is leaving.
     """
 
     attempt_id: int
@@ -90,6 +92,7 @@
     connection_closed: bool = False
     timed_out: bool = False
     terms: UpstreamTerms | None = None
+    leaving: bool = False
 
 
 @dataclass(slots=True)
@@ -103,6 +106,7 @@
       deadline: When the reply stops being useful.
       idempotent: Whether it may be sent again after it may have run.
       fresh: Whether it needs a connection that was used or opened just now.
+      send_by: Time after which it is not sent.
     """
 
     attempt_id: int
@@ -111,6 +115,7 @@
     deadline: float
     idempotent: bool
     fresh: bool = False
+    send_by: float = math.inf
 
 
 @dataclass(slots=True)
--- a/arbutusbridge/forwarding/upstreams.py
+++ b/arbutusbridge/forwarding/upstreams.py
@@ -116,6 +116,7 @@
       warmed_up_at: When it has warmed up after its start.
       leaving_at: When it was first seen draining, infinite if it is not and
         minus infinity if it was draining when it became known.
+      said_leaving: Whether it has said in a response that it is leaving.
       removed: Whether it must get no further attempts.
       backup_prepared_at: When a connection to its backup upstream was last
         prepared.
@@ -136,6 +137,7 @@
     load_reported_at: float = -math.inf
     warmed_up_at: float = 0.0
     leaving_at: float = math.inf
+    said_leaving: bool = False
     removed: bool = False
     backup_prepared_at: float = -math.inf
     terms: UpstreamTerms = NO_TERMS
@@ -298,7 +300,11 @@
     def update_leaving(
         self, upstream: Upstream, leaving: bool, now: float
     ) -> None:
-        """Records since when an upstream has been draining."""
+        """Records since when an upstream has been draining.
+
+        An announcement that it is not may be older than its response.
+        """
+        leaving = leaving or upstream.said_leaving
         if not leaving:
             upstream.leaving_at = math.inf
         elif upstream.leaving_at == math.inf:
--- a/arbutusbridge/platform/http.py
+++ b/arbutusbridge/platform/http.py
@@ -32,6 +32,8 @@
 NOT_EXECUTED_HEADER = b"x-not-executed"
 LOAD_HEADER = b"x-server-load"
 RATE_LIMIT_HEADER = b"server-limit"
+LEAVING_HEADER = b"server-leaving"
+LEAVING_VALUE = b"1"
 CONTENT_ENCODING_HEADER = b"content-encoding"
 
 MISDIRECTED_STATUS = 421
@@ -190,6 +192,7 @@
         load,
         detail,
         terms=decode_terms(end, header_values),
+        leaving=is_leaving(end, header_values),
     )
 
 
@@ -254,6 +257,17 @@
     )
 
 
+def is_leaving(end: AttemptEnd, header_values: dict[bytes, bytes]) -> bool:
+    """Returns whether the upstream of an attempt says that it is leaving.
+
+    A misdirected request was answered by another upstream.
+    """
+    return (
+        end is not AttemptEnd.MISDIRECTED
+        and header_values.get(LEAVING_HEADER, b"").strip() == LEAVING_VALUE
+    )
+
+
 def encode_answer(
     answer: object, keep_alive: bool, idle_timeout_s: int = 0
 ) -> bytes:
