Reject requests that a planned stop would cut short

What callers saw: a request whose last byte came in the last 0.8 s of a planned stop was passed on and cut without an answer 0.4 s later, also one that may run once; one shortly before got 502 although it had been taken too late to be answered.

Cause: the final answers go to the requests open at that moment, and nothing looked at the end of the stop when a request arrived. A connection on which a request has begun to arrive is not idle, so that it stays open until the end.

--- a/arbutusbridge/core/stop.py
+++ b/arbutusbridge/core/stop.py
@@ -63,6 +63,11 @@
         self.listens_until = 0.0
         self.exit_by = 0.0
 
+    @property
+    def final_answers_at(self) -> float:
+        """Time at which all open requests get their final answers."""
+        return self.began_at + self.max_duration_s - FINAL_ANSWER_LEAD_S
+
     @property
     def stopping(self) -> bool:
         """Whether a stop was requested."""
--- a/arbutusbridge/daemon/forwardinstance.py
+++ b/arbutusbridge/daemon/forwardinstance.py
@@ -290,12 +290,13 @@
     def make_drain_hooks(self) -> DrainHooks:
         """Returns the callbacks with which a planned stop drains callers."""
         ingress = self.ingress
-        exchanges = self.forwarding.forwarder.exchanges
-        gather = self.forwarding.forwarder.gather
+        forwarder = self.forwarding.forwarder
+        exchanges, gather = forwarder.exchanges, forwarder.gather
 
         def close_after_answers() -> None:
             ingress.draining = True
             gather.accepts_requests = False
+            forwarder.final_answers_at = self.lifecycle.plan.final_answers_at
 
         return DrainHooks(
             lambda: len(ingress.connections) + len(gather.taken),
--- a/arbutusbridge/forwarding/forwarder.py
+++ b/arbutusbridge/forwarding/forwarder.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 from typing import TYPE_CHECKING
 
@@ -79,9 +80,19 @@
 NOT_READY_RETRY_AFTER_S = 0.5
 """Retry-after delay while the instance has no configuration yet."""
 
+STOPPING_RETRY_AFTER_S = 0.1
+"""Retry-after delay of an instance that is about to end; others are ready."""
+
 
 class Forwarder(SharedState):
-    """Handles the events of one instance and returns the actions."""
+    """Handles the events of one instance and returns the actions.
+
+    Attributes:
+      final_answers_at: Time at which a planned stop answers all open requests;
+        one that is due later is rejected.
+    """
+
+    final_answers_at: float = math.inf
 
     def configure(self, configuration: RoutingConfiguration) -> bool:
         """Applies a configuration and returns whether it is a newer one.
@@ -128,6 +139,10 @@
         if route is None:
             self.refuse(request, Refusal.NO_ROUTE, None, out)
             return out
+        if now + route.target_s > self.final_answers_at:
+            retry_s = STOPPING_RETRY_AFTER_S
+            self.refuse(request, Refusal.STOPPING, retry_s, out)
+            return out
         state = self.suspicion(request, now)
         if state is FingerprintState.QUARANTINED:
             left_s = self.quarantine_left_s(request, now)
--- a/arbutusbridge/forwarding/messages.py
+++ b/arbutusbridge/forwarding/messages.py
@@ -165,12 +165,13 @@
 class Refusal(enum.Enum):
     """Reason why an instance answers a request itself.
 
-    The first seven state that the request did not run and will not run. CRASHED
+    The first eight state that the request did not run and will not run. CRASHED
     is the answer to a quarantined request that has been sent to an upstream.
     """
 
     NO_ROUTE = "no_route"
     NOT_READY = "not_ready"
+    STOPPING = "stopping"
     UNSERVABLE = "unservable"
     LIMITED = "limited"
     ISOLATED = "isolated"
--- a/arbutusbridge/platform/http.py
+++ b/arbutusbridge/platform/http.py
@@ -70,6 +70,7 @@
 REFUSAL_STATUSES = {
     Refusal.NO_ROUTE: 404,
     Refusal.NOT_READY: 503,
+    Refusal.STOPPING: 503,
     Refusal.UNSERVABLE: 503,
     Refusal.LIMITED: 503,
     Refusal.ISOLATED: 503,
--- a/tests/test_daemon/test_foreign_responses.py
+++ b/tests/test_daemon/test_foreign_responses.py
@@ -4,17 +4,29 @@
 
 import testtools
 
+from arbutusbridge.core.messages import ReplyKind
 from arbutusbridge.daemon.responsesearch import (
     find_response,
     incomplete_head_start,
 )
+from arbutusbridge.daemon.upstreams import UpstreamPools
 from arbutusbridge.forwarding import AttemptEnd
+from tests.test_daemon.fixtures import (
+    ComponentBench,
+    RawUpstream,
+    attempt,
+    configuration,
+)
 from tests.test_daemon.test_relaypools import RelayPoolsCase, response
 from tests.test_daemon.test_unsolicited_bytes import (
     HEAD,
     REJECTION,
     UNSOLICITED,
 )
+from tests.test_daemon.test_upstreams import result
+
+HEAD_OF_SECOND = HEAD.replace(b"r1", b"r2")
+CHUNKED_HEAD = HEAD_OF_SECOND + b"Transfer-Encoding: chunked\r\n\r\n"
 
 INCOMPLETE = {
     **{kind: data for kind, data in UNSOLICITED.items() if kind != "junk"},
@@ -112,12 +124,10 @@
 class CutResponseTest(RelayPoolsCase):
     """Responses that end early, with the end of the connection."""
 
-    # Guards against a success with an empty or short body, framed as whole,
-    # when an upstream stops within its response and closes the connection.
-    def test_response_cut_anywhere_is_lost(self) -> None:
-        whole = response("r2", b"a body of some bytes")
+    def check_cuts(self, whole: bytes, first_lost: int, last_lost: int) -> None:
+        """Checks that a response cut after each number of bytes is lost."""
         for reused in (False, True):
-            for size in range(len(whole)):
+            for size in range(first_lost, last_lost):
                 if reused:
                     self.send(1)
                     sock = self.accept()
@@ -131,6 +141,63 @@
                 self.assertIs(AttemptEnd.LOST, self.reply().end, size)
                 self.relay_pools.retire("i-1")
 
+    # Guards against a success with an empty or short body, framed as whole,
+    # when an upstream stops within its response and closes the connection.
+    def test_response_with_a_length(self) -> None:
+        whole = response("r2", b"a body of some bytes")
+        self.check_cuts(whole, 0, len(whole))
+
+    def test_response_in_chunks(self) -> None:
+        whole = CHUNKED_HEAD + b"4\r\nfour\r\n6\r\nsix   \r\n0\r\n\r\n"
+        self.check_cuts(whole, 0, len(whole))
+
+    # Without a length the end of the connection is the end of the body.
+    def test_head_of_a_response_without_a_length(self) -> None:
+        self.check_cuts(HEAD_OF_SECOND + b"\r\n", 0, len(HEAD_OF_SECOND) + 2)
+
+    # Guards against a success that is made up of an incomplete response to
+    # another request and the beginning of the right one.
+    def test_response_cut_after_a_foreign_one(self) -> None:
+        whole = response("r2", b"a body")
+        for kind, data in INCOMPLETE.items():
+            for size in (10, 40, len(whole) - 1):
+                self.send(1)
+                sock = self.accept()
+                sock.sendall(response("r1"))
+                self.reply()
+                self.send(2)
+                sock.recv(4096)
+                sock.sendall(data)
+                self.bench.turn()
+                sock.sendall(whole[:size])
+                sock.close()
+                self.assertIs(AttemptEnd.LOST, self.reply().end, kind)
+                self.relay_pools.retire("i-1")
+
+
+class CutReplyTest(testtools.TestCase):
+    """The same on the project's own interface."""
+
+    def test_reply_cut_anywhere_is_lost(self) -> None:
+        bench = ComponentBench()
+        raw = RawUpstream()
+        pools = UpstreamPools(bench.hub, bench.timers, "queries").register(
+            bench
+        )
+        pools.probe_due = lambda _upstream: False
+        pools.on_configured(configuration(u=raw.port))
+        whole = result(1)
+        for size in range(len(whole)):
+            pools.on_dispatch([attempt(1, bench.now + 2.0)])
+            bench.turn()
+            sock = raw.accept()
+            bench.turn()
+            sock.recv(4096)
+            sock.sendall(whole[:size])
+            sock.close()
+            bench.turn_until(lambda: bench.replies)
+            self.assertIs(ReplyKind.LOST, bench.replies.pop().kind, size)
+
 
 class FindResponseTest(testtools.TestCase):
     """Search in bytes, without a connection."""
