Send an upstream nothing for the time its Retry-After asks for

Change: the upstream is left out of every choice until the end of that time, requests that wait for a connection to it are sent elsewhere, and a request that only paused upstreams could serve is rejected at once with the earliest return, each further one with a later time.

--- a/arbutusbridge/forwarding/conclusion.py
+++ b/arbutusbridge/forwarding/conclusion.py
@@ -11,6 +11,7 @@
     delegation,
     limits,
     notices,
+    pauses,
     peerreplies,
 )
 from arbutusbridge.forwarding.attempts import drop_open_attempts
@@ -257,7 +258,10 @@
             refusal = Refusal.ISOLATED
         if exchange.peer_retry_after_s is not None:
             retry = exchange.peer_retry_after_s
-        if limited:
+        paused_s = pauses.retry_after_s(exchange, shared, now)
+        if paused_s is not None:
+            refusal, retry = Refusal.LIMITED, paused_s
+        elif limited:
             refusal = Refusal.LIMITED
             retry = limits.retry_after_s(exchange, limited, shared, now)
     elif timed_out:
--- a/arbutusbridge/forwarding/forwarder.py
+++ b/arbutusbridge/forwarding/forwarder.py
@@ -23,6 +23,7 @@
     limits,
     losses,
     notices,
+    pauses,
     peermessages,
     preconnect,
     relay,
@@ -384,6 +385,9 @@
             leaving.learn_leaving(
                 upstream, exchange.request.request_id, now, out
             )
+        if reply.pause_s:
+            request_id = exchange.request.request_id
+            pauses.learn_pause(upstream, reply.pause_s, request_id, now, out)
         upstream.record_outcome(attempt, reply.end, now)
         if reply.end is AttemptEnd.LOST and not attempt.dropped:
             out.append(build_loss_decision(attempt, exchange, reply, now))
--- a/arbutusbridge/forwarding/messages.py
+++ b/arbutusbridge/forwarding/messages.py
@@ -79,6 +79,8 @@
       timed_out: Whether the upstream never replied.
       terms: What the upstream asks of the instances, None if it says nothing.
       leaving: Whether the upstream says that it is leaving.
+      pause_s: Time for which the upstream wants no request from this instance,
+        in seconds; 0 if it does not say so.
     """
 
     attempt_id: int
@@ -93,6 +95,7 @@
     timed_out: bool = False
     terms: UpstreamTerms | None = None
     leaving: bool = False
+    pause_s: float = 0.0
 
 
 @dataclass(slots=True)
--- a/arbutusbridge/forwarding/upstreams.py
+++ b/arbutusbridge/forwarding/upstreams.py
@@ -117,6 +117,7 @@
       leaving_at: When it was first seen draining, infinite if it is not and
         minus infinity if it was draining when it became known.
       said_leaving: Whether it has said in a response that it is leaving.
+      paused_until: Time until which it wants no requests.
       removed: Whether it must get no further attempts.
       backup_prepared_at: When a connection to its backup upstream was last
         prepared.
@@ -138,6 +139,7 @@
     warmed_up_at: float = 0.0
     leaving_at: float = math.inf
     said_leaving: bool = False
+    paused_until: float = -math.inf
     removed: bool = False
     backup_prepared_at: float = -math.inf
     terms: UpstreamTerms = NO_TERMS
@@ -166,10 +168,11 @@
         """Updates the observations with the outcome of an attempt.
 
         One that was withdrawn says nothing about the upstream, and neither does
-        a rejection by an upstream with a rate limit.
+        a rejection by an upstream with a rate limit or one that pauses.
         """
+        rate_limited = self.limit is not None or self.paused_until > now
         if end is AttemptEnd.WITHDRAWN or (
-            end is AttemptEnd.SHED and self.limit is not None
+            end is AttemptEnd.SHED and rate_limited
         ):
             return
         self.decay(now)
@@ -205,6 +208,7 @@
         """Returns whether the upstream can get an attempt right now."""
         return (
             not self.removed
+            and self.paused_until <= now
             and self.unreachable_until <= now
             and self.leaving_at > now
             and not self.has_overdue_reply(now)
@@ -334,7 +338,7 @@
         """Returns the upstreams of a service that may get a request.
 
         Draining ones are used only while there is no other, and only for a
-        short time.
+        short time. Those that want no requests for some time are left out.
         """
         current = self.services.get(service)
         if not current:
@@ -342,7 +346,9 @@
         not_leaving = [
             upstream
             for upstream in current.values()
-            if upstream.leaving_at == math.inf and not upstream.removed
+            if upstream.leaving_at == math.inf
+            and upstream.paused_until <= now
+            and not upstream.removed
         ]
         if not_leaving:
             return not_leaving
@@ -350,6 +356,7 @@
             upstream
             for upstream in current.values()
             if now - upstream.leaving_at < LEAVING_GRACE_S
+            and upstream.paused_until <= now
             and not upstream.removed
         ]
 
--- a/arbutusbridge/platform/http.py
+++ b/arbutusbridge/platform/http.py
@@ -34,6 +34,9 @@
 RATE_LIMIT_HEADER = b"server-limit"
 LEAVING_HEADER = b"server-leaving"
 LEAVING_VALUE = b"1"
+RETRY_AFTER_HEADER = b"retry-after"
+
+UNAVAILABLE_STATUS = 503
 CONTENT_ENCODING_HEADER = b"content-encoding"
 
 MISDIRECTED_STATUS = 421
@@ -67,6 +70,10 @@
 """Rate limit above which an upstream is not limited, in requests per second;
 ten times what any one of them is sent."""
 
+MAX_PAUSE_S = 600.0
+"""Maximum time for which an upstream is taken to want no requests, in
+seconds."""
+
 REFUSAL_STATUSES = {
     Refusal.NO_ROUTE: 404,
     Refusal.NOT_READY: 503,
@@ -194,6 +201,7 @@
         detail,
         terms=decode_terms(end, header_values),
         leaving=is_leaving(end, header_values),
+        pause_s=decode_pause(end, status, header_values),
     )
 
 
@@ -269,6 +277,22 @@
     )
 
 
+def decode_pause(
+    end: AttemptEnd, status: int, header_values: dict[bytes, bytes]
+) -> float:
+    """Decodes for how long an upstream wants no requests, in seconds.
+
+    Returns 0 for a value that is missing, negative or no decimal number (a
+    date), and MAX_PAUSE_S for a greater one.
+    """
+    value = header_values.get(RETRY_AFTER_HEADER, b"").strip()
+    if status != UNAVAILABLE_STATUS or end is AttemptEnd.LOST:
+        return 0.0
+    if not DECIMAL_NUMBER.fullmatch(value):
+        return 0.0
+    return min(max(0.0, float(value)), MAX_PAUSE_S)
+
+
 def encode_answer(
     answer: object, keep_alive: bool, idle_timeout_s: int = 0
 ) -> bytes:
--- a/tests/test_daemon/test_storefeed.py
+++ b/tests/test_daemon/test_storefeed.py
@@ -95,8 +95,8 @@
         self.bench.turn()
         self.assertIn(b"after=7", other.recv(4096))
 
-    # Guards against a watch that is sent again and again from the same revision,
-    # as its reply is too large (review/4).
+    # Guards against a watch that is sent again and again from one revision, as
+    # its reply is too large (review/4).
     def test_changes_that_are_too_large_load_all_again(self) -> None:
         sock = self.load()
         sock.recv(4096)
