--- a/arbutusbridge/platform/standins.py
+++ b/arbutusbridge/platform/standins.py
@@ -13,6 +13,7 @@
 import orjson
 
 from arbutusbridge.core.messages import StoreItem
+from arbutusbridge.daemon.httpmessages import encode_response
 from arbutusbridge.platform import http
 from arbutusbridge.platform.documents import UPSTREAMS_PREFIX
 from arbutusbridge.standins.observations import CallerAnswer, UpstreamRun
@@ -32,6 +33,9 @@
 MAX_PAGE_ITEMS = 500
 """Maximum number of items per page."""
 
+MAX_EXTRA_DELAY_S = 0.02
+"""Maximum delay of additional bytes after a response."""
+
 RECORD_BYTES = 16
 """Size of one record in the body of an upstream's response."""
 
@@ -350,6 +354,11 @@
       fault: Current fault.
       runs: Number of runs so far.
       max_rate: Rate limit that it names in its responses, None for none.
+      leaving: Whether its responses say that it is leaving.
+      retry_after_s: Time for which its rejections ask for no requests, None if
+        they do not; each is reported through ``paused``.
+      paused: Called with the run that such a rejection answers.
+      sends_extra_bytes: Whether the first part of a copy follows a response.
       crash_marker: Part of the path of requests that crash it, empty for none.
       on_crash: Called with it and the run that crashed it.
     """
@@ -365,6 +374,10 @@
     fault: UpstreamFault = UpstreamFault.NONE
     runs: int = 0
     max_rate: float | None = None
+    leaving: bool = False
+    retry_after_s: float | None = None
+    paused: Callable[[UpstreamRun], None] = lambda _run: None
+    sends_extra_bytes: bool = False
     crash_marker: str = ""
     on_crash: Callable[[UpstreamStandIn, UpstreamRun], None] = (
         lambda _upstream, _run: None
@@ -395,9 +408,11 @@
         if self.fault is UpstreamFault.SHEDDING:
             run.shed = True
             self.ran(run)
-            connection.respond(
-                503, b"", f"X-Not-Executed: 1\r\n{self.limit_header}"
-            )
+            lines = f"X-Not-Executed: 1\r\n{self.terms_headers}"
+            if self.retry_after_s is not None:
+                lines += f"Retry-After: {self.retry_after_s}\r\n"
+                self.paused(run)
+            connection.respond(503, b"", lines)
             return
         self.runs += 1
         self.ran(run)
@@ -413,18 +428,21 @@
         self.schedule(work_s, lambda: self.finish(connection, run, stamp))
 
     @property
-    def limit_header(self) -> str:
-        """Header line with its rate limit, empty without one."""
-        if self.max_rate is None:
-            return ""
-        return f"Server-Limit: {self.max_rate}\r\n"
+    def terms_headers(self) -> str:
+        """Header lines with its rate limit, and that it is leaving."""
+        lines = ""
+        if self.max_rate is not None:
+            lines += f"Server-Limit: {self.max_rate}\r\n"
+        if self.leaving:
+            lines += "Server-Leaving: 1\r\n"
+        return lines
 
     def finish(
         self, connection: ServerConnection, run: UpstreamRun, stamp: str
     ) -> None:
         """Answers a request."""
         body = self.rng.randbytes(RECORD_BYTES * self.rng.randint(1, 6))
-        headers = f"X-Request-Id: {run.request_id}\r\n{self.limit_header}"
+        headers = f"X-Request-Id: {run.request_id}\r\n{self.terms_headers}"
         signed = f"{headers}X-Server-Stamp: {stamp}\r\n"
         if self.fault is UpstreamFault.DROPPING:
             connection.close()
@@ -435,7 +453,14 @@
             connection.respond(200, body, wrong)
         else:
             run.stamp, run.body = stamp, body
+            if self.leaving:
+                run.said_leaving_at = self.clock()
             connection.respond(200, body, signed)
+            if self.sends_extra_bytes:
+                copy = encode_response(200, body, signed)
+                part = copy[: self.rng.randrange(1, len(copy))]
+                delay_s = self.rng.uniform(0.0, MAX_EXTRA_DELAY_S)
+                self.schedule(delay_s, lambda: connection.write(part))
 
 
 def encode_configuration(configuration: RoutingConfiguration) -> bytes:
@@ -471,8 +496,15 @@
     )
 
 
-def encode_announcement(announcement: Announcement) -> tuple[str, bytes]:
-    """Encodes an announcement and returns its key and value."""
+def encode_announcement(
+    announcement: Announcement, number: int = 0
+) -> tuple[str, bytes]:
+    """Encodes an announcement and returns its key and value.
+
+    Args:
+      announcement: The announcement.
+      number: Its number among those of one start of the upstream.
+    """
     ip, port = announcement.address
     value = {
         "service": announcement.service,
@@ -481,6 +513,7 @@
         "slots": announcement.slots,
         "state": "draining" if announcement.leaving else "ready",
         "born": announcement.started_ms,
+        "seq": number,
     }
     return UPSTREAMS_PREFIX + announcement.upstream, orjson.dumps(value)
 
--- a/arbutusbridge/soak/environment.py
+++ b/arbutusbridge/soak/environment.py
@@ -116,6 +116,9 @@
       crash_delays: Time into a run at which each crashing target crashes its
         upstream, in seconds.
       contract_rng: Random numbers for limits of upstreams and cut links.
+      platform_rng: Random numbers for restores of the store, and for what
+        upstreams say of themselves.
+      announced: Number of announcements written so far.
       cut_off: Instances that are cut off from all upstreams.
       version: Version of the configuration published last.
       search_shard_set_index: Index of the shard set that searches use, 0 or 1.
@@ -146,6 +149,7 @@
         self.crash_time_rng = random.Random(f"crash times {seed}")
         self.crash_delays: dict[str, float] = {}
         self.contract_rng = random.Random(f"contracts {seed}")
+        self.platform_rng = random.Random(f"platform {seed}")
         self.poller = EPoll().register(self)
         self.timers = TimerService().register(self)
         self.hub = SocketHub().register(self)
@@ -158,6 +162,7 @@
         self.cut_off: set[str] = set()
         self.upstreams: dict[str, UpstreamStandIn] = {}
         self.born = 0
+        self.announced = 0
         self.version = 0
         self.search_shard_set_index = 0
         self.desk_service_index = 0
@@ -340,7 +345,15 @@
 
     def announce(self, announcement: Announcement) -> None:
         """Writes an announcement to the store."""
-        self.store.put(*encode_announcement(announcement))
+        self.announced += 1
+        self.store.put(*encode_announcement(announcement, self.announced))
+
+    def write_again(self) -> None:
+        """Writes what the operator and the upstreams have written before."""
+        _, configuration = self.record.configurations[-1]
+        self.store.put(CONFIGURATION_KEY, encode_configuration(configuration))
+        for upstream in self.upstreams.values():
+            self.announce(upstream.announcement)
 
     def add_proxy(
         self, kind: str, target: str, forward_address: tuple[str, int]
--- a/arbutusbridge/soak/faults.py
+++ b/arbutusbridge/soak/faults.py
@@ -9,10 +9,11 @@
 from typing import TYPE_CHECKING
 
 from arbutusbridge.platform.standins import StoreFault, UpstreamFault
-from arbutusbridge.soak.record import NamedLimit
+from arbutusbridge.soak.record import NamedLimit, Pause
 
 if TYPE_CHECKING:
     from arbutusbridge.soak.environment import SoakEnvironment
+    from arbutusbridge.standins.observations import UpstreamRun
 
 FIRST_FAULT_DELAY_S = 1.0
 """Minimum time between the start of the callers and the first fault."""
@@ -54,6 +55,15 @@
 """Minimum duration of a cut of links, longer than the time after which the
 requests of callers must be served nevertheless."""
 
+STORE_AWAY_RANGE_S = (0.3, 1.5)
+"""Minimum and maximum time for which the store is away before a restore."""
+
+WRITE_AGAIN_RANGE_S = (0.1, 1.5)
+"""Time after a restore in which operator and upstreams write again."""
+
+SECOND_RESTORE_FRACTION = 0.4
+"""Fraction of the restores after which another one from the same copy comes."""
+
 MAX_CRASH_FAULTS = 2
 """Maximum number of faults from CRASH_FAULTS in a run."""
 
@@ -359,6 +369,106 @@
 """Faults of which a run has one group in addition to the others."""
 
 
+def restore_store(environment: SoakEnvironment, seconds: float) -> None:
+    """Takes the store away and brings it back from an older copy, twice."""
+    copy = environment.store.copy()
+    rng = environment.platform_rng
+
+    def take_away() -> None:
+        if environment.store.fault is not StoreFault.NONE:
+            return
+        away_s = rng.uniform(*STORE_AWAY_RANGE_S)
+        environment.record_disturbance("store", "store", away_s)
+        environment.store.set_fault(StoreFault.REFUSING)
+        environment.schedule(away_s, come_back)
+
+    def come_back() -> None:
+        environment.store.restore(copy)
+        environment.store.set_fault(StoreFault.NONE)
+        delay_s = rng.uniform(*WRITE_AGAIN_RANGE_S)
+        environment.record_disturbance("store", "store", delay_s)
+        environment.schedule(delay_s, environment.write_again)
+
+    environment.schedule(seconds, take_away)
+    if rng.random() < SECOND_RESTORE_FRACTION:
+        environment.schedule(seconds + STORE_AWAY_RANGE_S[1] + 0.5, take_away)
+
+
+def leave_unannounced(environment: SoakEnvironment, seconds: float) -> None:
+    """Lets an upstream leave that says so in its responses only.
+
+    The store is down at first, so that it cannot announce it.
+    """
+    slot = environment.platform_rng.choice(sorted(environment.upstreams))
+    upstream = environment.upstreams[slot]
+    upstream.leaving = True
+    fail_store(StoreFault.REFUSING)(environment, seconds)
+
+    def stop_and_replace() -> None:
+        if environment.upstreams.get(slot) is not upstream:
+            return
+        announcement = upstream.announcement
+        upstream.server.close()
+        environment.store.delete(f"servers/{announcement.upstream}")
+        environment.add_upstream(
+            slot,
+            announcement.service,
+            announcement.data_centre,
+            upstream.server.port,
+        )
+
+    environment.schedule(DRAIN_PERIOD_S, stop_and_replace)
+
+
+def ask_for_pause(environment: SoakEnvironment, seconds: float) -> None:
+    """Makes an upstream reject requests and ask for none for some time."""
+    rng = environment.platform_rng
+    upstream = environment.upstreams[rng.choice(sorted(environment.upstreams))]
+    pause_s = round(rng.uniform(1.0, 4.0), 2)
+
+    def record_pause(run: UpstreamRun) -> None:
+        environment.record.pauses.append(
+            Pause(run.upstream, run.request_id, run.at, run.at + pause_s)
+        )
+
+    upstream.paused = record_pause
+    upstream.retry_after_s = pause_s
+    upstream.fault = UpstreamFault.SHEDDING
+
+    def end() -> None:
+        upstream.fault = UpstreamFault.NONE
+
+    environment.schedule(seconds, end)
+
+
+def send_extra_bytes(environment: SoakEnvironment, seconds: float) -> None:
+    """Makes upstreams send the first part of a copy after each response."""
+    rng = environment.platform_rng
+    slots = sorted(environment.upstreams)
+    chosen = [
+        environment.upstreams[slot]
+        for slot in rng.sample(slots, max(1, len(slots) // 4))
+    ]
+    for upstream in chosen:
+        upstream.sends_extra_bytes = True
+
+    def end() -> None:
+        for upstream in chosen:
+            upstream.sends_extra_bytes = False
+
+    environment.schedule(seconds, end)
+
+
+PLATFORM_FAULTS: tuple[Fault, ...] = (
+    restore_store,
+    restore_store,
+    leave_unannounced,
+    ask_for_pause,
+    send_extra_bytes,
+)
+"""Faults of which a run has one or two in addition to the others."""
+
+
 def update_one(environment: SoakEnvironment, _seconds: float) -> None:
     """Replaces an instance by one of the other build."""
     name = environment.update_rng.choice(sorted(environment.instances))
@@ -415,6 +525,7 @@
         lines.append(schedule(environment, at, fault, duration_s))
     lines += plan_crashes(environment, seconds)
     lines += plan_updates(environment, seconds)
+    lines += plan_platform(environment, seconds)
     return sorted(lines + plan_contracts(environment, seconds))
 
 
@@ -460,6 +571,18 @@
     return lines
 
 
+def plan_platform(environment: SoakEnvironment, seconds: float) -> list[str]:
+    """Schedules restores of the store and what upstreams say or send."""
+    rng = environment.platform_rng
+    lines = []
+    for _ in range(rng.randint(1, 2)):
+        at = rng.uniform(0.0, seconds)
+        duration_s = rng.uniform(0.3, MAX_FAULT_DURATION_S)
+        fault = rng.choice(PLATFORM_FAULTS)
+        lines.append(schedule(environment, at, fault, duration_s))
+    return lines
+
+
 def schedule(
     environment: SoakEnvironment, at: float, fault: Fault, duration_s: float
 ) -> str:
--- a/arbutusbridge/soak/guarantees.py
+++ b/arbutusbridge/soak/guarantees.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from bisect import bisect_left
 from collections import Counter, defaultdict
 from collections.abc import Callable, Iterator
@@ -55,6 +56,13 @@
 """Requests that a limited upstream may get, as a multiple of what its limit
 allows, and in addition, as specified by the users."""
 
+PAUSE_GRACE_S = 0.5
+"""Time after a rejection after which the pause that it asks for counts."""
+
+MAX_REQUESTS_IN_PAUSE = 2
+"""Maximum number of requests of one instance in a pause, as specified by the
+users."""
+
 MIN_CUT_OFF_RATIO = 2 / 3
 FAILED_SLACK = 10
 FAILED_RATIO = 1 / 50
@@ -284,6 +292,70 @@
             yield Breach("leaving_is_left", run.request_id, detail)
 
 
+def sent_directly(
+    record: SoakRecord, run: UpstreamRun, since: float, until: float
+) -> str:
+    """Returns the instance that sent a request to its upstream, if known.
+
+    Empty for parts of searches, which peers may send, and for instances that
+    were disturbed or cut off in an interval.
+    """
+    asked = record.asked.get(run.request_id)
+    if asked is None or route_of(record, asked).shards:
+        return ""
+    cut = any(
+        one.target == asked.instance and one.since < until and one.until > since
+        for one in record.link_cuts
+    )
+    if cut or record.has_disturbance(asked.instance, since, until):
+        return ""
+    return asked.instance
+
+
+def upstream_that_says_so_is_left(record: SoakRecord) -> Iterator[Breach]:
+    """Checks the requests at upstreams that have said that they are leaving.
+
+    One that a caller sent later than LEAVE_PROPAGATION_S after its instance got
+    such a response must not reach the upstream, whatever the store says.
+    """
+    told: dict[tuple[str, str], float] = {}
+    for run in record.runs:
+        at = run.said_leaving_at
+        name = sent_directly(record, run, run.at - SETTLING_TIME_S, at)
+        if name and at < told.get((name, run.upstream), math.inf):
+            told[name, run.upstream] = at
+    for run in record.runs:
+        asked = record.asked.get(run.request_id)
+        if asked is None:
+            continue
+        since = told.get((asked.instance, run.upstream), math.inf)
+        if asked.at <= since + LEAVE_PROPAGATION_S:
+            continue
+        if sent_directly(record, run, since, run.at):
+            detail = f"{run.upstream}, {run.at - since:.1f} s after it said so"
+            yield Breach("said_leaving_is_left", run.request_id, detail)
+
+
+def pauses_are_kept(record: SoakRecord) -> Iterator[Breach]:
+    """Checks the requests of an instance at upstreams that asked for none."""
+    for pause in record.pauses:
+        since = pause.since + PAUSE_GRACE_S
+        asked = record.asked.get(pause.request_id)
+        late = [
+            run
+            for run in record.runs
+            if asked is not None
+            and run.upstream == pause.upstream
+            and since < run.at < pause.until
+            and record.asked.get(run.request_id)
+            and record.asked[run.request_id].instance == asked.instance
+            and sent_directly(record, run, pause.since, run.at)
+        ]
+        if len(late) > MAX_REQUESTS_IN_PAUSE:
+            detail = f"{pause.upstream}: {len(late)} requests in its pause"
+            yield Breach("pauses_are_kept", pause.request_id, detail)
+
+
 def extra_arrivals_are_bounded(record: SoakRecord) -> Iterator[Breach]:
     """Checks that arrivals beyond a request's first fit the retry budget."""
     first_arrivals: dict[str, list[float]] = defaultdict(list)
@@ -514,6 +586,8 @@
     valid_request_is_not_denied,
     version_is_in_force,
     leaving_upstream_gets_no_requests,
+    upstream_that_says_so_is_left,
+    pauses_are_kept,
     extra_arrivals_are_bounded,
     upstreams_are_bounded,
     crashing_request_is_stopped,
--- a/arbutusbridge/soak/record.py
+++ b/arbutusbridge/soak/record.py
@@ -75,6 +75,23 @@
     until: float = math.inf
 
 
+@dataclass(slots=True)
+class Pause:
+    """Rejection of a request that asks for no requests for a time.
+
+    Attributes:
+      upstream: Id of the upstream.
+      request_id: Id of the request that it rejected.
+      since: Time of the rejection, in seconds.
+      until: End of the time.
+    """
+
+    upstream: str
+    request_id: str
+    since: float
+    until: float
+
+
 @dataclass(slots=True)
 class Disturbance:
     """Disturbance of a part of the system by a fault.
@@ -105,6 +122,7 @@
       link_cuts: Instances that were cut off from all upstreams. Time bounds
         apply to them nevertheless.
       limits: Rate limits that upstreams named.
+      pauses: Rejections that asked for no requests for a time.
       crashes: Crashes of upstreams by requests.
       quarantine_refusals: Ids of requests that an instance refused because
         they crash upstreams, from its log.
@@ -126,6 +144,7 @@
     disturbances: list[Disturbance] = field(default_factory=list)
     link_cuts: list[Disturbance] = field(default_factory=list)
     limits: list[NamedLimit] = field(default_factory=list)
+    pauses: list[Pause] = field(default_factory=list)
     crashes: list[UpstreamCrash] = field(default_factory=list)
     quarantine_refusals: list[str] = field(default_factory=list)
     leaving: dict[str, float] = field(default_factory=dict)
--- a/arbutusbridge/standins/observations.py
+++ b/arbutusbridge/standins/observations.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 
 
@@ -18,6 +19,8 @@
       stamp: Signature of a successful response, empty without one.
       body: Body of that response.
       shed: Whether the upstream shed the request instead of running it.
+      said_leaving_at: Time at which it answered that it is leaving, infinite
+        if it did not.
     """
 
     request_id: str
@@ -28,6 +31,7 @@
     stamp: str = ""
     body: bytes = b""
     shed: bool = False
+    said_leaving_at: float = math.inf
 
 
 @dataclass(slots=True)
--- a/tests/test_soak/test_guarantees.py
+++ b/tests/test_soak/test_guarantees.py
@@ -16,6 +16,7 @@
 from arbutusbridge.soak.record import (
     Disturbance,
     NamedLimit,
+    Pause,
     SentRequest,
     UpstreamCrash,
 )
@@ -208,6 +209,29 @@
         self.record.leaving["i-1"] = 26.0
         self.assertEqual({"leaving_is_left"}, self.broken_guarantees())
 
+    def test_request_to_upstream_that_said_that_it_leaves(self) -> None:
+        def run(request_id: str, at: float) -> UpstreamRun:
+            found = self.add_request(request_id, "once", at, "once")
+            found.upstream = "i-9"
+            return found
+
+        run("once-2", 15.0).said_leaving_at = 15.2
+        run("once-3", 18.0)
+        self.assertEqual(set(), self.broken_guarantees())
+        run("once-4", 18.5)
+        self.assertIn("said_leaving_is_left", self.broken_guarantees())
+        # A restart of the instance excuses it.
+        self.record_disturbance("kill", "n-0", 17.0)
+        self.assertEqual(set(), self.broken_guarantees())
+
+    def test_requests_in_a_pause(self) -> None:
+        self.record.pauses.append(Pause("i-1", "once-1", 11.0, 14.0))
+        for number, at in enumerate((11.2, 11.4, 12.0, 13.9, 14.2)):
+            self.add_request(f"once-p{number}", "once", at, "once")
+        self.assertEqual(set(), self.broken_guarantees())
+        self.add_request("once-p9", "once", 12.5, "once")
+        self.assertIn("pauses_are_kept", self.broken_guarantees())
+
     def test_extra_arrivals_beyond_the_budget(self) -> None:
         # The budget is a fifth of the 20 earlier requests, plus 50.
         for number in range(54):
