Load again the items of a peer that leaves out the era

Cause: a starting instance is sent the oldest protocol, which has no era, until its key is known. After a restore of the store it could not tell whether the items are of an earlier era; and an era that the source names later voided revisions for nothing.

Change: items without an era count as those of the first one if the store has been restored, so that they are loaded again; an era that is named later is adopted.

--- a/arbutusbridge/core/requests/records.py
+++ b/arbutusbridge/core/requests/records.py
@@ -145,8 +145,8 @@
         elif self.finished:
             return
         elif change_outcome is ChangeOutcome.APPLIED:
-            # The claim stays, so that the key never runs. It is not voided: that
-            # would state that it has not run.
+            # The claim stays, so that the key never runs. A void would state
+            # that it has not run.
             self.unknown("claim_lost", MANUAL_CHECK_REMEDY, out)
         elif change_outcome is ChangeOutcome.TAKEN:
             self.on_taken(existing, out)
--- a/arbutusbridge/daemon/following.py
+++ b/arbutusbridge/daemon/following.py
@@ -309,9 +309,12 @@
         if taken:
             self.pending_source = None
             self.source_state.begin(update, self.timers.clock())
-            self.feed.apply_snapshot(
-                items, update.revision, update.age_s, update.era
-            )
+            era = update.era
+            if era is None and (self.store.era or 0) > FIRST_ERA:
+                # A peer that does not know the protocol of this instance leaves
+                # the era out. Its items may be of an earlier one.
+                era = FIRST_ERA
+            self.feed.apply_snapshot(items, update.revision, update.age_s, era)
             if update.age_s > MAX_SOURCE_AGE_S:
                 self.leave_source("old")
             elif self.max_change_delay_s < MIN_CHANGE_DELAY_LIMIT_S:
--- a/arbutusbridge/forwarding/feed.py
+++ b/arbutusbridge/forwarding/feed.py
@@ -234,7 +234,10 @@
           The changes that were not known.
         """
         self.confirmed_at = confirmed_at
-        if era is not None and era != self.era:
+        if era is not None and self.era is None:
+            # The source did not name it before.
+            self.era = era
+        elif era is not None and era != self.era:
             self.void_revisions(era, confirmed_at)
             self.restored = False
             self.revision = revision
