Never go back to an earlier era of the store

Cause: found when reading the change: an instance that a peer has told of a later era, before its own calls have shown it, took its own older one for a new one, and a follower applied changes of an earlier era.

Change: only a later era voids what is known; changes of an earlier one are ignored.

Evidence: test_changes_of_an_earlier_era_are_ignored and test_later_era_from_a_peer_is_kept fail before and pass.

--- a/arbutusbridge/daemon/storefeed.py
+++ b/arbutusbridge/daemon/storefeed.py
@@ -165,7 +165,7 @@
         key_feed, era = self.key_feed, self.store.era
         if key_feed.era is None:
             key_feed.era = era
-        if era is None or key_feed.era == era:
+        if era is None or key_feed.era is None or era <= key_feed.era:
             return False
         logger.notice(
             "store restored, loading all keys again",
--- a/arbutusbridge/forwarding/feed.py
+++ b/arbutusbridge/forwarding/feed.py
@@ -233,6 +233,9 @@
         Returns:
           The changes that were not known.
         """
+        if era is not None and era < (self.era or 0):
+            # The source has not noticed that the store was restored.
+            return []
         self.confirmed_at = confirmed_at
         if era is not None and self.era is None:
             # The source did not name it before.
--- a/tests/test_daemon/test_store_restore.py
+++ b/tests/test_daemon/test_store_restore.py
@@ -249,6 +249,16 @@
         self.pass_time(6.0)
         self.assertEqual(version(11), self.changes.values[CONFIGURATION])
 
+    # Guards against a feed that goes back because a peer has told it of an era
+    # that this instance's own calls have not shown yet.
+    def test_later_era_from_a_peer_is_kept(self) -> None:
+        self.start()
+        self.feed.apply_changes([], 40, 0.0, 2)
+        self.feed.begin()
+        self.assertEqual(40, self.feed.key_feed.revision)
+        self.assertFalse(self.feed.note_era())
+        self.assertEqual(2, self.feed.key_feed.era)
+
     # Guards against a new decision for each of thousands of unchanged keys.
     def test_unchanged_items_change_nothing(self) -> None:
         self.start()
--- a/tests/test_forwarding/test_feed.py
+++ b/tests/test_forwarding/test_feed.py
@@ -109,6 +109,17 @@
         self.assertEqual([b"newer"], [one.value for one in changes])
         self.assertEqual(12, call.revision)
 
+    # Guards against an instance that goes back to an earlier era.
+    def test_changes_of_an_earlier_era_are_ignored(self) -> None:
+        feed = self.loaded()
+        feed.void_revisions(2, NOW)
+        feed.on_page(page(5, *(item(n, n) for n in range(10))), NOW)
+        late = [item(1, 90, b"late")]
+        self.assertEqual([], feed.apply_from_peer(late, 90, NOW, 1))
+        self.assertEqual((2, 5), (feed.era, feed.revision))
+        changes = feed.apply_from_peer([item(1, 6, b"new")], 6, NOW, 2)
+        self.assertEqual(1, len(changes))
+
     def test_lower_revision_of_a_watch_starts_a_new_load(self) -> None:
         feed = self.loaded()
         changes, call = feed.on_changes(page(4, item(1, 4)), NOW)
