--- a/arbutusbridge/soak/faults.py
+++ b/arbutusbridge/soak/faults.py
@@ -12,6 +12,7 @@
 from arbutusbridge.soak.record import NamedLimit, Pause
 
 if TYPE_CHECKING:
+    from arbutusbridge.platform.standins import UpstreamStandIn
     from arbutusbridge.soak.environment import SoakEnvironment
     from arbutusbridge.standins.observations import UpstreamRun
 
@@ -229,18 +230,24 @@
     announcement = upstream.announcement
     environment.announce(dataclasses.replace(announcement, leaving=True))
     environment.record.leaving[announcement.upstream] = environment.clock()
+    environment.schedule(
+        DRAIN_PERIOD_S, lambda: replace_upstream(environment, slot, upstream)
+    )
 
-    def stop_and_replace() -> None:
-        upstream.server.close()
-        environment.store.delete(f"servers/{announcement.upstream}")
-        environment.add_upstream(
-            slot,
-            announcement.service,
-            announcement.data_centre,
-            upstream.server.port,
-        )
 
-    environment.schedule(DRAIN_PERIOD_S, stop_and_replace)
+def replace_upstream(
+    environment: SoakEnvironment, slot: str, upstream: UpstreamStandIn
+) -> None:
+    """Stops an upstream and starts another one in its slot."""
+    announcement = upstream.announcement
+    upstream.server.close()
+    environment.store.delete(f"servers/{announcement.upstream}")
+    environment.add_upstream(
+        slot,
+        announcement.service,
+        announcement.data_centre,
+        upstream.server.port,
+    )
 
 
 def move_route(environment: SoakEnvironment, _seconds: float) -> None:
@@ -404,20 +411,12 @@
     upstream.leaving = True
     fail_store(StoreFault.REFUSING)(environment, seconds)
 
-    def stop_and_replace() -> None:
-        if environment.upstreams.get(slot) is not upstream:
-            return
-        announcement = upstream.announcement
-        upstream.server.close()
-        environment.store.delete(f"servers/{announcement.upstream}")
-        environment.add_upstream(
-            slot,
-            announcement.service,
-            announcement.data_centre,
-            upstream.server.port,
-        )
+    def end() -> None:
+        # It may have crashed meanwhile.
+        if environment.upstreams.get(slot) is upstream:
+            replace_upstream(environment, slot, upstream)
 
-    environment.schedule(DRAIN_PERIOD_S, stop_and_replace)
+    environment.schedule(DRAIN_PERIOD_S, end)
 
 
 def ask_for_pause(environment: SoakEnvironment, seconds: float) -> None:
