--- a/tests/test_daemon/test_store_restore.py
+++ b/tests/test_daemon/test_store_restore.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from collections import Counter
 
 import orjson
 import testtools
@@ -354,6 +355,22 @@
         self.assertIn(self.presence.key, self.store.items)
         self.assertNotIn("other", self.store.items)
 
+    # Guards against all instances that write at the same moment, more than the
+    # smallest store takes in a second.
+    def test_new_leases_of_the_planned_size_are_spread(self) -> None:
+        delays: list[float] = []
+        self.presence.instance_count.counts = [(self.bench.now, 570)]
+        self.patch(
+            self.bench.timers,
+            "after",
+            lambda seconds, _channel, _token: delays.append(seconds),
+        )
+        for _ in range(570):
+            self.presence.on_store_restored(2)
+        per_second = Counter(int(delay) for delay in delays)
+        # Two writes each: the lease and the key.
+        self.assertTrue(2 * max(per_second.values()) < 400, per_second)
+
     def test_lease_that_the_store_does_not_know_is_taken_anew(self) -> None:
         copy = self.store.copy()
         self.start()
