Do not play the platform's new faults beside another build

Cause: the build in production does not know of restores and leaving upstreams, so that its instances would break guarantees that it never gave. The faults were new; nothing that was played before is left out.

--- a/arbutusbridge/soak/faults.py
+++ b/arbutusbridge/soak/faults.py
@@ -571,7 +571,12 @@
 
 
 def plan_platform(environment: SoakEnvironment, seconds: float) -> list[str]:
-    """Schedules restores of the store and what upstreams say or send."""
+    """Schedules restores of the store and what upstreams say or send.
+
+    Not beside another build, which may not know of them.
+    """
+    if environment.other_build is not None:
+        return []
     rng = environment.platform_rng
     lines = []
     for _ in range(rng.randint(1, 2)):
