--- a/tests/test_forwarding/fixtures.py
+++ b/tests/test_forwarding/fixtures.py
@@ -5,6 +5,8 @@
 import random
 import struct
 
+import testtools
+
 from arbutusbridge.core.requests.quarantine import canary_for_suspects
 from arbutusbridge.forwarding import (
     Announcement,
@@ -18,6 +20,7 @@
     SendAttempt,
     UpstreamReply,
     WeightedService,
+    WithdrawAttempt,
 )
 
 HOST = "desk.example"
@@ -131,3 +134,51 @@
         struct.unpack(">Q8x", body[start : start + 16])[0]
         for start in range(0, len(body), 16)
     ]
+
+
+class TwoUpstreamsCase(testtools.TestCase):
+    """Requests to two upstreams that say what an instance must keep to."""
+
+    now = 100.0
+    two = (upstream("u1", "records"), upstream("u2", "records"))
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.number = 0
+
+    def send(self, forwarder, at: float = now):
+        """Starts a request; returns its first actions."""
+        self.number += 1
+        return forwarder.handle_request(
+            request(self.number, "/fetch/x", at), at
+        )
+
+    def used(self, forwarder, at: float) -> set[str]:
+        """Returns the upstreams that get twenty requests."""
+        found = set()
+        for _ in range(20):
+            (send,) = sends_of(self.send(forwarder, at))
+            found.add(send.upstream.upstream)
+            forwarder.replies([result(send)], at)
+        return found
+
+    def check_waiting_requests_move(self, to_reply) -> None:
+        """Checks that requests which wait for an upstream are sent elsewhere.
+
+        Args:
+          to_reply: Returns what the upstream replies to the first of them.
+        """
+        forwarder = make_forwarder([plain(idempotent=False)], self.two)
+        sent = [sends_of(self.send(forwarder))[0] for _ in range(6)]
+        name = sent[0].upstream.upstream
+        waiting = [one for one in sent[1:] if one.upstream.upstream == name]
+        self.assertTrue(waiting)
+        out = forwarder.replies([to_reply(sent[0])], self.now)
+        withdrawn = {
+            one.attempt_id for one in out if isinstance(one, WithdrawAttempt)
+        }
+        self.assertEqual({one.attempt_id for one in waiting}, withdrawn)
+        ends = [ended(one, AttemptEnd.WITHDRAWN) for one in waiting]
+        again = sends_of(forwarder.replies(ends, self.now))
+        self.assertEqual(len(waiting), len(again))
+        self.assertNotIn(name, {one.upstream.upstream for one in again})
--- a/tests/test_forwarding/test_leaving.py
+++ b/tests/test_forwarding/test_leaving.py
@@ -16,12 +16,12 @@
     Refusal,
     RefusedAnswer,
     RelayedAnswer,
-    WithdrawAttempt,
 )
 from arbutusbridge.forwarding.leaving import LEAVING_SEND_S
 from arbutusbridge.forwarding.upstreams import LEAVING_GRACE_S
 from arbutusbridge.platform import WIRE
 from tests.test_forwarding.fixtures import (
+    TwoUpstreamsCase,
     ended,
     make_forwarder,
     only,
@@ -34,8 +34,8 @@
     upstream,
 )
 
-NOW = 100.0
-TWO = [upstream("u1", "records"), upstream("u2", "records")]
+NOW = TwoUpstreamsCase.now
+TWO = TwoUpstreamsCase.two
 
 
 def leaves(reply):
@@ -43,20 +43,9 @@
     return dataclasses.replace(reply, leaving=True)
 
 
-class LeavingTest(testtools.TestCase):
+class LeavingTest(TwoUpstreamsCase):
     """First attempts, retries and waiting requests."""
 
-    def setUp(self) -> None:
-        super().setUp()
-        self.number = 0
-
-    def send(self, forwarder, at: float = NOW):
-        """Starts a request; returns its first actions."""
-        self.number += 1
-        return forwarder.handle_request(
-            request(self.number, "/fetch/x", at), at
-        )
-
     def learn(self, forwarder, end=None):
         """Lets an upstream say that it is leaving; returns its id."""
         (send,) = sends_of(self.send(forwarder))
@@ -64,15 +53,6 @@
         self.out = forwarder.replies([leaves(reply)], NOW)
         return send.upstream.upstream
 
-    def used_later(self, forwarder, at: float = NOW + 1.0) -> set[str]:
-        """Returns the upstreams that get twenty requests."""
-        found = set()
-        for _ in range(20):
-            (send,) = sends_of(self.send(forwarder, at))
-            found.add(send.upstream.upstream)
-            forwarder.replies([result(send)], at)
-        return found
-
     def test_no_further_request_is_sent(self) -> None:
         forwarder = make_forwarder([plain()], TWO)
         name = self.learn(forwarder)
@@ -83,7 +63,7 @@
             if isinstance(one, Decision) and one.what == "upstream_leaving"
         ]
         self.assertEqual(name, found.detail["upstream"])
-        self.assertNotIn(name, self.used_later(forwarder))
+        self.assertNotIn(name, self.used(forwarder, NOW + 1.0))
 
     def test_rejection_says_so_too_and_the_retry_goes_elsewhere(self) -> None:
         forwarder = make_forwarder([plain(idempotent=False)], TWO)
@@ -100,7 +80,7 @@
             forwarder.announce(
                 upstream(name, "records", leaving=leaving), NOW + 0.5
             )
-            self.assertNotIn(name, self.used_later(forwarder))
+            self.assertNotIn(name, self.used(forwarder, NOW + 1.0))
 
     def test_announcement_that_came_first_is_kept(self) -> None:
         forwarder = make_forwarder([plain()], TWO)
@@ -109,30 +89,16 @@
         forwarder.announce(upstream(name, "records", leaving=True), NOW)
         forwarder.replies([leaves(result(send))], NOW + 0.5)
         self.assertEqual(NOW, forwarder.directory.by_name[name].leaving_at)
-        self.assertNotIn(name, self.used_later(forwarder))
+        self.assertNotIn(name, self.used(forwarder, NOW + 1.0))
 
     def test_next_start_is_used_again(self) -> None:
         forwarder = make_forwarder([plain()], TWO)
         name = self.learn(forwarder)
         forwarder.announce(upstream(name, "records", started_ms=7), NOW + 0.5)
-        self.assertIn(name, self.used_later(forwarder))
+        self.assertIn(name, self.used(forwarder, NOW + 1.0))
 
     def test_waiting_requests_are_sent_elsewhere(self) -> None:
-        forwarder = make_forwarder([plain(idempotent=False)], TWO)
-        sent = [sends_of(self.send(forwarder))[0] for _ in range(6)]
-        first = sent[0]
-        name = first.upstream.upstream
-        waiting = [one for one in sent[1:] if one.upstream.upstream == name]
-        self.assertTrue(waiting)
-        out = forwarder.replies([leaves(result(first))], NOW)
-        self.assertEqual(
-            {one.attempt_id for one in waiting},
-            {one.attempt_id for one in out if isinstance(one, WithdrawAttempt)},
-        )
-        ends = [ended(one, AttemptEnd.WITHDRAWN) for one in waiting]
-        again = sends_of(forwarder.replies(ends, NOW))
-        self.assertEqual(len(waiting), len(again))
-        self.assertNotIn(name, {one.upstream.upstream for one in again})
+        self.check_waiting_requests_move(lambda send: leaves(result(send)))
 
     # A service whose upstreams all leave is served for a short time, as others
     # may be about to be announced; then its requests are rejected at once.
--- a/tests/test_forwarding/test_pauses.py
+++ b/tests/test_forwarding/test_pauses.py
@@ -15,12 +15,12 @@
     AttemptEnd,
     Refusal,
     RefusedAnswer,
-    WithdrawAttempt,
 )
 from arbutusbridge.forwarding.pauses import MAX_RETURN_SPREAD_S
 from arbutusbridge.platform import WIRE
 from arbutusbridge.platform.http import MAX_PAUSE_S
 from tests.test_forwarding.fixtures import (
+    TwoUpstreamsCase,
     ended,
     make_forwarder,
     only,
@@ -33,9 +33,9 @@
     upstream,
 )
 
-NOW = 100.0
+NOW = TwoUpstreamsCase.now
 PAUSE_S = 2.5
-TWO = [upstream("u1", "records"), upstream("u2", "records")]
+TWO = TwoUpstreamsCase.two
 
 
 def pauses(send, pause_s: float = PAUSE_S):
@@ -44,29 +44,9 @@
     return dataclasses.replace(rejected, pause_s=pause_s)
 
 
-class PauseTest(testtools.TestCase):
+class PauseTest(TwoUpstreamsCase):
     """First attempts, retries, waiting requests and refusals."""
 
-    def setUp(self) -> None:
-        super().setUp()
-        self.number = 0
-
-    def send(self, forwarder, at: float = NOW):
-        """Starts a request; returns its first actions."""
-        self.number += 1
-        return forwarder.handle_request(
-            request(self.number, "/fetch/x", at), at
-        )
-
-    def used(self, forwarder, at: float) -> set[str]:
-        """Returns the upstreams that get twenty requests."""
-        found = set()
-        for _ in range(20):
-            (send,) = sends_of(self.send(forwarder, at))
-            found.add(send.upstream.upstream)
-            forwarder.replies([result(send)], at)
-        return found
-
     def test_upstream_gets_nothing_until_the_end(self) -> None:
         forwarder = make_forwarder([plain(idempotent=False)], TWO)
         (send,) = sends_of(self.send(forwarder))
@@ -109,20 +89,7 @@
         self.assertEqual(0.0, found.failure_rate)
 
     def test_waiting_requests_are_sent_elsewhere(self) -> None:
-        forwarder = make_forwarder([plain(idempotent=False)], TWO)
-        sent = [sends_of(self.send(forwarder))[0] for _ in range(6)]
-        name = sent[0].upstream.upstream
-        waiting = [one for one in sent[1:] if one.upstream.upstream == name]
-        self.assertTrue(waiting)
-        out = forwarder.replies([pauses(sent[0])], NOW)
-        withdrawn = {
-            one.attempt_id for one in out if isinstance(one, WithdrawAttempt)
-        }
-        self.assertEqual({one.attempt_id for one in waiting}, withdrawn)
-        ends = [ended(one, AttemptEnd.WITHDRAWN) for one in waiting]
-        again = sends_of(forwarder.replies(ends, NOW))
-        self.assertEqual(len(waiting), len(again))
-        self.assertNotIn(name, {one.upstream.upstream for one in again})
+        self.check_waiting_requests_move(pauses)
 
     # Guards against requests that wait until their deadline, and against those
     # that all come back at the same moment.
