Decode accounts, homes and warm-ups of the configuration

Cause: the configuration names client accounts, regions that may run a request and rates of cold upstreams, which were ignored. The headers with a caller's key and account were passed on like any others.

Change: the data model and the documents have these fields. The two headers are kept apart from those that are passed on. A delegated request has fields for the account and the homes; protocol 0x17 announces that an instance respects them, and keeps the encoding of 0x16. Nothing decides on them yet.

--- a/arbutusbridge/forwarding/exchange.py
+++ b/arbutusbridge/forwarding/exchange.py
@@ -11,7 +11,7 @@
 if TYPE_CHECKING:
     from arbutusbridge.forwarding.gather import GatherRequest, Peer
     from arbutusbridge.forwarding.messages import UpstreamReply
-    from arbutusbridge.forwarding.model import CallerRequest, Route
+    from arbutusbridge.forwarding.model import Account, CallerRequest, Route
     from arbutusbridge.forwarding.upstreams import OpenAttempt, Upstream
 
 ANSWER_MARGIN_S = 0.009
@@ -124,6 +124,8 @@
       canary_backoff: Multiple of the usual wait for the next canary.
       canary_group: Shards of the helper that sends the first canary, None if
         it is sent from here.
+      account: Client account of the caller, None without one.
+      homes: Regions that may run the request, None for all.
     """
 
     request: CallerRequest
@@ -150,6 +152,15 @@
     next_canary_at: float = math.inf
     canary_backoff: float = 1.0
     canary_group: DelegatedGroup | None = None
+    account: Account | None = None
+    homes: frozenset[str] | None = None
+
+    @property
+    def urgency(self) -> int:
+        """Rank of the request; that of its account precedes the route's."""
+        if self.account is not None and self.account.urgency is not None:
+            return self.account.urgency
+        return self.route.urgency
 
     @classmethod
     def begin(
--- a/arbutusbridge/forwarding/gather.py
+++ b/arbutusbridge/forwarding/gather.py
@@ -26,6 +26,10 @@
 """Protocol of messages from which on an instance sends updates after its first
 reply, and the first of them as soon as it has a result."""
 
+ACCOUNTS_PROTOCOL = 0x17
+"""Protocol from which on an instance respects client accounts and homes. One of
+an earlier protocol would ignore these fields of a request."""
+
 MIN_GROUP_SHARDS = 3
 """Minimum number of shards in another region for which one message is cheaper
 than a subrequest each."""
@@ -102,6 +106,8 @@
         are followed by others.
       reports_first: Whether to send the first of them as soon as a shard has
         replied, because other shards wait for it.
+      account: Name of the caller's account, empty for none.
+      homes: Regions that may run the request, empty for all.
     """
 
     gather_id: int
@@ -121,6 +127,8 @@
     relayed: bool = False
     accepts_updates: bool = False
     reports_first: bool = False
+    account: str = ""
+    homes: list[str] = field(default_factory=list)
 
 
 class DeclineReason(enum.Enum):
@@ -307,6 +315,11 @@
         """Whether it replies to a request more than once."""
         return self.protocol >= UPDATES_PROTOCOL
 
+    @property
+    def knows_accounts(self) -> bool:
+        """Whether it respects client accounts and homes."""
+        return self.protocol >= ACCOUNTS_PROTOCOL
+
     def is_available(self, now: float) -> bool:
         """Returns whether it may be sent a request."""
         return self.excluded_until <= now and self.isolated_until <= now
--- a/arbutusbridge/forwarding/gatherwire.py
+++ b/arbutusbridge/forwarding/gatherwire.py
@@ -37,7 +37,11 @@
 OLDEST_PROTOCOL = 0x15
 """Protocol of the oldest build that is understood, the one in production."""
 
-CURRENT_PROTOCOL = 0x16
+NUMBERED_PROTOCOL = 0x16
+"""First protocol with numbered fields. Its number begins the messages of all
+later ones, since peers skip the fields and types that they do not know."""
+
+CURRENT_PROTOCOL = 0x17
 """Protocol of this build, announced in the record of the instance."""
 
 MAX_MESSAGE_BYTES = 4_194_304
@@ -126,8 +130,8 @@
     if isinstance(message, GatherReply) and not message.is_final:
         # Its request could only be sent by a build that understands it, also
         # if the key of that instance is not known yet.
-        protocol = CURRENT_PROTOCOL
-    if protocol < CURRENT_PROTOCOL:
+        protocol = NUMBERED_PROTOCOL
+    if protocol < NUMBERED_PROTOCOL:
         protocol = OLDEST_PROTOCOL
         if kind not in OLDEST_FIELD_COUNTS:
             raise UnknownMessageError(
@@ -137,7 +141,7 @@
         known = FIELDS[kind][: OLDEST_FIELD_COUNTS[kind]]
         fields = [getattr(message, field.name) for field in known]
     else:
-        protocol = CURRENT_PROTOCOL
+        protocol = NUMBERED_PROTOCOL
         values = [getattr(message, field.name) for field in FIELDS[kind]]
         fields = {
             index: value
--- a/arbutusbridge/forwarding/limits.py
+++ b/arbutusbridge/forwarding/limits.py
@@ -105,7 +105,7 @@
     """Returns the tokens that a request must leave to more urgent ones."""
     table = shared.table
     service = upstream.announcement.service
-    if table is None or exchange.route.urgency <= table.top_urgency(service):
+    if table is None or exchange.urgency <= table.top_urgency(service):
         return 0.0
     return URGENT_RESERVE
 
--- a/arbutusbridge/forwarding/messages.py
+++ b/arbutusbridge/forwarding/messages.py
@@ -168,11 +168,15 @@
 class Refusal(enum.Enum):
     """Reason why an instance answers a request itself.
 
-    The first eight state that the request did not run and will not run. CRASHED
+    The last three, CRASHED, LOST and TIMED_OUT, do not state whether the
+    request ran; all others state that it did not run and will not run. CRASHED
     is the answer to a quarantined request that has been sent to an upstream.
     """
 
     NO_ROUTE = "no_route"
+    UNAUTHORIZED = "unauthorized"
+    OVER_QUOTA = "over_quota"
+    OUTSIDE_HOMES = "outside_homes"
     NOT_READY = "not_ready"
     STOPPING = "stopping"
     UNSERVABLE = "unservable"
--- a/arbutusbridge/forwarding/model.py
+++ b/arbutusbridge/forwarding/model.py
@@ -46,6 +46,9 @@
       shards: Services that each hold one shard, empty if not sharded.
       max_records: Maximum number of records in a merged answer.
       least_coverage: Minimum fraction of the shards in an answer, 0 to 1.
+      allows_anonymous: Whether requests without a key are accepted although
+        the configuration names client accounts.
+      homes: Regions that may run its requests, empty for all.
     """
 
     name: str
@@ -60,6 +63,45 @@
     shards: tuple[str, ...] = ()
     max_records: int = 0
     least_coverage: float = 1.0
+    allows_anonymous: bool = False
+    homes: frozenset[str] = frozenset()
+
+
+@dataclass(frozen=True, slots=True)
+class Account:
+    """Client account of the operators' configuration.
+
+    Attributes:
+      name: Name that is unique within its configuration.
+      keys: API keys of its callers. They are not part of its representation,
+        which may appear in logs.
+      urgency: Rank of its requests, which takes precedence over that of their
+        routes; None if the account has none.
+      rate: Requests per second from all instances together, 0 for no limit.
+      burst: Requests beyond the rate that may come at once.
+      homes: Regions that may run its requests, empty for all.
+    """
+
+    name: str
+    keys: tuple[str, ...] = field(default=(), repr=False)
+    urgency: int | None = None
+    rate: float = 0.0
+    burst: float = 0.0
+    homes: frozenset[str] = frozenset()
+
+
+@dataclass(frozen=True, slots=True)
+class WarmUp:
+    """Warm-up of the upstreams of a service after their start.
+
+    Attributes:
+      duration_s: Time for which an upstream is cold.
+      max_rate: Requests per second that a cold one takes from all instances
+        together, 0 for no limit.
+    """
+
+    duration_s: float = 0.0
+    max_rate: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,12 +131,17 @@
       connections: Connections that one upstream of a service accepts from all
         instances together, by service.
       bounds: Limits on callers' requests.
+      accounts: Client accounts, None if the configuration does not name any
+        and serves every caller.
+      warm_ups: Warm-up of the upstreams, by service.
     """
 
     version: int
     routes: tuple[Route, ...]
     connections: dict[str, int] = field(default_factory=dict)
     bounds: RequestLimits = RequestLimits()
+    accounts: tuple[Account, ...] | None = None
+    warm_ups: dict[str, WarmUp] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -139,6 +186,10 @@
       network_delay_s: Time on the network of the request, its answer and any
         connection opened for them, 0 if unknown.
       cached_fingerprint: Fingerprint, empty until it is first needed.
+      identity_headers: Headers that concern client accounts, as received. They
+        are passed on only if the configuration names no accounts.
+      credentials: Values of the headers that hold the caller's key.
+      account: Name of the client account, empty for none.
     """
 
     request_id: str
@@ -151,6 +202,11 @@
     arrived: float
     network_delay_s: float = 0.0
     cached_fingerprint: str = ""
+    identity_headers: list[tuple[bytes, bytes]] = field(
+        default_factory=list, repr=False
+    )
+    credentials: list[bytes] = field(default_factory=list, repr=False)
+    account: str = ""
 
     @property
     def fingerprint(self) -> str:
--- a/arbutusbridge/forwarding/wireformat.py
+++ b/arbutusbridge/forwarding/wireformat.py
@@ -51,6 +51,8 @@
       decode_announcement: Takes the key and the value of an announcement.
       configuration_key: Key of the operators' configuration.
       upstreams_prefix: Prefix of the keys of announcements.
+      evacuations_prefix: Prefix of the keys of evacuated data centres, each
+        followed by the name of one.
       key_rules: What the values of these keys say of their age.
     """
 
@@ -65,4 +67,5 @@
     decode_announcement: Callable[[str, bytes], Result[Announcement, str]]
     configuration_key: str
     upstreams_prefix: str
+    evacuations_prefix: str
     key_rules: KeyRules
--- a/arbutusbridge/platform/__init__.py
+++ b/arbutusbridge/platform/__init__.py
@@ -19,6 +19,7 @@
     documents.decode_announcement,
     documents.CONFIGURATION_KEY,
     documents.UPSTREAMS_PREFIX,
+    documents.EVACUATIONS_PREFIX,
     documents.KEY_RULES,
 )
 """Encoding of the daemon's traffic with callers, upstreams and operators."""
--- a/arbutusbridge/platform/documents.py
+++ b/arbutusbridge/platform/documents.py
@@ -10,16 +10,19 @@
 
 from arbutusbridge.forwarding.feed import KeyRules
 from arbutusbridge.forwarding.model import (
+    Account,
     Announcement,
     RequestLimits,
     Route,
     RoutingConfiguration,
+    WarmUp,
     WeightedService,
 )
 from arbutusbridge.settings.loader import format_path
 
 CONFIGURATION_KEY = "op/config"
 UPSTREAMS_PREFIX = "servers/"
+EVACUATIONS_PREFIX = "op/evacuate/"
 
 
 class Document(BaseModel):
@@ -45,6 +48,8 @@
       timeout_ms: Maximum time that a caller is kept waiting.
       fanout_services: Shards; each is a service of its own.
       min_shard_ratio: Minimum fraction of the shards in an answer.
+      allow_anonymous: Whether requests without a key are accepted.
+      allowed_regions: Regions that may run its requests, empty for all.
     """
 
     name: str
@@ -60,6 +65,8 @@
     fanout_services: tuple[str, ...] = ()
     top_k: int = Field(default=0, ge=0)
     min_shard_ratio: float = Field(default=1.0, ge=0, le=1)
+    allow_anonymous: bool = False
+    allowed_regions: tuple[str, ...] = ()
 
     def to_route(self) -> Route:
         """Returns the route that the entry describes."""
@@ -82,6 +89,8 @@
             shards=self.fanout_services,
             max_records=self.top_k,
             least_coverage=self.min_shard_ratio,
+            allows_anonymous=self.allow_anonymous,
+            homes=frozenset(self.allowed_regions),
         )
 
 
@@ -91,10 +100,44 @@
     Attributes:
       max_conns: Connections that one upstream accepts from all callers
         together.
+      warmup_s: Time for which an upstream is cold after its start.
+      warmup_per_s: Requests per second that a cold one takes from all instances
+        together, 0 for no limit.
     """
 
     name: str
     max_conns: int = Field(default=64, ge=1)
+    warmup_s: float = Field(default=0.0, ge=0)
+    warmup_per_s: float = Field(default=0.0, ge=0)
+
+
+class AccountDocument(Document):
+    """Entry of ``tenants``.
+
+    Attributes:
+      priority: Rank that takes precedence over that of a route.
+      rate_per_s: Requests per second, 0 for no limit.
+      burst: Requests beyond the rate that may come at once.
+      allowed_regions: Regions that may run its requests, empty for all.
+    """
+
+    name: str = Field(min_length=1)
+    api_keys: tuple[str, ...] = Field(default=(), repr=False)
+    priority: int | None = None
+    rate_per_s: float = Field(default=0.0, ge=0)
+    burst: float = Field(default=0.0, ge=0)
+    allowed_regions: tuple[str, ...] = ()
+
+    def to_account(self) -> Account:
+        """Returns the account that the entry describes."""
+        return Account(
+            self.name,
+            self.api_keys,
+            self.priority,
+            self.rate_per_s,
+            self.burst,
+            frozenset(self.allowed_regions),
+        )
 
 
 class LimitsDocument(Document):
@@ -122,6 +165,7 @@
     routes: tuple[RouteDocument, ...]
     services: tuple[ServiceDocument, ...] = ()
     limits: LimitsDocument = LimitsDocument()
+    tenants: tuple[AccountDocument, ...] | None = None
 
 
 class AnnouncementDocument(Document):
@@ -156,6 +200,14 @@
             tuple(route.to_route() for route in document.routes),
             {one.name: one.max_conns for one in document.services},
             document.limits.to_limits(),
+            None
+            if document.tenants is None
+            else tuple(one.to_account() for one in document.tenants),
+            {
+                one.name: WarmUp(one.warmup_s, one.warmup_per_s)
+                for one in document.services
+                if one.warmup_per_s > 0
+            },
         )
     )
 
--- a/arbutusbridge/platform/http.py
+++ b/arbutusbridge/platform/http.py
@@ -29,6 +29,8 @@
 DEADLINE_HEADER = b"x-deadline-ms"
 EXPECTED_UPSTREAM_HEADER = b"x-expect-instance"
 STAMP_HEADER = b"x-server-stamp"
+ACCOUNT_HEADER = b"x-tenant"
+KEY_HEADER = b"authorization"
 NOT_EXECUTED_HEADER = b"x-not-executed"
 LOAD_HEADER = b"x-server-load"
 RATE_LIMIT_HEADER = b"server-limit"
@@ -61,6 +63,9 @@
 REWRITTEN_HEADERS = frozenset({DEADLINE_HEADER, EXPECTED_UPSTREAM_HEADER})
 """Request headers that are set anew for each upstream."""
 
+IDENTITY_HEADERS = frozenset({ACCOUNT_HEADER, KEY_HEADER})
+"""Request headers that concern client accounts."""
+
 MAX_DEADLINE_MS = 600_000.0
 """Maximum deadline that a caller may send."""
 
@@ -76,6 +81,9 @@
 
 REFUSAL_STATUSES = {
     Refusal.NO_ROUTE: 404,
+    Refusal.UNAUTHORIZED: 401,
+    Refusal.OVER_QUOTA: 429,
+    Refusal.OUTSIDE_HOMES: 503,
     Refusal.NOT_READY: 503,
     Refusal.STOPPING: 503,
     Refusal.UNSERVABLE: 503,
@@ -108,6 +116,7 @@
     request_id = host = ""
     deadline = math.inf
     forwarded: Headers = []
+    identity: Headers = []
     for name, value in headers:
         lower_name = name.lower()
         if lower_name == REQUEST_ID_HEADER:
@@ -128,6 +137,9 @@
             or lower_name in connection_tokens
         ):
             continue
+        if lower_name in IDENTITY_HEADERS:
+            identity.append((name, value))
+            continue
         forwarded.append((name, value))
     if not request_id:
         return Err("the request has no id")
@@ -141,6 +153,10 @@
             body,
             deadline,
             arrived,
+            identity_headers=identity,
+            credentials=[
+                value for name, value in headers if name.lower() == KEY_HEADER
+            ],
         )
     )
 
@@ -156,6 +172,8 @@
         b"X-Deadline-Ms: %d" % remaining_ms,
         b"X-Expect-Instance: " + attempt.upstream.upstream.encode("latin-1"),
     ]
+    if request.account:
+        lines.append(b"X-Tenant: " + request.account.encode("latin-1"))
     lines += [name + b": " + value for name, value in request.headers]
     if request.body or request.method not in ("GET", "HEAD", "DELETE"):
         lines.append(b"Content-Length: %d" % len(request.body))
