Authenticate callers by the accounts of the configuration

Cause: requests of no account, with unknown and with withdrawn keys were served, and keys were passed on to upstreams.

Change: each version of the configuration has a table of its accounts by keyed digests of the keys. A request is authenticated after its route is found and before anything is sent. Without accounts both headers are passed on as before.

--- /dev/null
+++ b/arbutusbridge/forwarding/accounts.py
@@ -0,0 +1,87 @@
+"""Client accounts of one configuration, and the keys of their callers."""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+import re
+import secrets
+from typing import TYPE_CHECKING
+
+from arbutusbridge.forwarding.messages import Refusal
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Sequence
+
+    from arbutusbridge.forwarding.model import Account, Route
+
+MAX_CREDENTIAL_BYTES = 512
+"""Maximum size of a header with a key. Hashing takes longer for a longer one,
+and no operator issues such keys."""
+
+CREDENTIAL = re.compile(rb"[ \t]*token[ \t]+([!-~]+)[ \t]*", re.IGNORECASE)
+"""Scheme and key, a run of visible ASCII characters."""
+
+DIGEST_BYTES = 16
+
+DIGEST_SECRET = secrets.token_bytes(32)
+"""Secret of this process, so that nobody can choose keys whose digests begin
+alike and learn from the time of a lookup which of them exist."""
+
+
+def digest_key(key: bytes) -> bytes:
+    """Returns the digest that a key is looked up by."""
+    return hashlib.blake2b(
+        key, key=DIGEST_SECRET, digest_size=DIGEST_BYTES
+    ).digest()
+
+
+class AccountTable:
+    """Client accounts of one configuration.
+
+    Attributes:
+      by_name: Accounts by name.
+      by_digest: Account of each key, by the digest of the key.
+    """
+
+    def __init__(self, accounts: Iterable[Account]) -> None:
+        self.by_name: dict[str, Account] = {}
+        self.by_digest: dict[bytes, tuple[bytes, Account]] = {}
+        for account in accounts:
+            self.by_name[account.name] = account
+            for key in account.keys:
+                digest = digest_key(key.encode())
+                self.by_digest[digest] = (digest, account)
+
+    @classmethod
+    def from_config(
+        cls, accounts: Iterable[Account] | None
+    ) -> AccountTable | None:
+        """Creates the table of a configuration, None if it has no accounts."""
+        return None if accounts is None else cls(accounts)
+
+    def authenticate(
+        self, route: Route, credentials: Sequence[bytes]
+    ) -> Account | Refusal | None:
+        """Returns the account of a request.
+
+        Args:
+          route: Route of the request.
+          credentials: Values of its headers with a key.
+
+        Returns:
+          The account, None if the route accepts the request without one, or the
+          refusal of a request whose key is missing or not valid.
+        """
+        if not credentials and route.allows_anonymous:
+            return None
+        if len(credentials) != 1 or len(credentials[0]) > MAX_CREDENTIAL_BYTES:
+            return Refusal.UNAUTHORIZED
+        match = CREDENTIAL.fullmatch(credentials[0])
+        if match is None:
+            return Refusal.UNAUTHORIZED
+        digest = digest_key(match[1])
+        known, account = self.by_digest.get(digest, (b"", None))
+        if account is None or not hmac.compare_digest(known, digest):
+            return Refusal.UNAUTHORIZED
+        return account
--- a/arbutusbridge/forwarding/forwarder.py
+++ b/arbutusbridge/forwarding/forwarder.py
@@ -53,8 +53,10 @@
 if TYPE_CHECKING:
     from arbutusbridge.forwarding.gather import GatherMessage, Peer
     from arbutusbridge.forwarding.model import (
+        Account,
         Announcement,
         CallerRequest,
+        Route,
         RoutingConfiguration,
     )
     from arbutusbridge.forwarding.quarantinemessages import QuarantineReport
@@ -140,6 +142,16 @@
         if route is None:
             self.refuse(request, Refusal.NO_ROUTE, None, out)
             return out
+        account = None
+        if table.accounts is None:
+            request.headers += request.identity_headers
+        else:
+            found = table.accounts.authenticate(route, request.credentials)
+            if isinstance(found, Refusal):
+                self.refuse(request, found, None, out)
+                return out
+            account = found
+            request.account = account.name if account is not None else ""
         if now + route.target_s > self.final_answers_at:
             retry_s = STOPPING_RETRY_AFTER_S
             self.refuse(request, Refusal.STOPPING, retry_s, out)
@@ -160,6 +172,8 @@
         exchange = Exchange.begin(
             request, route, version, services, LAGS_PER_REQUEST * self.lag_s
         )
+        exchange.account = account
+        exchange.homes = find_homes(route, account)
         if route.shards:
             exchange.canary_count = self.quarantine.canary_count(
                 request.fingerprint, request.host, now
@@ -508,6 +522,12 @@
         return out
 
 
+def find_homes(route: Route, account: Account | None) -> frozenset[str] | None:
+    """Returns the regions that may run a request, None for all."""
+    homes = [one.homes for one in (route, account) if one and one.homes]
+    return frozenset.intersection(*homes) if homes else None
+
+
 def build_loss_decision(
     attempt: OpenAttempt, exchange: Exchange, reply: UpstreamReply, now: float
 ) -> Decision:
--- a/arbutusbridge/forwarding/routes.py
+++ b/arbutusbridge/forwarding/routes.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from arbutusbridge.forwarding.accounts import AccountTable
+
 if TYPE_CHECKING:
     from arbutusbridge.forwarding.model import Route, RoutingConfiguration
 
@@ -17,12 +19,14 @@
       widest_shards: Shards of the route with the most shards.
       top_urgencies: Rank of the most urgent route to each service.
       owed_weights: Weight owed to each service, by weighted route.
+      accounts: Client accounts, None if the configuration names none.
     """
 
     def __init__(self, configuration: RoutingConfiguration) -> None:
         self.configuration = configuration
         self.routes_by_host: dict[str, dict[str, Route]] = {}
         self.owed_weights: dict[str, dict[str, float]] = {}
+        self.accounts = AccountTable.from_config(configuration.accounts)
         routes = configuration.routes
         self.widest_shards = max(
             (one.shards for one in routes), key=len, default=()
