Send requests of accounts only to peers that respect them

Cause: a request of an account, or with homes, was delegated and relayed to any peer. A peer of an earlier build ignores both fields, and a peer of this build took the rank of the route and checked no account.

A delegated request carries the account and the homes. A peer declines it as outdated if its configuration lacks the account or requires one that is not named, and otherwise applies its own account and homes. The rank of the most urgent requests to a service, and the lag above which relays are declined, follow the accounts' ranks.

--- a/arbutusbridge/forwarding/accounts.py
+++ b/arbutusbridge/forwarding/accounts.py
@@ -36,6 +36,19 @@
     ).digest()
 
 
+def find_homes(route: Route, account: Account | None) -> frozenset[str] | None:
+    """Returns the regions that may run a request, None for all."""
+    homes = [one.homes for one in (route, account) if one and one.homes]
+    return frozenset.intersection(*homes) if homes else None
+
+
+def find_urgency(route: Route, account: Account | None) -> int:
+    """Returns the rank of a request; that of its account precedes."""
+    if account is not None and account.urgency is not None:
+        return account.urgency
+    return route.urgency
+
+
 class AccountTable:
     """Client accounts of one configuration.
 
--- a/arbutusbridge/forwarding/delegation.py
+++ b/arbutusbridge/forwarding/delegation.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 from arbutusbridge.core.messages import Decision
-from arbutusbridge.forwarding import attempts, division
+from arbutusbridge.forwarding import attempts, division, placement
 from arbutusbridge.forwarding.exchange import DelegatedGroup, Exchange, Part
 from arbutusbridge.forwarding.gather import (
     MIN_GROUP_SHARDS,
@@ -109,7 +109,7 @@
     shards = [
         part for part, data_centres in held if data_centre in data_centres
     ]
-    helpers = find_helpers(data_centre, len(shards), shared, now)
+    helpers = find_helpers(data_centre, len(shards), shared, now, exchange)
     shares = division.divide_by_capacity(shards, helpers) if helpers else []
     if not shares or own in helpers:
         return None
@@ -125,11 +125,16 @@
 
 
 def find_helpers(
-    data_centre: str, shards: int, shared: SharedState, now: float
+    data_centre: str,
+    shards: int,
+    shared: SharedState,
+    now: float,
+    exchange: Exchange | None = None,
 ) -> list[Peer]:
     """Returns the instances of a data centre that shards are divided among.
 
-    This instance may be one of them.
+    This instance may be one of them. Without a request, these are the helpers
+    of one that every peer may get.
     """
     own = shared.gather.own_peer
     assert own is not None
@@ -137,7 +142,17 @@
     if own.data_centre == data_centre:
         members.append(own)
     held = shared.held_counts[data_centre]
-    return division.select_helpers(members, own.name, shards, held, now)
+
+    def accepts(peer: Peer) -> bool:
+        return (
+            exchange is None
+            or peer is own
+            or placement.accepts(exchange, peer, shared)
+        )
+
+    return division.select_helpers(
+        members, own.name, shards, held, now, accepts
+    )
 
 
 def delegate_far_shards(
@@ -152,21 +167,31 @@
     if data_centre is None:
         return
     parts = [part for part, data_centres in far if data_centre in data_centres]
-    peer = pick_far_peer(data_centre, len(parts), shared, now)
+    peer = pick_far_peer(exchange, data_centre, len(parts), shared, now)
     if peer is not None and len(parts) >= MIN_GROUP_SHARDS:
         send_to_peer(exchange, peer, parts, shared, now, out)
 
 
 def pick_far_peer(
-    data_centre: str, shards: int, shared: SharedState, now: float
+    exchange: Exchange,
+    data_centre: str,
+    shards: int,
+    shared: SharedState,
+    now: float,
 ) -> Peer | None:
     """Returns the peer of another region that shards are delegated to.
 
     Where wide requests are divided, it is a helper of this instance.
     """
     if not shared.wide_shards:
-        return shared.gather.peer_table.pick_peer(data_centre, now, shared.rng)
-    return next(iter(find_helpers(data_centre, shards, shared, now)), None)
+        return shared.gather.peer_table.pick_peer(
+            data_centre,
+            now,
+            shared.rng,
+            lambda peer: placement.accepts(exchange, peer, shared),
+        )
+    helpers = find_helpers(data_centre, shards, shared, now, exchange)
+    return next(iter(helpers), None)
 
 
 def delegate_to_helpers(
@@ -189,7 +214,7 @@
             part for part, data_centres in held if data_centre in data_centres
         ]
         held = [one for one in held if data_centre not in one[1]]
-        helpers = find_helpers(data_centre, len(parts), shared, now)
+        helpers = find_helpers(data_centre, len(parts), shared, now, exchange)
         for peer, share in division.divide_by_capacity(parts, helpers):
             if peer is not own:
                 send_to_peer(exchange, peer, share, shared, now, out)
@@ -271,6 +296,8 @@
                 # A relayed request goes to another peer instead.
                 accepts_updates=not relayed,
                 reports_first=reports_first,
+                account=request.account,
+                homes=sorted(exchange.homes or ()),
             ),
         )
     )
--- a/arbutusbridge/forwarding/exchange.py
+++ b/arbutusbridge/forwarding/exchange.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from arbutusbridge.forwarding.accounts import find_urgency
 from arbutusbridge.forwarding.messages import AttemptEnd
 
 if TYPE_CHECKING:
@@ -158,9 +159,7 @@
     @property
     def urgency(self) -> int:
         """Rank of the request; that of its account precedes the route's."""
-        if self.account is not None and self.account.urgency is not None:
-            return self.account.urgency
-        return self.route.urgency
+        return find_urgency(self.route, self.account)
 
     @classmethod
     def begin(
--- a/arbutusbridge/forwarding/forwarder.py
+++ b/arbutusbridge/forwarding/forwarder.py
@@ -28,6 +28,7 @@
     preconnect,
     relay,
 )
+from arbutusbridge.forwarding.accounts import find_homes
 from arbutusbridge.forwarding.exchange import Exchange, Part
 from arbutusbridge.forwarding.gather import (
     GatherAck,
@@ -53,10 +54,8 @@
 if TYPE_CHECKING:
     from arbutusbridge.forwarding.gather import GatherMessage, Peer
     from arbutusbridge.forwarding.model import (
-        Account,
         Announcement,
         CallerRequest,
-        Route,
         RoutingConfiguration,
     )
     from arbutusbridge.forwarding.quarantinemessages import QuarantineReport
@@ -522,12 +521,6 @@
         return out
 
 
-def find_homes(route: Route, account: Account | None) -> frozenset[str] | None:
-    """Returns the regions that may run a request, None for all."""
-    homes = [one.homes for one in (route, account) if one and one.homes]
-    return frozenset.intersection(*homes) if homes else None
-
-
 def build_loss_decision(
     attempt: OpenAttempt, exchange: Exchange, reply: UpstreamReply, now: float
 ) -> Decision:
--- a/arbutusbridge/forwarding/peermessages.py
+++ b/arbutusbridge/forwarding/peermessages.py
@@ -16,6 +16,7 @@
     notices,
     peerreplies,
 )
+from arbutusbridge.forwarding.accounts import find_homes, find_urgency
 from arbutusbridge.forwarding.conclusion import abandon, conclude_or_set_timer
 from arbutusbridge.forwarding.dispatch import start_exchange
 from arbutusbridge.forwarding.exchange import Exchange, Part
@@ -35,7 +36,7 @@
 
 if TYPE_CHECKING:
     from arbutusbridge.forwarding.exchange import DelegatedGroup
-    from arbutusbridge.forwarding.model import Route
+    from arbutusbridge.forwarding.model import Account, Route
     from arbutusbridge.forwarding.shared import SharedState
 
 MAX_RELAY_LAG_S = 0.04
@@ -240,7 +241,13 @@
         message.body,
         give_up_at,
         now,
+        account=message.account,
     )
+    account = find_account(message, shared)
+    homes = find_homes(route, account)
+    if message.homes:
+        named = frozenset(message.homes)
+        homes = named if homes is None else homes & named
     exchange = Exchange(
         request,
         route,
@@ -253,6 +260,8 @@
         give_up_at,
         peer_request=message,
         second_upstream_at=now + message.alone_s,
+        account=account,
+        homes=homes,
     )
     if message.accepts_updates and route.shards:
         exchange.next_update_at = exchange.partial_answer_at
@@ -267,6 +276,28 @@
     start_exchange(exchange, shared, now, out)
 
 
+def find_account(message: GatherRequest, shared: SharedState) -> Account | None:
+    """Returns the account of a peer's request in the configuration here."""
+    table = shared.table
+    if table is None or table.accounts is None:
+        return None
+    return table.accounts.by_name.get(message.account)
+
+
+def is_account_valid(
+    message: GatherRequest, route: Route, shared: SharedState
+) -> bool:
+    """Returns whether the configuration here serves a request's account.
+
+    The sender has checked the caller's key by its own version. A request that
+    names no account needs none in that version.
+    """
+    if message.account:
+        return find_account(message, shared) is not None
+    table = shared.table
+    return table is None or table.accounts is None or route.allows_anonymous
+
+
 def find_decline_reason(
     message: GatherRequest, route: Route | None, shared: SharedState
 ) -> DeclineReason | None:
@@ -282,10 +313,12 @@
     known = {*route.shards, *(one.name for one in route.services)}
     if not set(message.services) <= known:
         return DeclineReason.OUTDATED
+    if not is_account_valid(message, route, shared):
+        return DeclineReason.OUTDATED
     if shared.isolation.isolated:
         return DeclineReason.ISOLATED
     max_lag_s = MAX_URGENT_RELAY_LAG_S
-    if route.urgency > 0:
+    if find_urgency(route, find_account(message, shared)) > 0:
         max_lag_s = MAX_RELAY_LAG_S
     if message.relayed and shared.lag_s > max_lag_s:
         return DeclineReason.BUSY
--- a/arbutusbridge/forwarding/routes.py
+++ b/arbutusbridge/forwarding/routes.py
@@ -17,7 +17,7 @@
       configuration: Configuration that the routes come from.
       routes_by_host: Routes by host and prefix.
       widest_shards: Shards of the route with the most shards.
-      top_urgencies: Rank of the most urgent route to each service.
+      top_urgencies: Rank of the most urgent requests to each service.
       owed_weights: Weight owed to each service, by weighted route.
       accounts: Client accounts, None if the configuration names none.
     """
@@ -32,14 +32,23 @@
             (one.shards for one in routes), key=len, default=()
         )
         self.top_urgencies: dict[str, int] = {}
+        ranks: set[int | None] = set()
+        if self.accounts is not None:
+            ranks = {one.urgency for one in self.accounts.by_name.values()}
         for route in routes:
+            urgencies = {
+                route.urgency if rank is None else rank for rank in ranks
+            }
+            if self.accounts is None or route.allows_anonymous:
+                urgencies.add(route.urgency)
+            urgency = min(urgencies, default=route.urgency)
             self.routes_by_host.setdefault(route.host, {})[route.prefix] = route
             for name in (*route.shards, *(one.name for one in route.services)):
-                top = self.top_urgencies.get(name, route.urgency)
-                self.top_urgencies[name] = min(top, route.urgency)
+                top = self.top_urgencies.get(name, urgency)
+                self.top_urgencies[name] = min(top, urgency)
 
     def top_urgency(self, service: str) -> int:
-        """Returns the rank of the most urgent route to a service, 0 if none."""
+        """Returns the rank of the most urgent requests to a service."""
         return self.top_urgencies.get(service, 0)
 
     def find(self, host: str, target: str) -> Route | None:
