Encode any account name, and name the scheme of a 401

Cause: an account name outside Latin-1 raised an exception for each of its requests, whose text names the account, and one with a line break would have added a header. A 401 named no scheme, which HTTP requires.

Change: names are sent as UTF-8; a configuration whose name has a control character is refused. A 401 has WWW-Authenticate and its reason phrase.

--- a/arbutusbridge/daemon/httpmessages.py
+++ b/arbutusbridge/daemon/httpmessages.py
@@ -10,6 +10,7 @@
 REASON_PHRASES = {
     200: "OK",
     400: "Bad Request",
+    401: "Unauthorized",
     404: "Not Found",
     408: "Request Timeout",
     409: "Conflict",
--- a/arbutusbridge/platform/documents.py
+++ b/arbutusbridge/platform/documents.py
@@ -115,13 +115,15 @@
     """Entry of ``tenants``.
 
     Attributes:
+      name: Name, which is sent to upstreams in a header and therefore has no
+        control characters.
       priority: Rank that takes precedence over that of a route.
       rate_per_s: Requests per second, 0 for no limit.
       burst: Requests beyond the rate that may come at once.
       allowed_regions: Regions that may run its requests, empty for all.
     """
 
-    name: str = Field(min_length=1)
+    name: str = Field(pattern=r"^[^\x00-\x1f\x7f]+$")
     api_keys: tuple[str, ...] = Field(default=(), repr=False)
     priority: int | None = None
     rate_per_s: float = Field(default=0.0, ge=0)
@@ -259,6 +261,9 @@
 
 
 def describe_first_error(err: ValidationError) -> str:
-    """Returns the field and the message of the first validation error."""
+    """Returns the field and the message of the first validation error.
+
+    The invalid value is left out, as it may be a key.
+    """
     detail = err.errors()[0]
     return f"{format_path(detail['loc']) or 'top level'}: {detail['msg']}"
--- a/arbutusbridge/platform/http.py
+++ b/arbutusbridge/platform/http.py
@@ -173,7 +173,7 @@
         b"X-Expect-Instance: " + attempt.upstream.upstream.encode("latin-1"),
     ]
     if request.account:
-        lines.append(b"X-Tenant: " + request.account.encode("latin-1"))
+        lines.append(b"X-Tenant: " + request.account.encode())
     lines += [name + b": " + value for name, value in request.headers]
     if request.body or request.method not in ("GET", "HEAD", "DELETE"):
         lines.append(b"Content-Length: %d" % len(request.body))
@@ -338,6 +338,8 @@
         status, body = REFUSAL_STATUSES[answer.refusal], b""
         if answer.retry_after_s is not None:
             headers = [(b"Retry-After", b"%.3f" % answer.retry_after_s)]
+        if answer.refusal is Refusal.UNAUTHORIZED:
+            headers.append((b"WWW-Authenticate", b"Token"))
     if not isinstance(answer, RelayedAnswer):
         request_id = answer.request.request_id.encode("latin-1")
         headers.append((b"X-Request-Id", request_id))
