Log why a request is unauthorized, and count requests by account

Cause: a 401 in the log did not say whether the key was missing, malformed or unknown, and nothing showed which accounts send requests.

Change: the decision of a 401 has the reason, without the key. The log line of a configuration has its numbers of accounts and keys if it names accounts. A counter by account keeps 100 labels, those of the accounts seen first.

--- a/arbutusbridge/daemon/forwarding.py
+++ b/arbutusbridge/daemon/forwarding.py
@@ -102,9 +102,10 @@
     @handler("request_arrived")
     def on_request_arrived(self, request: CallerRequest) -> None:
         """Starts a caller's request."""
-        self.carry_out(
-            self.forwarder.handle_request(request, self.timers.clock())
-        )
+        actions = self.forwarder.handle_request(request, self.timers.clock())
+        if request.account:
+            self.metrics.record_account(request.account)
+        self.carry_out(actions)
 
     @handler("caller_left")
     def on_caller_left(self, request: CallerRequest) -> None:
@@ -186,15 +187,20 @@
                 self.ingress.set_limits(configuration.bounds)
                 self.share(self.forwarder.instances)
                 self.metrics.version.set(configuration.version)
+            extra: dict[str, object] = {
+                "version": configuration.version,
+                "revision": item.revision,
+                "routes": len(configuration.routes),
+            }
+            accounts = configuration.accounts
+            if accounts is not None:
+                extra["accounts"] = len(accounts)
+                extra["keys"] = sum(len(one.keys) for one in accounts)
             logger.info(
                 "routing configuration applied"
                 if taken
                 else "routing configuration not newer, ignored",
-                extra={
-                    "version": configuration.version,
-                    "revision": item.revision,
-                    "routes": len(configuration.routes),
-                },
+                extra=extra,
             )
 
     @handler("upstreams_changed", channel="*")
--- a/arbutusbridge/daemon/forwardmetrics.py
+++ b/arbutusbridge/daemon/forwardmetrics.py
@@ -16,11 +16,30 @@
     from arbutusbridge.core.messages import Decision
 
 
+MAX_ACCOUNT_LABELS = 100
+"""Maximum number of accounts with a counter of their own. Each takes a line of
+the metrics, and tens of thousands of accounts are possible."""
+
+OTHER_ACCOUNTS = "other"
+"""Label of the accounts beyond the maximum."""
+
+
 class ForwardMetrics(MetricsBase):
-    """Prometheus metrics of one forwarding instance."""
+    """Prometheus metrics of one forwarding instance.
+
+    Attributes:
+      counted_accounts: Accounts with a counter of their own, the first ones
+        that sent a request.
+    """
 
     def __init__(self) -> None:
         super().__init__()
+        self.counted_accounts: set[str] = set()
+        self.account_requests = self.counter(
+            "forward_account_requests",
+            "Requests of callers with a valid key, by account.",
+            ["account"],
+        )
         self.latency = Histogram(
             "arbutusbridge_forward_seconds",
             "Time from arrival to the final answer.",
@@ -143,6 +162,14 @@
                 return
         self.sync_total(self.silent.labels(what), count)
 
+    def record_account(self, account: str) -> None:
+        """Counts a request of an account."""
+        if len(self.counted_accounts) < MAX_ACCOUNT_LABELS:
+            self.counted_accounts.add(account)
+        known = account in self.counted_accounts
+        label = account if known else OTHER_ACCOUNTS
+        self.account_requests.labels(label).inc()
+
     def record_decision(self, decision: Decision) -> None:
         """Counts a decision; observes latency and coverage of an answer."""
         self.decisions.labels(decision.what).inc()
--- a/arbutusbridge/forwarding/accounts.py
+++ b/arbutusbridge/forwarding/accounts.py
@@ -49,6 +49,21 @@
     return route.urgency
 
 
+def explain_refusal(credentials: Sequence[bytes]) -> str:
+    """Returns why a request is unauthorized, without any part of its key."""
+    if not credentials:
+        return "missing"
+    return "malformed" if read_key(credentials) is None else "unknown"
+
+
+def read_key(credentials: Sequence[bytes]) -> bytes | None:
+    """Returns the key of a request, None if it has not one valid header."""
+    if len(credentials) != 1 or len(credentials[0]) > MAX_CREDENTIAL_BYTES:
+        return None
+    match = CREDENTIAL.fullmatch(credentials[0])
+    return None if match is None else match[1]
+
+
 class AccountTable:
     """Client accounts of one configuration.
 
@@ -88,12 +103,12 @@
         """
         if not credentials and route.allows_anonymous:
             return None
-        if len(credentials) != 1 or len(credentials[0]) > MAX_CREDENTIAL_BYTES:
-            return Refusal.UNAUTHORIZED
-        match = CREDENTIAL.fullmatch(credentials[0])
-        if match is None:
+        key = read_key(credentials)
+        if key is None:
             return Refusal.UNAUTHORIZED
-        digest = digest_key(match[1])
+        digest = digest_key(key)
+        # The dictionary finds a digest by comparing it with equal hashes only;
+        # these depend on the secret, so that its time says nothing of a key.
         known, account = self.by_digest.get(digest, (b"", None))
         if account is None or not hmac.compare_digest(known, digest):
             return Refusal.UNAUTHORIZED
--- a/arbutusbridge/forwarding/forwarder.py
+++ b/arbutusbridge/forwarding/forwarder.py
@@ -28,7 +28,7 @@
     preconnect,
     relay,
 )
-from arbutusbridge.forwarding.accounts import find_homes
+from arbutusbridge.forwarding.accounts import explain_refusal, find_homes
 from arbutusbridge.forwarding.exchange import Exchange, Part
 from arbutusbridge.forwarding.gather import (
     GatherAck,
@@ -202,6 +202,8 @@
             "target": request.target[:80],
             "version": version,
         }
+        if refusal is Refusal.UNAUTHORIZED:
+            detail["why"] = explain_refusal(request.credentials)
         if refusal in (Refusal.QUARANTINED, Refusal.SUSPECT):
             entry = self.quarantine.entries[request.fingerprint]
             detail["fingerprint"] = request.fingerprint
