Test accounts at one instance, at peers and at the adapter

Cause: nothing guarded the authentication, the choice of peers by account and the headers that reach upstreams.

--- a/tests/test_forwarding/fleet.py
+++ b/tests/test_forwarding/fleet.py
@@ -257,7 +257,12 @@
         self.now = end
 
     def send(
-        self, name: str, target: str, method: str = "GET", body: bytes = b""
+        self,
+        name: str,
+        target: str,
+        method: str = "GET",
+        body: bytes = b"",
+        credentials: tuple[bytes, ...] = (),
     ) -> str:
         """Sends a caller's request to an instance and returns its id.
 
@@ -275,6 +280,8 @@
             body,
             self.now + 2.0,
             self.now,
+            identity_headers=[(b"identity", one) for one in credentials],
+            credentials=list(credentials),
         )
         self.sent[request_id] = request
         self.entered[request_id] = name
--- a/tests/test_platform/test_documents.py
+++ b/tests/test_platform/test_documents.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies as st
 from result import Err
 
+from arbutusbridge.forwarding.model import Account
 from arbutusbridge.platform.documents import (
     decode_announcement,
     decode_configuration,
@@ -52,6 +53,48 @@
     def decode(self, **changes):
         return decode_configuration(json.dumps(CONFIGURATION | changes))
 
+    def test_accounts_are_decoded(self) -> None:
+        route = ROUTE | {"allow_anonymous": True, "allowed_regions": ["n"]}
+        tenants = [
+            {"name": "a", "api_keys": ["k1", "k2"], "allowed_regions": ["n"]},
+            {"name": "b", "priority": 3, "rate_per_s": 9, "burst": 2.5},
+        ]
+        found = self.decode(routes=[route], tenants=tenants).ok_value
+        expected = (
+            Account("a", ("k1", "k2"), homes=frozenset({"n"})),
+            Account("b", (), 3, 9.0, 2.5),
+        )
+        self.assertEqual(expected, found.accounts)
+        self.assertTrue(found.routes[0].allows_anonymous)
+        self.assertEqual(frozenset({"n"}), found.routes[0].homes)
+        self.assertNotIn("k1", repr(found))
+        self.assertIsNone(self.decode().ok_value.accounts)
+
+    # Guards against keys in the log line of a refused configuration.
+    def test_errors_have_no_key(self) -> None:
+        account = {"name": "a", "api_keys": ["secret-1"]}
+        for tenants in (
+            [account | {"name": ""}],
+            [account | {"name": "a\r\nx: y"}],
+            [account | {"priority": "secret-1"}],
+            [account | {"rate_per_s": -1}],
+            [account | {"api_keys": "secret-1"}],
+            [account | {"api_keys": {"secret-1": 1}}],
+            [account | {"api_keys": [["secret-1"]]}],
+            [account | {"api_keys": ["secret-1", 7]}],
+            ["secret-1"],
+            {"secret-1": account},
+            "secret-1",
+        ):
+            found = self.decode(tenants=tenants)
+            self.assertIsInstance(found, Err)
+            self.assertIn("tenants", found.err_value)
+            self.assertNotIn("secret-1", found.err_value)
+        text = json.dumps(CONFIGURATION | {"tenants": [account]})
+        for cut in range(text.index("secret-1"), len(text)):
+            found = decode_configuration(text[:cut].encode())
+            self.assertNotIn("secret", found.err_value)
+
     def test_fields_are_renamed_and_converted_to_seconds(self) -> None:
         configuration = self.decode().ok_value
         (route,) = configuration.routes
--- a/tests/test_platform/test_http.py
+++ b/tests/test_platform/test_http.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import random
 
 import testtools
 from hypothesis import given
@@ -12,14 +13,21 @@
 from arbutusbridge.forwarding import (
     Announcement,
     AttemptEnd,
+    Forwarder,
     Load,
+    Locality,
     MergedAnswer,
     Refusal,
     RefusedAnswer,
     RelayedAnswer,
+    RetryBudgetLimits,
+    Route,
+    RoutingConfiguration,
     SendAttempt,
     UpstreamReply,
+    WeightedService,
 )
+from arbutusbridge.forwarding.model import Account
 from arbutusbridge.forwarding.terms import UpstreamTerms
 from arbutusbridge.forwarding.wireformat import ResponseIdentity
 from arbutusbridge.platform import http
@@ -86,6 +94,93 @@
             self.assertIsInstance(decode(headers), Err)
 
 
+KEY = (b"Authorization", b"Token k-1")
+ACCOUNTS = (Account("acme", ("k-1",)),)
+CLAIMED = [(b"X-Tenant", b"a"), (b"x-TENANT", b"b"), (b"X-TENANT", b"a")]
+
+
+class IdentityTest(testtools.TestCase):
+    """Headers of client accounts between callers and upstreams.
+
+    Guards against a key that reaches an upstream, and an account that a caller
+    has claimed.
+    """
+
+    def sent(self, headers, accounts=ACCOUNTS):
+        """Returns the header lines that an upstream gets, None for a 401."""
+        route = Route(
+            "r",
+            "desk.example",
+            "/a/",
+            True,
+            2.0,
+            0.2,
+            services=(WeightedService("records"),),
+        )
+        forwarder = Forwarder(
+            Locality("north", {}),
+            RetryBudgetLimits(0.2, 50.0, 10.0),
+            random.Random(1),
+        )
+        forwarder.configure(
+            RoutingConfiguration(1, (route,), accounts=accounts)
+        )
+        forwarder.announce(UPSTREAM, 0.0)
+        request = decode([*HEADERS, *headers]).ok_value
+        out = forwarder.handle_request(request, 10.0)
+        sends = [one for one in out if isinstance(one, SendAttempt)]
+        if not sends:
+            (answer,) = [one for one in out if isinstance(one, RefusedAnswer)]
+            self.assertIs(Refusal.UNAUTHORIZED, answer.refusal)
+            return None
+        encoded = http.encode_attempt(sends[0], 10.1)
+        return encoded.split(b"\r\n\r\n")[0].split(b"\r\n")[1:]
+
+    def check_identity(self, lines) -> None:
+        """Checks that the only account is ours, and that there is no key."""
+        names = [line.partition(b":")[0].lower() for line in lines]
+        self.assertEqual(1, names.count(b"x-tenant"))
+        self.assertIn(b"X-Tenant: acme", lines)
+        self.assertNotIn(b"authorization", names)
+        self.assertFalse([line for line in lines if b"k-1" in line])
+
+    def test_only_our_account_header_reaches_upstreams(self) -> None:
+        for name in (b"Authorization", b"authorization", b"AUTHORIZATION"):
+            self.check_identity(self.sent([(name, KEY[1]), *CLAIMED]))
+
+    # A header that Connection names belongs to this connection alone.
+    def test_headers_that_connection_names_are_handled(self) -> None:
+        for value in (
+            b"Authorization",
+            b"x-tenant",
+            b"AUTHORIZATION, X-Tenant",
+        ):
+            named = (b"Connection", value)
+            self.check_identity(self.sent([named, KEY, *CLAIMED]))
+            self.assertIsNone(self.sent([named, *CLAIMED]))
+            self.assertIsNone(self.sent([named, KEY, KEY]))
+
+    def test_without_accounts_both_headers_are_passed_on(self) -> None:
+        lines = self.sent([KEY, *CLAIMED], None)
+        for name, value in (KEY, *CLAIMED):
+            self.assertIn(name + b": " + value, lines)
+
+    # Guards against an exception for each request of such an account.
+    def test_account_name_may_have_any_letters(self) -> None:
+        accounts = (Account("\u540d \u00e9", ("k-1",)),)
+        lines = self.sent([KEY], accounts)
+        self.assertIn("X-Tenant: \u540d \u00e9".encode(), lines)
+
+    def test_unauthorized_answer_names_the_scheme(self) -> None:
+        request = decode().ok_value
+        text = text_of(RefusedAnswer(request, Refusal.UNAUTHORIZED, None))
+        self.assertTrue(text.startswith("HTTP/1.1 401 Unauthorized\r\n"))
+        self.assertIn("\r\nWWW-Authenticate: Token\r\n", text)
+
+    def test_representation_of_a_request_has_no_key(self) -> None:
+        self.assertNotIn("k-1", repr(decode([*HEADERS, KEY]).ok_value))
+
+
 class ReplyTest(testtools.TestCase):
     """Decoding of upstreams' responses."""
 
