Add golden encodings of requests with account and homes

Cause: the fields that protocol 0x17 added had no samples, so that a change of their numbers would go unnoticed.

--- a/tests/test_forwarding/messagesamples.py
+++ b/tests/test_forwarding/messagesamples.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import dataclasses
+
 from arbutusbridge.core.requests.quarantine import CrashReport
 from arbutusbridge.forwarding.following import FollowRequest, StoreUpdate
 from arbutusbridge.forwarding.gather import (
@@ -75,3 +77,16 @@
     "release": GatherRelease(7, ADDRESS),
 }
 """Messages by name. An entry stays as it is; a new field gets a new entry."""
+
+ACCOUNT_SAMPLES = {
+    "account": dataclasses.replace(SAMPLES["request"], account="acme"),
+    "homes": dataclasses.replace(SAMPLES["request"], homes=["eu", "us"]),
+    "account and homes": dataclasses.replace(
+        SAMPLES["request"],
+        accepts_updates=True,
+        reports_first=True,
+        account="caf\u00e9 1",
+        homes=["eu"],
+    ),
+}
+"""Messages with the fields that protocol 0x17 added, by name."""
--- a/tests/test_forwarding/test_gatherwire.py
+++ b/tests/test_forwarding/test_gatherwire.py
@@ -12,7 +12,11 @@
 from hypothesis import strategies as st
 
 from arbutusbridge.errors import ProtocolError, UnknownMessageError
-from arbutusbridge.forwarding.gather import GatherAck, GatherReply
+from arbutusbridge.forwarding.gather import (
+    ACCOUNTS_PROTOCOL,
+    GatherAck,
+    GatherReply,
+)
 from arbutusbridge.forwarding.gatherwire import (
     CURRENT_PROTOCOL,
     FIELDS,
@@ -25,11 +29,12 @@
     encode_instance_record,
     encode_message,
 )
-from tests.test_forwarding.messagesamples import SAMPLES
+from tests.test_forwarding.messagesamples import ACCOUNT_SAMPLES, SAMPLES
 
 FOLDER = Path(__file__).parent
 OLDEST_ENCODINGS = json.loads((FOLDER / "messages_15.json").read_text())
 CURRENT_ENCODINGS = json.loads((FOLDER / "messages_16.json").read_text())
+ACCOUNT_ENCODINGS = json.loads((FOLDER / "messages_17.json").read_text())
 
 
 class MessageTest(testtools.TestCase):
@@ -85,6 +90,30 @@
                     encoded = encode_message(message, protocol).hex()
                     self.assertEqual(encodings[name], encoded)
 
+    # Guards against a change of the fields that builds with accounts rely on.
+    def test_encodings_of_accounts_and_homes_are_unchanged(self) -> None:
+        self.assertEqual(ACCOUNT_ENCODINGS.keys(), ACCOUNT_SAMPLES.keys())
+        for name, message in ACCOUNT_SAMPLES.items():
+            encoding = ACCOUNT_ENCODINGS[name]
+            found = decode_message(bytes.fromhex(encoding))
+            self.assertEqual(message, found)
+            for protocol in (
+                ACCOUNTS_PROTOCOL,
+                CURRENT_PROTOCOL,
+                CURRENT_PROTOCOL + 1,
+            ):
+                encoded = encode_message(message, protocol).hex()
+                self.assertEqual(encoding, encoded)
+
+    # Guards against a message that an earlier build takes for a damaged one.
+    # What it may be sent is decided by placement.accepts.
+    def test_account_and_homes_are_left_out_for_the_oldest_build(self) -> None:
+        for name in ("account", "homes"):
+            message = ACCOUNT_SAMPLES[name]
+            for protocol in (0, OLDEST_PROTOCOL):
+                encoded = encode_message(message, protocol).hex()
+                self.assertEqual(OLDEST_ENCODINGS["request"], encoded)
+
     def test_added_fields_have_defaults(self) -> None:
         for kind, count in OLDEST_FIELD_COUNTS.items():
             for field in FIELDS[kind][count:]:
