Play accounts and a revoked key in the soak

Cause: nothing checked from outside that keys are needed, that a revoked one is refused in time, and which account upstreams see.

Two checks: a request with a key that no version in force has is not run, and upstreams get the account of the key and no key. Requests that may be refused do not count as unserved.

--- a/arbutusbridge/soak/callers.py
+++ b/arbutusbridge/soak/callers.py
@@ -47,8 +47,11 @@
       count: Number of requests created so far.
       crash_target: Target of all of its requests, which crash the upstreams
         that run them; None for a caller of many targets.
+      key: Key that it sends, empty for none.
     """
 
+    key: str = ""
+
     def __init__(
         self,
         name: str,
@@ -131,6 +134,7 @@
             self.clock(),
             self.rng.uniform(*TIMEOUT_RANGE_S),
             crashing=self.crash_target is not None,
+            key=self.key,
         )
         data = encode_caller_request(
             asked.request_id,
@@ -138,6 +142,7 @@
             asked.target,
             self.host,
             int(asked.timeout_s * 1000),
+            asked.key,
         )
         try:
             self.sock.send(data)
--- a/arbutusbridge/soak/environment.py
+++ b/arbutusbridge/soak/environment.py
@@ -16,6 +16,7 @@
 from arbutusbridge.daemon.hub import SocketHub
 from arbutusbridge.daemon.timers import TimerService
 from arbutusbridge.forwarding.model import (
+    Account,
     Announcement,
     Route,
     RoutingConfiguration,
@@ -79,6 +80,23 @@
 MAX_UPSTREAM_CONNECTIONS = 40
 """Maximum number of connections to one upstream, as configured."""
 
+CALLER_ROUTES = [
+    ("search", "GET", "/search/"),
+    ("search", "GET", "/search/"),
+    ("desk", "GET", "/desk/"),
+    ("once", "POST", "/once/"),
+]
+"""Name, method and target prefix of the routes that callers choose from."""
+
+REVOKED_KEY = "soak-0-b"
+"""Key that is revoked during a run with accounts."""
+
+ACCOUNTS = (
+    Account("soak-0", ("soak-0-a", REVOKED_KEY)),
+    Account("soak-1", ("soak-1-a",), urgency=1),
+)
+"""Accounts of a run with accounts."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SoakShape:
@@ -118,6 +136,8 @@
       contract_rng: Random numbers for limits of upstreams and cut links.
       platform_rng: Random numbers for restores of the store, and for what
         upstreams say of themselves.
+      account_rng: Random numbers for accounts.
+      accounts: Accounts of the next version, None for none.
       announced: Number of announcements written so far.
       cut_off: Instances that are cut off from all upstreams.
       version: Version of the configuration published last.
@@ -150,6 +170,8 @@
         self.crash_delays: dict[str, float] = {}
         self.contract_rng = random.Random(f"contracts {seed}")
         self.platform_rng = random.Random(f"platform {seed}")
+        self.account_rng = random.Random(f"accounts {seed}")
+        self.accounts: tuple[Account, ...] | None = None
         self.poller = EPoll().register(self)
         self.timers = TimerService().register(self)
         self.hub = SocketHub().register(self)
@@ -424,7 +446,9 @@
             ),
         )
         connections = dict.fromkeys(self.services(), MAX_UPSTREAM_CONNECTIONS)
-        configuration = RoutingConfiguration(self.version, routes, connections)
+        configuration = RoutingConfiguration(
+            self.version, routes, connections, accounts=self.accounts
+        )
         self.record.configurations.append((self.clock(), configuration))
         self.store.put(CONFIGURATION_KEY, encode_configuration(configuration))
 
@@ -499,17 +523,32 @@
 
     def start_callers(self) -> None:
         """Starts the callers."""
-        routes = [
-            ("search", "GET", "/search/"),
-            ("search", "GET", "/search/"),
-            ("desk", "GET", "/desk/"),
-            ("once", "POST", "/once/"),
-        ]
         self.callers = [
-            self.create_caller(f"c{number}", routes)
+            self.create_caller(f"c{number}", CALLER_ROUTES)
             for number in range(self.shape.callers)
         ]
 
+    def give_keys(self) -> None:
+        """Gives all callers keys, before the configuration requires them.
+
+        Two more callers follow: one sends a key that is revoked later, one
+        sends none. The accounts are part of the next version.
+        """
+        for number, caller in enumerate(self.callers):
+            caller.key = ACCOUNTS[number % len(ACCOUNTS)].keys[0]
+        self.accounts = ACCOUNTS
+        for name, key in (("revoked", REVOKED_KEY), ("keyless", "")):
+            caller = self.create_caller(name, CALLER_ROUTES)
+            caller.key = key
+            self.callers.append(caller)
+
+    def revoke_key(self) -> None:
+        """Publishes a version without REVOKED_KEY."""
+        first, *others = ACCOUNTS
+        kept = tuple(key for key in first.keys if key != REVOKED_KEY)
+        self.accounts = (dataclasses.replace(first, keys=kept), *others)
+        self.publish()
+
     def create_caller(
         self,
         name: str,
@@ -521,7 +560,7 @@
             name: self.proxies["caller", name].address
             for name in self.instances
         }
-        return Caller(
+        caller = Caller(
             name,
             HOST,
             addresses,
@@ -533,6 +572,9 @@
             self.rng if crash_target is None else self.crash_rng,
             crash_target,
         )
+        if self.accounts is not None:
+            caller.key = ACCOUNTS[0].keys[0]
+        return caller
 
     def read_quarantine_refusals(self) -> None:
         """Records which requests the instances refused as quarantined."""
--- a/arbutusbridge/soak/faults.py
+++ b/arbutusbridge/soak/faults.py
@@ -65,6 +65,13 @@
 SECOND_RESTORE_FRACTION = 0.4
 """Fraction of the restores after which another one from the same copy comes."""
 
+ACCOUNTS_FRACTION = 0.5
+"""Fraction of the runs in which the configuration comes to name accounts."""
+
+ACCOUNTS_DELAY_S = 0.5
+"""Time for which callers send keys before the configuration requires them, so
+that requests on their way are not refused."""
+
 MAX_CRASH_FAULTS = 2
 """Maximum number of faults from CRASH_FAULTS in a run."""
 
@@ -468,6 +475,14 @@
 """Faults of which a run has one or two in addition to the others."""
 
 
+def name_accounts(environment: SoakEnvironment, seconds: float) -> None:
+    """Publishes accounts, and revokes a key once they are in force."""
+    environment.give_keys()
+    environment.schedule(ACCOUNTS_DELAY_S, environment.publish)
+    delay_s = ACCOUNTS_DELAY_S + environment.record.changes_s + seconds
+    environment.schedule(delay_s, environment.revoke_key)
+
+
 def update_one(environment: SoakEnvironment, _seconds: float) -> None:
     """Replaces an instance by one of the other build."""
     name = environment.update_rng.choice(sorted(environment.instances))
@@ -525,6 +540,7 @@
     lines += plan_crashes(environment, seconds)
     lines += plan_updates(environment, seconds)
     lines += plan_platform(environment, seconds)
+    lines += plan_accounts(environment, seconds)
     return sorted(lines + plan_contracts(environment, seconds))
 
 
@@ -587,6 +603,21 @@
     return lines
 
 
+def plan_accounts(environment: SoakEnvironment, seconds: float) -> list[str]:
+    """Schedules accounts in some runs, and returns a line for them.
+
+    Not beside another build, which may check no keys.
+    """
+    rng = environment.account_rng
+    if environment.other_build is not None or (
+        rng.random() >= ACCOUNTS_FRACTION
+    ):
+        return []
+    at = rng.uniform(0.0, seconds / 2)
+    duration_s = rng.uniform(0.3, MAX_FAULT_DURATION_S)
+    return [schedule(environment, at, name_accounts, duration_s)]
+
+
 def schedule(
     environment: SoakEnvironment, at: float, fault: Fault, duration_s: float
 ) -> str:
--- a/arbutusbridge/soak/guarantees.py
+++ b/arbutusbridge/soak/guarantees.py
@@ -12,7 +12,7 @@
 from arbutusbridge.forwarding.merge import merge_greatest
 
 if TYPE_CHECKING:
-    from arbutusbridge.forwarding.model import Route
+    from arbutusbridge.forwarding.model import Account, Route
     from arbutusbridge.soak.record import SentRequest, SoakRecord, UpstreamRun
 
 SETTLING_TIME_S = 4.0
@@ -236,12 +236,14 @@
     """Checks that instances themselves answer no request with a 4xx.
 
     All requests are for routes that every version has; 408, 421 and 429 are
-    allowed.
+    allowed, and 401 if a version does not have the caller's key.
     """
     for asked in record.asked.values():
         answer = asked.answer
         if answer is None or answer.stamp:
             continue
+        if answer.status == 401 and may_be_unauthorized(record, asked):
+            continue
         if 400 <= answer.status < 500 and answer.status not in (408, 421, 429):
             detail = f"status {answer.status}"
             yield Breach("not_denied", asked.request_id, detail)
@@ -499,6 +501,8 @@
             ended_at = asked.ended_at or asked.at + asked.timeout_s
             if asked.crashing or asked.abandoned:
                 continue
+            if may_be_unauthorized(record, asked):
+                continue
             if asked.at < since or ended_at > until:
                 continue
             if not is_undisturbed(record, asked):
@@ -548,6 +552,90 @@
     )
 
 
+def accounts_in_force(
+    record: SoakRecord, asked: SentRequest
+) -> list[tuple[Account, ...] | None]:
+    """Returns the accounts of the versions that may decide on a request.
+
+    This holds for undisturbed instances.
+    """
+    first = max(
+        (
+            n
+            for n, (at, _) in enumerate(record.configurations)
+            if at < asked.at - record.changes_s
+        ),
+        default=0,
+    )
+    until = asked.ended_at or asked.at + asked.timeout_s
+    return [
+        configuration.accounts
+        for at, configuration in record.configurations[first:]
+        if at <= until
+    ]
+
+
+def has_key(accounts: tuple[Account, ...], key: str) -> bool:
+    """Returns whether one of the accounts has a key."""
+    return any(key in account.keys for account in accounts)
+
+
+def may_be_unauthorized(record: SoakRecord, asked: SentRequest) -> bool:
+    """Returns whether a version up to a request's end lacks its key."""
+    until = asked.ended_at or asked.at + asked.timeout_s
+    return any(
+        at <= until
+        and configuration.accounts is not None
+        and not has_key(configuration.accounts, asked.key)
+        for at, configuration in record.configurations
+    )
+
+
+def invalid_key_is_refused(record: SoakRecord) -> Iterator[Breach]:
+    """Checks that requests with a revoked key, or with none, are not run.
+
+    This holds for undisturbed instances, from the bound on after the version
+    that revokes the key.
+    """
+    ran = {run.request_id for run in record.runs}
+    for asked in record.asked.values():
+        if asked.request_id not in ran or not is_undisturbed(record, asked):
+            continue
+        if not any(
+            accounts is None or has_key(accounts, asked.key)
+            for accounts in accounts_in_force(record, asked)
+        ):
+            detail = f"key {asked.key or 'none'} at {asked.instance}"
+            yield Breach("invalid_key_refused", asked.request_id, detail)
+
+
+def upstreams_get_the_account(record: SoakRecord) -> Iterator[Breach]:
+    """Checks that upstreams get the account of the key, and never a key.
+
+    Callers claim another account. Without accounts, both are passed on.
+    """
+    for run in record.runs:
+        asked = record.asked.get(run.request_id)
+        if asked is None or not is_undisturbed(record, asked):
+            continue
+        versions = accounts_in_force(record, asked)
+        names = {
+            account.name
+            for accounts in versions
+            for account in accounts or ()
+            if asked.key in account.keys
+        }
+        if None in versions or not names:
+            continue
+        if (
+            run.has_key
+            or len(run.accounts) != 1
+            or run.accounts[0] not in names
+        ):
+            detail = f"{run.accounts}, with a key: {run.has_key}"
+            yield Breach("account_of_the_key", run.request_id, detail)
+
+
 def recovers(record: SoakRecord) -> Iterator[Breach]:
     """Checks that requests are served again after the last disturbance."""
     ends = (one.until for one in [*record.disturbances, *record.link_cuts])
@@ -558,6 +646,7 @@
         if asked.at >= since
         and not asked.abandoned
         and not asked.crashing
+        and not may_be_unauthorized(record, asked)
         and asked.at + asked.timeout_s < record.soak_ended_at
     ]
     served = sum(
@@ -595,6 +684,8 @@
     only_crashing_requests_are_quarantined,
     limits_hold,
     cut_off_instances_serve,
+    invalid_key_is_refused,
+    upstreams_get_the_account,
     recovers,
     processes_live,
 )
--- a/arbutusbridge/soak/record.py
+++ b/arbutusbridge/soak/record.py
@@ -27,6 +27,7 @@
         None until then.
       abandoned: Whether the caller left before its timeout.
       crashing: Whether it crashes every upstream that runs it.
+      key: Key of the caller's account, empty without one.
     """
 
     request_id: str
@@ -39,6 +40,7 @@
     ended_at: float | None = None
     abandoned: bool = False
     crashing: bool = False
+    key: str = ""
 
 
 @dataclass(slots=True)
--- a/arbutusbridge/standins/observations.py
+++ b/arbutusbridge/standins/observations.py
@@ -21,6 +21,8 @@
       shed: Whether the upstream shed the request instead of running it.
       said_leaving_at: Time at which it answered that it is leaving, infinite
         if it did not.
+      accounts: Account names that came with the request.
+      has_key: Whether a key of an account came with it.
     """
 
     request_id: str
@@ -32,6 +34,8 @@
     body: bytes = b""
     shed: bool = False
     said_leaving_at: float = math.inf
+    accounts: tuple[str, ...] = ()
+    has_key: bool = False
 
 
 @dataclass(slots=True)
--- a/arbutusbridge/standins/server.py
+++ b/arbutusbridge/standins/server.py
@@ -24,6 +24,7 @@
 
     Attributes:
       headers: Headers of the last request by name in lower case.
+      header_lines: The same as received, with those that came twice.
       pending: Bytes that wait until the socket is writable.
       alive: Whether the connection is open.
     """
@@ -38,6 +39,7 @@
         self.url = b""
         self.body: list[bytes] = []
         self.headers: dict[bytes, bytes] = {}
+        self.header_lines: list[tuple[bytes, bytes]] = []
         self.pending = b""
         self.alive = True
         server.hub.add(self.descriptor, READABLE, self.on_ready)
@@ -71,10 +73,12 @@
     def on_message_begin(self) -> None:
         """Clears the headers of the last request; called by the parser."""
         self.headers = {}
+        self.header_lines = []
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Stores a header; called by the parser."""
         self.headers[name.lower()] = value
+        self.header_lines.append((name, value))
 
     def on_body(self, data: bytes) -> None:
         """Appends a piece of the body; called by the parser."""
--- a/tests/test_soak/test_guarantees.py
+++ b/tests/test_soak/test_guarantees.py
@@ -8,6 +8,7 @@
 
 from arbutusbridge.forwarding.merge import merge_greatest
 from arbutusbridge.forwarding.model import (
+    Account,
     Route,
     RoutingConfiguration,
     WeightedService,
@@ -195,6 +196,63 @@
         answer.status, answer.stamp = 404, ""
         self.assertEqual({"not_denied"}, self.broken_guarantees())
 
+    def name_accounts(self, revoked_at: float) -> None:
+        """Adds versions with a key, and later without it."""
+        first = self.record.configurations[1][1]
+        named = dataclasses.replace(
+            first, version=3, accounts=(Account("acme", ("k",)),)
+        )
+        revoked = dataclasses.replace(
+            first, version=4, accounts=(Account("acme", ()),)
+        )
+        self.record.configurations += [(42.0, named), (revoked_at, revoked)]
+
+    def add_account_request(self, request_id: str, at: float, key: str = "k"):
+        """Adds a request of an account, at an upstream; returns its run."""
+        run = self.add_request(request_id, "desk", at, "desk-1")
+        run.accounts = ("acme",)
+        self.record.asked[request_id].key = key
+        return run
+
+    def test_request_with_an_invalid_key_that_ran(self) -> None:
+        self.name_accounts(50.0)
+        self.add_account_request("a1", 47.0)
+        self.add_account_request("a2", 52.0)
+        self.assertEqual(set(), self.broken_guarantees())
+        for at, key in ((53.5, "k"), (47.0, ""), (47.0, "other")):
+            self.add_account_request("a3", at, key)
+            self.assertEqual({"invalid_key_refused"}, self.broken_guarantees())
+        self.record_disturbance("pause", "n-0", 45.0)
+        self.assertEqual(set(), self.broken_guarantees())
+
+    def test_upstream_got_a_key_or_another_account(self) -> None:
+        self.name_accounts(55.0)
+        run = self.add_account_request("a1", 47.0)
+        early = self.add_account_request("a2", 43.0)
+        early.has_key, early.accounts = True, ("claimed", "claimed")
+        self.assertEqual(set(), self.broken_guarantees())
+        for accounts, has_key in (
+            (("acme",), True),
+            ((), False),
+            (("claimed",), False),
+            (("acme", "claimed"), False),
+        ):
+            run.accounts, run.has_key = accounts, has_key
+            self.assertEqual({"account_of_the_key"}, self.broken_guarantees())
+
+    def test_valid_key_denied(self) -> None:
+        self.name_accounts(50.0)
+        for at, key, expected in (
+            (51.0, "k", set()),
+            (47.0, "", set()),
+            (47.0, "k", {"not_denied"}),
+        ):
+            self.add_account_request("a1", at, key)
+            self.record.runs.pop()
+            answer = self.answer("a1")
+            answer.status, answer.stamp = 401, ""
+            self.assertEqual(expected, self.broken_guarantees())
+
     def test_version_no_longer_in_force(self) -> None:
         self.add_request("desk-3", "desk", 22.0, "desk-0")
         self.assertEqual(set(), self.broken_guarantees())
