--- a/tests/test_forwarding/test_accounts.py
+++ b/tests/test_forwarding/test_accounts.py
@@ -382,6 +382,7 @@
 
 
 PLACES = {"north": 4, "south": 3}
+PLACES_NORTH = [f"north-{number}" for number in range(PLACES["north"])]
 SHARDS = 45
 
 
@@ -510,6 +511,3 @@
         self.assertEqual(
             {"south"}, {one.instance[:5] for one in self.fleet.arrivals}
         )
-
-
-PLACES_NORTH = [f"north-{number}" for number in range(PLACES["north"])]
--- a/tests/test_platform/test_documents.py
+++ b/tests/test_platform/test_documents.py
@@ -14,6 +14,7 @@
     decode_announcement,
     decode_configuration,
 )
+from arbutusbridge.platform.standins import encode_configuration
 
 ROUTE = {
     "name": "search",
@@ -70,6 +71,21 @@
         self.assertNotIn("k1", repr(found))
         self.assertIsNone(self.decode().ok_value.accounts)
 
+    # Guards against a soak whose accounts differ from those that it checks.
+    def test_stand_in_writes_what_is_decoded(self) -> None:
+        tenants = [
+            {"name": "a", "api_keys": ["k1", "k2"], "allowed_regions": ["n"]},
+            {"name": "b", "priority": 0, "rate_per_s": 9.5, "burst": 2},
+        ]
+        route = ROUTE | {"allow_anonymous": True, "allowed_regions": ["n"]}
+        for changes in ({}, {"tenants": []}, {"tenants": tenants}):
+            configuration = self.decode(routes=[route], **changes).ok_value
+            again = decode_configuration(encode_configuration(configuration))
+            self.assertEqual(configuration.accounts, again.ok_value.accounts)
+            (found,) = again.ok_value.routes
+            self.assertTrue(found.allows_anonymous)
+            self.assertEqual(frozenset({"n"}), found.homes)
+
     # Guards against keys in the log line of a refused configuration.
     def test_errors_have_no_key(self) -> None:
         account = {"name": "a", "api_keys": ["secret-1"]}
