Leave contents out of the errors of damaged peer messages

Cause: the text of a validation error quotes the invalid value. The error of a damaged request of a peer quoted its headers, which have the caller's key if the sender's configuration names no accounts; that of damaged store items could quote the configuration with all keys. Both are logged.

Change: the error names the field and the problem, or the kind of error alone.

Result: test_errors_do_not_quote_the_message fails without the change.

--- a/arbutusbridge/forwarding/following.py
+++ b/arbutusbridge/forwarding/following.py
@@ -237,7 +237,9 @@
             for key, value, number in msgpack.unpackb(data)
         ]
     except (zlib.error, ValueError, TypeError) as err:
+        # The text of the error may quote a value of the store, which may have
+        # keys of accounts.
         raise ProtocolError(
-            f"Cannot decode the items of a peer: {err}.",
+            f"Cannot decode the items of a peer: {type(err).__name__}.",
             "Run instances of the same release.",
         ) from err
--- a/arbutusbridge/forwarding/gatherwire.py
+++ b/arbutusbridge/forwarding/gatherwire.py
@@ -210,11 +210,24 @@
         ValueError,
     ) as err:
         raise ProtocolError(
-            f"Cannot decode a peer message: {err}.",
+            f"Cannot decode a peer message: {describe_damage(err)}.",
             "Make sure that no data is corrupted on its way between instances.",
         ) from err
 
 
+def describe_damage(err: Exception) -> str:
+    """Returns what is wrong with a message, without its contents.
+
+    The headers of a sender whose configuration names no accounts may have a
+    key, and the text of a validation error quotes the invalid value.
+    """
+    if isinstance(err, ValidationError):
+        detail = err.errors(include_input=False)[0]
+        place = ".".join(str(part) for part in detail["loc"])
+        return f"{place}: {detail['msg']}"
+    return str(err)
+
+
 PeerName = Annotated[str, Field(min_length=1, max_length=200)]
 
 
--- a/tests/test_forwarding/test_gatherwire.py
+++ b/tests/test_forwarding/test_gatherwire.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import json
+import zlib
 from pathlib import Path
 
 import msgpack
@@ -12,6 +13,7 @@
 from hypothesis import strategies as st
 
 from arbutusbridge.errors import ProtocolError, UnknownMessageError
+from arbutusbridge.forwarding.following import unpack_items
 from arbutusbridge.forwarding.gather import (
     ACCOUNTS_PROTOCOL,
     GatherAck,
@@ -49,6 +51,25 @@
         kinds = {type(message) for message in SAMPLES.values()}
         self.assertEqual(set(MESSAGE_TYPES), kinds)
 
+    # Guards against a key in the log line of a message that is refused.
+    def test_errors_do_not_quote_the_message(self) -> None:
+        request = SAMPLES["request"]
+        for changes in (
+            {"headers": [[b"name", b"secret-1", b"more"]]},
+            {"headers": "secret-1"},
+            {"body": ["secret-1"]},
+            {"answer_in_s": "secret-1"},
+            {"homes": [["secret-1"]]},
+        ):
+            data = encode_message(dataclasses.replace(request, **changes))
+            err = self.assertRaises(ProtocolError, decode_message, data)
+            self.assertIn(next(iter(changes)), str(err))
+            self.assertNotIn("secret", str(err))
+        rows = [("op/config", b"{}", b"secret-1")]
+        packed = zlib.compress(msgpack.packb(rows))
+        err = self.assertRaises(ProtocolError, unpack_items, packed)
+        self.assertNotIn("secret", str(err))
+
     @given(st.binary(max_size=64))
     def test_damage_is_a_typed_error_fuzz(self, data: bytes) -> None:
         for text in (
