--- a/arbutusbridge/forwarding/delegation.py
+++ b/arbutusbridge/forwarding/delegation.py
@@ -21,7 +21,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from arbutusbridge.forwarding.gather import Peer
+    from arbutusbridge.forwarding.gather import GatherConfirm, Peer
     from arbutusbridge.forwarding.shared import SharedState
 
 SILENT = "silent"
@@ -405,11 +405,11 @@
 
 def notify_peer(
     group: DelegatedGroup,
-    kind: type[GatherCancel] | type[GatherRelease],
+    kind: type[GatherCancel] | type[GatherConfirm] | type[GatherRelease],
     shared: SharedState,
     out: list[object],
 ) -> None:
-    """Tells a peer to stop, or to send the shards that it holds back."""
+    """Sends a peer a message that concerns a whole group of shards."""
     own = shared.gather.own_peer
     assert own is not None
     message = kind(group.gather_id, own.address)
--- a/arbutusbridge/forwarding/forwarder.py
+++ b/arbutusbridge/forwarding/forwarder.py
@@ -32,6 +32,7 @@
 from arbutusbridge.forwarding.gather import (
     GatherAck,
     GatherCancel,
+    GatherConfirm,
     GatherRelease,
     GatherReply,
     GatherRequest,
@@ -500,6 +501,8 @@
                 peermessages.on_reply(message, self, now, out)
             case GatherRelease():
                 peermessages.on_release(message, self, now, out)
+            case GatherConfirm():
+                peermessages.on_confirm(message, self, now, out)
             case GatherCancel():
                 peermessages.on_cancel(message, self, now, out)
             case QuarantineNotice():
--- a/arbutusbridge/forwarding/gather.py
+++ b/arbutusbridge/forwarding/gather.py
@@ -26,6 +26,10 @@
 """Protocol of messages from which on an instance sends updates after its first
 reply, and the first of them as soon as it has a result."""
 
+CONFIRMATIONS_PROTOCOL = 0x17
+"""Protocol from which on an instance understands that its acknowledgement has
+arrived in time."""
+
 ACCOUNTS_PROTOCOL = 0x17
 """Protocol from which on an instance respects client accounts and homes. One of
 an earlier protocol would ignore these fields of a request."""
@@ -247,6 +251,22 @@
     reply_to: tuple[str, int]
 
 
+@dataclass(slots=True)
+class GatherConfirm:
+    """Message: the acknowledgement of a request has arrived in time.
+
+    The sender turns to no other peer from then on, so that the peer may try
+    further upstreams of each shard.
+
+    Attributes:
+      gather_id: Id of the request.
+      reply_to: Address at which the sender accepts messages.
+    """
+
+    gather_id: int
+    reply_to: tuple[str, int]
+
+
 @dataclass(slots=True)
 class IsolationNotice:
     """Message: whether an instance is cut off from all upstreams.
@@ -266,6 +286,7 @@
     | GatherReply
     | GatherCancel
     | GatherRelease
+    | GatherConfirm
     | IsolationNotice
 )
 
@@ -315,6 +336,11 @@
         """Whether it replies to a request more than once."""
         return self.protocol >= UPDATES_PROTOCOL
 
+    @property
+    def knows_confirmations(self) -> bool:
+        """Whether it understands that its acknowledgement has arrived."""
+        return self.protocol >= CONFIRMATIONS_PROTOCOL
+
     @property
     def knows_accounts(self) -> bool:
         """Whether it respects client accounts and homes."""
--- a/arbutusbridge/forwarding/gatherwire.py
+++ b/arbutusbridge/forwarding/gatherwire.py
@@ -25,6 +25,7 @@
 from arbutusbridge.forwarding.gather import (
     GatherAck,
     GatherCancel,
+    GatherConfirm,
     GatherMessage,
     GatherRelease,
     GatherReply,
@@ -69,6 +70,7 @@
     ShareNotice,
     IsolationNotice,
     GatherRelease,
+    GatherConfirm,
 )
 """Message types; the index of a type is its number on the wire. Those without
 an entry in OLDEST_FIELD_COUNTS are not sent to peers of the oldest protocol."""
--- a/arbutusbridge/forwarding/peermessages.py
+++ b/arbutusbridge/forwarding/peermessages.py
@@ -24,6 +24,7 @@
     DeclineReason,
     GatherAck,
     GatherCancel,
+    GatherConfirm,
     GatherRelease,
     GatherReply,
     GatherRequest,
@@ -45,6 +46,11 @@
 MAX_URGENT_RELAY_LAG_S = 0.06
 """The same for the routes of the highest rank."""
 
+MAX_CONFIRMED_TARGET_S = 0.2
+"""Longest target of the routes whose acknowledgements are confirmed. An
+acknowledgement may take some 40 ms and a hedge to another region as long; a
+longer target leaves time for both, one after the other."""
+
 PEER_REPLY_GRACE_S = 0.1
 """Time after the answer is due in which a busy peer may still reply; the shards
 that it has accepted cannot be queried by another instance."""
@@ -77,6 +83,8 @@
         due_at = max(exchange.partial_answer_at, now)
         reply_due_at = due_at + PEER_REPLY_GRACE_S
     group.check_at = math.inf if group.given_up else reply_due_at
+    if confirms_ack(group):
+        delegation.notify_peer(group, GatherConfirm, shared, out)
     if group.given_up:
         # The shards were taken back, but the peer queries them as well: the
         # upstreams get extra arrivals.
@@ -87,6 +95,23 @@
         conclude_or_set_timer(exchange, shared, now, out)
 
 
+def confirms_ack(group: DelegatedGroup) -> bool:
+    """Returns whether to tell a peer that its acknowledgement has arrived.
+
+    A peer that does not know this waits, before it tries a second upstream of a
+    shard, for as long as an acknowledgement may take. For a short target that
+    is most of the time in which a hedge can still be answered.
+    """
+    exchange = group.exchange
+    return (
+        not group.given_up
+        and not exchange.relayed
+        and bool(exchange.route.shards)
+        and exchange.route.target_s <= MAX_CONFIRMED_TARGET_S
+        and group.peer.knows_confirmations
+    )
+
+
 def on_reply(
     message: GatherReply, shared: SharedState, now: float, out: list[object]
 ) -> None:
@@ -306,6 +331,25 @@
         conclude_or_set_timer(exchange, shared, now, out)
 
 
+def on_confirm(
+    message: GatherConfirm,
+    shared: SharedState,
+    now: float,
+    out: list[object],
+) -> None:
+    """Allows further upstreams of the shards of a peer's request."""
+    key = (message.reply_to, message.gather_id)
+    exchange = shared.gather.taken.get(key)
+    if exchange is None or exchange.second_upstream_at <= now:
+        return
+    postponed_to, exchange.second_upstream_at = exchange.second_upstream_at, now
+    for part in exchange.pending_parts:
+        if part.check_at == postponed_to:
+            part.check_at = now
+    attempts.check_parts(exchange, shared, now, out)
+    conclude_or_set_timer(exchange, shared, now, out)
+
+
 def on_cancel(
     message: GatherCancel, shared: SharedState, now: float, out: list[object]
 ) -> None:
--- a/tests/test_forwarding/messagesamples.py
+++ b/tests/test_forwarding/messagesamples.py
@@ -8,6 +8,7 @@
     DeclineReason,
     GatherAck,
     GatherCancel,
+    GatherConfirm,
     GatherRelease,
     GatherReply,
     GatherRequest,
@@ -73,5 +74,6 @@
     "share": ShareNotice("north-1", [TERMS], [-1.0]),
     "isolation": IsolationNotice("north-1", True),
     "release": GatherRelease(7, ADDRESS),
+    "confirm": GatherConfirm(7, ADDRESS),
 }
 """Messages by name. An entry stays as it is; a new field gets a new entry."""
