Send hedges while they can still be answered in time

Cause: a hedge was sent when a reply was overdue, 20 ms after the attempt for a reply time of 7 ms. For a target of 90 ms the reply from another region, which takes 25 to 30 ms, then arrived after the answer: half of the missing shards of urgent searches had been hedged, 30 ms before the answer in the median.

Change: a shard is hedged at the last moment at which the hedge is likely to be answered in time, if that is before its reply is overdue, but not before most replies have arrived. The retry budget bounds the hedges as before.

--- a/arbutusbridge/forwarding/attempts.py
+++ b/arbutusbridge/forwarding/attempts.py
@@ -55,6 +55,14 @@
 """Minimum interval between two preparations of a connection to the backup
 upstream; upstreams close idle connections after a few seconds."""
 
+EARLY_HEDGE_FACTOR = 1.25
+"""Multiple of the typical reply time before which no hedge is sent; by then
+about three replies in four have arrived."""
+
+BACKUP_REPLY_FACTOR = 1.2
+"""Multiple of the typical reply time of another data centre that a hedge needs
+to be answered in time. The work per request varies by about a third."""
+
 MAX_HEDGE_SLOWNESS = 3.0
 """Slowness, as a multiple of the typical reply time, from which on an upstream
 gets no hedges."""
@@ -204,7 +212,7 @@
     shared.attempts[attempt_id] = attempt
     upstream.open_attempts[attempt_id] = attempt
     part.open_attempts.append(attempt)
-    part.check_at = attempt.overdue_at
+    part.check_at = hedge_check_at(exchange, attempt, shared, now)
     part.sends += 1
     if upstream not in part.asked:
         part.asked.append(upstream)
@@ -223,6 +231,42 @@
     )
 
 
+def hedge_check_at(
+    exchange: Exchange, attempt: OpenAttempt, shared: SharedState, now: float
+) -> float:
+    """Returns when to check whether an attempt needs a hedge.
+
+    This is when its reply becomes overdue. If a hedge of a shard that is sent
+    then would be answered too late, it is earlier, as late as still helps, but
+    not before most replies have arrived.
+    """
+    if not exchange.route.shards or now >= exchange.partial_answer_at:
+        return attempt.overdue_at
+    earliest = now + EARLY_HEDGE_FACTOR * attempt.typical_s
+    backup_s = backup_reply_time(exchange, attempt, shared)
+    latest = exchange.partial_answer_at - BACKUP_REPLY_FACTOR * backup_s
+    return min(attempt.overdue_at, max(earliest, latest))
+
+
+def backup_reply_time(
+    exchange: Exchange, attempt: OpenAttempt, shared: SharedState
+) -> float:
+    """Returns the typical reply time of the upstreams for a hedge, in seconds.
+
+    It is that of the nearest other data centre of the shard; all shards of a
+    request are mostly held by the same ones, so that it is looked up once.
+    """
+    if exchange.backup_reply_s is None:
+        place = attempt.upstream.announcement.data_centre
+        service = attempt.upstream.announcement.service
+        others = shared.directory.data_centres(service) - {place}
+        exchange.backup_reply_s = min(
+            (shared.reply_times.typical(exchange.route, one) for one in others),
+            default=attempt.typical_s,
+        )
+    return exchange.backup_reply_s
+
+
 def on_attempt_end(
     exchange: Exchange,
     part: Part,
--- a/arbutusbridge/forwarding/exchange.py
+++ b/arbutusbridge/forwarding/exchange.py
@@ -124,6 +124,8 @@
       canary_backoff: Multiple of the usual wait for the next canary.
       canary_group: Shards of the helper that sends the first canary, None if
         it is sent from here.
+      backup_reply_s: Typical reply time of the upstreams that hedges go to, in
+        seconds; None before it is first needed.
       account: Client account of the caller, None without one.
       homes: Regions that may run the request, None for all.
     """
@@ -152,6 +154,7 @@
     next_canary_at: float = math.inf
     canary_backoff: float = 1.0
     canary_group: DelegatedGroup | None = None
+    backup_reply_s: float | None = None
     account: Account | None = None
     homes: frozenset[str] | None = None
 
