Read announcements sooner after a start while the store was down

Cause: after a loss of power of all instances while the store was down too, upstreams announced themselves again for two seconds after its return. An instance read the first of them and then waited 0.8 s; at 0.91 of the shards, less than the routes allow, it rejected all searches until then.

Change: the delay is 0.25 s for three seconds after the first load, if the store was down at the start. Validators of peer messages are built when a message of their type first arrives, and not during the start.

Result: the new test fails without the change.

--- a/arbutusbridge/daemon/following.py
+++ b/arbutusbridge/daemon/following.py
@@ -117,6 +117,7 @@
                 },
             )
             self.untried_sources = list(self.seeds)
+            self.feed.key_feed.began_in_outage = True
             self.feed.begin()
         else:
             found = [decode_peer(item) for item in result.page.items]
--- a/arbutusbridge/forwarding/feed.py
+++ b/arbutusbridge/forwarding/feed.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
@@ -19,6 +20,15 @@
 returns is a charged call; changes must take effect within 3 s after the store
 accepted them."""
 
+SETTLING_WATCH_DELAY_S = 0.25
+"""The same for an instance that started while the store was down. Most
+upstreams announce themselves again in the seconds after the store is back, and
+requests cannot be served until then."""
+
+SETTLING_S = 3.0
+"""Time after the first load for which that applies; the platform restores keys
+within about 2 s."""
+
 INITIAL_RETRY_DELAY_S = 0.1
 """Delay after the first failed call."""
 
@@ -112,6 +122,8 @@
         first load and in a new era.
       restored: Whether the load in progress is the first one of an era.
       removed: Last values of the keys removed most recently.
+      loaded_at: When all keys were known for the first time.
+      began_in_outage: Whether the store was down when this instance started.
     """
 
     rules: KeyRules = field(default_factory=KeyRules)
@@ -128,6 +140,8 @@
     revision_before: int | None = None
     restored: bool = False
     removed: dict[str, bytes] = field(default_factory=dict)
+    loaded_at: float = math.inf
+    began_in_outage: bool = False
 
     def next_call(self, delay_s: float = 0.0) -> StoreCall:
         """Returns the next call, given what is known so far."""
@@ -146,6 +160,7 @@
     def on_failure(self) -> StoreCall:
         """Records a failed call and returns the next one."""
         self.failures += 1
+        self.began_in_outage |= math.isinf(self.loaded_at)
         delay = INITIAL_RETRY_DELAY_S * 2.0 ** min(self.failures - 1, 6)
         return self.next_call(min(delay, MAX_RETRY_DELAY_S))
 
@@ -278,6 +293,7 @@
         """Completes a load: keys that it did not find were removed."""
         assert self.load_revision is not None
         revision = self.load_revision
+        self.loaded_at = min(self.loaded_at, now)
         self.discard_older()
         changes = [
             item
@@ -343,12 +359,18 @@
         self.confirmed_at = now
         if self.revision is not None:
             self.revision = max(self.revision, page.revision)
-        delay = WATCH_DELAY_S if page.items else 0.0
+        delay = self.watch_delay_s(now) if page.items else 0.0
         applied = self.apply(
             page.items, self.compute_hold_until(page.items, now)
         )
         return applied, self.next_call(delay)
 
+    def watch_delay_s(self, now: float) -> float:
+        """Returns the delay of the next watch after one with changes."""
+        if self.began_in_outage and now - self.loaded_at < SETTLING_S:
+            return SETTLING_WATCH_DELAY_S
+        return WATCH_DELAY_S
+
     def record_contact(self, now: float) -> None:
         """Records a usable reply, which may be the first after an outage."""
         if self.failures:
--- a/arbutusbridge/forwarding/gatherwire.py
+++ b/arbutusbridge/forwarding/gatherwire.py
@@ -15,6 +15,7 @@
 
 import dataclasses
 import enum
+import functools
 from typing import Annotated, Any
 
 import msgpack
@@ -108,9 +109,15 @@
 }
 """Defaults of the fields of each message type."""
 
-MESSAGE_ADAPTERS: list[TypeAdapter[Any]] = [
-    TypeAdapter(kind) for kind in MESSAGE_TYPES
-]
+
+@functools.cache
+def message_adapter(kind: type) -> TypeAdapter[Any]:
+    """Returns the validator of a message type.
+
+    Validators are built when they are first needed. All of them take a tenth of
+    the start of an instance, for which callers wait.
+    """
+    return TypeAdapter(kind)
 
 
 def encode_message(
@@ -202,7 +209,7 @@
                 for index, value in values.items()
                 if index < len(names)
             }
-        return MESSAGE_ADAPTERS[number].validate_python(fields)
+        return message_adapter(kind).validate_python(fields)
     except (
         AttributeError,
         IndexError,
--- a/arbutusbridge/forwarding/quarantinerecord.py
+++ b/arbutusbridge/forwarding/quarantinerecord.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
 from typing import Annotated
 
 from pydantic import Field, TypeAdapter, ValidationError
@@ -46,17 +47,20 @@
         return max(0.0, wall_s - self.quarantined_ms / 1000)
 
 
-RECORD_ADAPTER = TypeAdapter(QuarantineRecord)
+@functools.cache
+def record_adapter() -> TypeAdapter[QuarantineRecord]:
+    """Returns the validator of a record, built when it is first needed."""
+    return TypeAdapter(QuarantineRecord)
 
 
 def encode_record(record: QuarantineRecord) -> bytes:
     """Encodes a record as JSON."""
-    return RECORD_ADAPTER.dump_json(record)
+    return record_adapter().dump_json(record)
 
 
 def decode_record(value: bytes) -> QuarantineRecord | None:
     """Decodes a record, or returns None if the value is not a valid one."""
     try:
-        return RECORD_ADAPTER.validate_json(value)
+        return record_adapter().validate_json(value)
     except ValidationError:
         return None
--- a/tests/test_forwarding/test_feed.py
+++ b/tests/test_forwarding/test_feed.py
@@ -14,6 +14,8 @@
 from arbutusbridge.forwarding.feed import (
     MAX_RETRY_DELAY_S,
     REMOVAL_GRACE_S,
+    SETTLING_S,
+    SETTLING_WATCH_DELAY_S,
     WATCH_DELAY_S,
     KeyFeed,
     StoreCallKind,
@@ -56,6 +58,17 @@
         _, call = feed.on_changes(page(12), NOW)
         self.assertEqual(0.0, call.delay_s)
 
+    # Guards against announcements that an instance reads 0.8 s late while it
+    # cannot serve without them, after instances and the store were down.
+    def test_watch_is_delayed_less_after_a_start_in_an_outage(self) -> None:
+        feed = KeyFeed()
+        feed.on_failure()
+        feed.on_page(page(10, item(1, 10)), NOW)
+        _, call = feed.on_changes(page(12, item(2, 12)), NOW + 1.0)
+        self.assertEqual(SETTLING_WATCH_DELAY_S, call.delay_s)
+        _, call = feed.on_changes(page(14, item(3, 14)), NOW + SETTLING_S)
+        self.assertEqual(WATCH_DELAY_S, call.delay_s)
+
     def test_outdated_change_is_ignored(self) -> None:
         feed = self.loaded()
         feed.on_changes(page(20, item(1, 20)), NOW)
