Test responses with a status that HTTP does not have

Cause: upstreams in trouble send statuses such as 000, 099, 600, 999 or one of two or four digits; the parser accepts three of any digits.

Change: tests of the connection, of classify_response and, with sockets, of the pool.

A status from 600 is delivered (AttemptEnd.FAILED), one below 100 waits for the deadline, X-Not-Executed is believed, and invalid digits in a status line hide the next response.

--- /dev/null
+++ b/tests/test_daemon/test_invalid_statuses.py
@@ -0,0 +1,257 @@
+"""Tests of responses whose status HTTP does not have."""
+
+from __future__ import annotations
+
+import itertools
+
+import testtools
+
+from arbutusbridge.daemon.relayconnection import RelayConnection
+from arbutusbridge.forwarding import AttemptEnd
+from arbutusbridge.platform import WIRE
+from arbutusbridge.standins.deployment import LOOPBACK
+from tests.test_daemon.fixtures import ComponentBench, RawUpstream
+from tests.test_daemon.test_relaypools import RelayPoolsCase, response
+
+STATUSES = (
+    *("000", "099", "600", "999", "42", "99", "1000", "2000", "9999"),
+    *("abc", "2x0"),
+)
+
+FRAMINGS = {
+    "with a length": b"Content-Length: 2\r\n\r\nhi",
+    "in chunks": b"Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n",
+    "without a length": b"\r\nhi",
+}
+
+NOT_RUN = "X-Not-Executed: 1\r\nServer-Leaving: 1\r\n"
+
+
+def invalid_response(
+    status: str,
+    framing: bytes = FRAMINGS["with a length"],
+    request_id: str | None = "r2",
+    signed: bool = True,
+    headers: str = "",
+) -> bytes:
+    """Returns a response with an invalid status."""
+    lines = f"HTTP/1.1 {status} X\r\n{headers}"
+    if signed:
+        lines += "X-Server-Stamp: a.9\r\n"
+    if request_id is not None:
+        lines += f"X-Request-Id: {request_id}\r\n"
+    return lines.encode() + framing
+
+
+class ConnectionCase(testtools.TestCase):
+    """A connection whose received bytes the test passes to it itself."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.bench = ComponentBench()
+        self.raw = RawUpstream()
+        self.addCleanup(self.raw.listener.close)
+
+    def connect(self, reused: bool) -> RelayConnection:
+        """Returns a connection on which the request r2 is in flight."""
+        connection = RelayConnection(
+            self.bench.hub,
+            (LOOPBACK, self.raw.port),
+            lambda _connection, _status, _body: None,
+            lambda _connection: None,
+            read_identity=WIRE.read_identity,
+        )
+        self.addCleanup(connection.close)
+        if reused:
+            connection.expect("r1", True)
+            connection.feed(response("r1"))
+            self.assertEqual((200, b"ok"), connection.response)
+            connection.response = None
+        connection.expect("r2", True)
+        return connection
+
+    def outcome(self, connection: RelayConnection, *pieces: bytes):
+        """Returns the response, and whether the connection is given up."""
+        for piece in pieces:
+            connection.feed(piece)
+        return connection.response, connection.out_of_sync
+
+
+class ConnectionTest(ConnectionCase):
+    """Parsing of such a response, and what follows it."""
+
+    # Guards against a caller that is handed a status such as 600, and against
+    # one that waits for its deadline because a status such as 000 is taken for
+    # that of an interim response.
+    def test_response_is_given_up_at_once(self) -> None:
+        wrong = []
+        for status, (framing, rest), signed, reused, named in itertools.product(
+            STATUSES,
+            FRAMINGS.items(),
+            (False, True),
+            (False, True),
+            (False, True),
+        ):
+            data = invalid_response(
+                status, rest, "r2" if named else None, signed
+            )
+            outcome = self.outcome(self.connect(reused), data)
+            if outcome != (None, True):
+                wrong.append((status, framing, signed, reused, named, outcome))
+        self.assertEqual([], wrong)
+
+    # Guards against the same if the response arrives in several reads.
+    def test_response_in_parts_is_given_up(self) -> None:
+        for status in STATUSES:
+            data = invalid_response(status)
+            pieces = [data[n : n + 1] for n in range(len(data))]
+            outcome = self.outcome(self.connect(False), *pieces)
+            self.assertEqual((None, True), outcome, status)
+
+    # Guards against a valid response that is missed because a response with an
+    # invalid status was received before it.
+    def test_valid_response_after_it_is_found(self) -> None:
+        for status, rest, request_id in itertools.product(
+            STATUSES, FRAMINGS.values(), ("r1", "r2", None)
+        ):
+            data = invalid_response(status, rest, request_id)
+            connection = self.connect(True)
+            self.outcome(connection, data + response("r2", b"new"))
+            self.assertEqual(
+                (200, b"new"), connection.response, (status, request_id)
+            )
+            self.assertFalse(connection.is_reusable, (status, request_id))
+
+    # Guards against the same if the valid response is read later. A response
+    # that names another request says nothing of the one in flight.
+    def test_valid_response_in_a_later_read_is_found(self) -> None:
+        for status, rest in itertools.product(STATUSES, FRAMINGS.values()):
+            data = invalid_response(status, rest, "r1")
+            connection = self.connect(True)
+            self.assertEqual(
+                (None, False), self.outcome(connection, data), status
+            )
+            self.outcome(connection, response("r2", b"new"))
+            self.assertEqual((200, b"new"), connection.response, status)
+            self.assertFalse(connection.is_reusable, status)
+
+    # Guards against a request that waits for its deadline because the response
+    # with the invalid status follows bytes of another response.
+    def test_response_after_foreign_bytes_is_given_up(self) -> None:
+        whole = response("r1", b"x" * 80)
+        for status, foreign in itertools.product(
+            STATUSES, (whole, whole[:-40], whole[: whole.index(b"Content")])
+        ):
+            for request_id in ("r2", None):
+                outcome = self.outcome(
+                    self.connect(True),
+                    foreign,
+                    invalid_response(status, request_id=request_id),
+                )
+                self.assertEqual(
+                    (None, True), outcome, (status, request_id, foreign)
+                )
+
+    # Guards against a rejection that is made up of the beginning of one and a
+    # response with an invalid status to a request that has run.
+    def test_incomplete_rejection_before_it_is_not_taken(self) -> None:
+        begin = b"HTTP/1.1 503 X\r\nX-Not-Executed: 1\r\nX-A: "
+        for status in STATUSES:
+            if not status.isdigit():
+                continue
+            outcome = self.outcome(
+                self.connect(True), begin + invalid_response(status)
+            )
+            self.assertIsNone(outcome[0], status)
+
+    # Guards against the loss of valid responses by too strict a check.
+    def test_valid_statuses_stay_valid(self) -> None:
+        for status in (200, 299, 404, 499, 500, 599):
+            outcome = self.outcome(
+                self.connect(True), invalid_response(str(status))
+            )
+            self.assertEqual(((status, b"hi"), False), outcome)
+
+    def test_interim_response_stays_interim(self) -> None:
+        for status in (100, 102, 103, 199):
+            interim = f"HTTP/1.1 {status} X\r\nLink: x\r\n\r\n".encode()
+            for reused in (False, True):
+                connection = self.connect(reused)
+                outcome = self.outcome(connection, interim)
+                self.assertEqual((None, False), outcome, status)
+                self.outcome(connection, response("r2", b"new"))
+                self.assertEqual((200, b"new"), connection.response)
+                self.assertTrue(connection.is_reusable)
+
+    # Guards against a request that waits after an unexpected 101.
+    def test_switch_of_protocols_is_given_up(self) -> None:
+        data = b"HTTP/1.1 101 X\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\n"
+        for reused in (False, True):
+            outcome = self.outcome(self.connect(reused), data)
+            self.assertEqual((None, True), outcome)
+
+
+class PoolTest(RelayPoolsCase):
+    """The same with sockets, through the pool."""
+
+    # Guards against a caller that gets such a status, waits for its deadline,
+    # or whose request is taken as one that has not run; and against a request
+    # that is taken for one that crashes upstreams.
+    def test_attempt_is_lost_at_once(self) -> None:
+        wrong = []
+        for status, (framing, rest), signed, reused in itertools.product(
+            STATUSES, FRAMINGS.items(), (False, True), (False, True)
+        ):
+            if reused:
+                self.send(1)
+                sock = self.accept()
+                sock.sendall(response("r1"))
+                self.reply()
+            self.send(2, idempotent=False)
+            if reused:
+                sock.recv(4096)
+            else:
+                sock = self.accept()
+            sock.sendall(
+                invalid_response(status, rest, signed=signed, headers=NOT_RUN)
+            )
+            self.bench.turn(8)
+            ends = [
+                (reply.end, reply.status, reply.connection_closed)
+                for reply in self.sink.replies
+            ]
+            if ends != [(AttemptEnd.LOST, 0, False)]:
+                wrong.append((status, framing, signed, reused, ends))
+            self.sink.replies.clear()
+            self.relay_pools.jobs.clear()
+            self.relay_pools.retire("i-1")
+            sock.close()
+            self.bench.turn(4)
+            self.sink.replies.clear()
+        self.assertEqual([], wrong)
+
+    # Guards against a connection that stays in use after such a response, and
+    # against a log line and counter that blame bytes without a request.
+    def test_connection_is_closed_and_counted(self) -> None:
+        for status in STATUSES:
+            self.send(2)
+            sock = self.accept()
+            sock.sendall(invalid_response(status))
+            self.assertIs(AttemptEnd.LOST, self.reply().end)
+            self.assertEqual(b"", sock.recv(4096), status)
+        protocol = self.relay_pools.protocol
+        self.assertEqual(len(STATUSES), protocol.invalid_statuses)
+        self.assertEqual(0, protocol.unsolicited)
+
+    # Guards against an upstream that is taken for one that went away.
+    def test_next_request_uses_a_new_connection(self) -> None:
+        self.send(1)
+        sock = self.accept()
+        sock.sendall(invalid_response("999", request_id="r1"))
+        self.assertIs(AttemptEnd.LOST, self.reply().end)
+        self.send(2)
+        other = self.accept()
+        other.sendall(response("r2", b"new"))
+        reply = self.reply()
+        self.assertEqual((AttemptEnd.RESULT, b"new"), (reply.end, reply.body))
+        self.assertEqual([], self.relay_pools.idle_closes)
--- a/tests/test_platform/test_http.py
+++ b/tests/test_platform/test_http.py
@@ -105,6 +105,38 @@
         ):
             self.assertIs(expected, self.end(status, *headers))
 
+    # Guards against a caller that gets a status which HTTP does not have, and
+    # against a request that is sent again although it may have run, because an
+    # upstream in trouble says that it has not.
+    def test_invalid_status_is_no_response(self) -> None:
+        for status in (0, 9, 42, 99, 600, 999, 1000, 9999):
+            for headers in (
+                [],
+                [STAMP],
+                [STAMP, (b"X-Not-Executed", b"1")],
+                [(b"X-Not-Executed", b"1")],
+            ):
+                stamp = "a.1" if STAMP in headers else ""
+                values = {name.lower(): value for name, value in headers}
+                end, detail = http.classify_response(status, values, stamp)
+                self.assertIs(AttemptEnd.LOST, end, status)
+                self.assertIn("invalid status", detail)
+
+    # Guards against what such a response says of its upstream: a load, a rate
+    # limit, a pause, or that the upstream is leaving.
+    def test_nothing_is_learned_from_an_invalid_status(self) -> None:
+        headers = [
+            STAMP,
+            (b"X-Server-Load", b"3,0,8"),
+            (b"Server-Limit", b"1"),
+            (b"Server-Leaving", b"1"),
+            (b"Retry-After", b"9"),
+        ]
+        reply = http.decode_reply(1, 600, headers, b"x")
+        self.assertEqual(
+            UpstreamReply(1, AttemptEnd.LOST, detail=reply.detail), reply
+        )
+
     def test_signature_with_a_comma_is_rejected(self) -> None:
         forged = (b"X-Server-Stamp", b"a.1, b.2")
         self.assertIs(AttemptEnd.LOST, self.end(200, forged))
