End attempts as lost at once if the status is invalid

Cause: the parser accepts any three digits. A status from 600 was delivered, one below 100 was taken for an interim response, so that its caller waited for its deadline. Among other bytes, an invalid status line could hide the response in flight, or be missed.

Change: a status outside 100 to 599 is no response. The connection closes and the attempt ends as lost, not as a crash and never as not run. A response with such a status to another request is skipped. Counters invalid_statuses_total and forward_invalid_statuses_total, one log line a second and upstream.

--- a/arbutusbridge/daemon/connection.py
+++ b/arbutusbridge/daemon/connection.py
@@ -10,6 +10,7 @@
 
 import httptools
 
+from arbutusbridge.core.httpstatus import is_valid_status
 from arbutusbridge.daemon.httpmessages import send_nonblocking
 from arbutusbridge.daemon.hub import HANGUP_OR_ERROR, READABLE, WRITABLE
 
@@ -76,6 +77,8 @@
       in_flight: Whether a request was sent whose response is not complete.
       unsolicited: Whether it is to be closed because of bytes that belong to no
         request.
+      invalid_status: Whether it is to be closed because the response in flight
+        has a status that HTTP does not have.
       too_large: Whether the body of the response exceeds its limit.
       response_started: Whether any byte arrived since the current request was
         sent.
@@ -114,6 +117,7 @@
         self.bytes_sent = 0
         self.in_flight = False
         self.unsolicited = False
+        self.invalid_status = False
         self.too_large = False
         self.response_started = False
         self.idle_since = 0.0
@@ -247,6 +251,10 @@
         """Parses data; returns False if it violates the protocol."""
         try:
             self.parser.feed_data(data)
+        except httptools.HttpParserInvalidStatusError:
+            # A status that is not a number, or not of three digits.
+            self.invalid_status = self.response is None
+            return False
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             return False
         return True
@@ -266,6 +274,17 @@
         if self.response is not None:
             self.out_of_sync = True
 
+    def on_headers_complete(self) -> None:
+        """Gives up a response with an invalid status; called by the parser.
+
+        The parser accepts any three digits, and a status below 100 would be
+        taken for that of an informational response.
+        """
+        if self.response is None and not is_valid_status(
+            self.parser.get_status_code()
+        ):
+            self.out_of_sync = self.invalid_status = True
+
     def on_body(self, data: bytes) -> None:
         """Collects a part of the body; called by the parser."""
         self.body_bytes += len(data)
--- a/arbutusbridge/daemon/forwardinstance.py
+++ b/arbutusbridge/daemon/forwardinstance.py
@@ -374,6 +374,7 @@
         protocol = self.pools.protocol
         metrics.sync_total(metrics.connects, protocol.connects)
         metrics.sync_total(metrics.unsolicited, protocol.unsolicited)
+        metrics.sync_total(metrics.invalid_statuses, protocol.invalid_statuses)
         for reason, count in self.ingress.refused.items():
             metrics.sync_total(metrics.callers_refused.labels(reason), count)
         for what, count in forwarder.decision_counts.items():
--- a/arbutusbridge/daemon/forwardmetrics.py
+++ b/arbutusbridge/daemon/forwardmetrics.py
@@ -71,6 +71,10 @@
             "forward_unsolicited",
             "Connections closed because of bytes that belong to no request.",
         )
+        self.invalid_statuses = self.counter(
+            "forward_invalid_statuses",
+            "Connections closed because of a status that HTTP does not have.",
+        )
         self.callers_refused = self.counter(
             "forward_callers_refused",
             "Connections of callers told off and closed.",
--- a/arbutusbridge/daemon/instance.py
+++ b/arbutusbridge/daemon/instance.py
@@ -170,6 +170,7 @@
         protocol = self.pools.protocol
         metrics.sync_total(metrics.connects, protocol.connects)
         metrics.sync_total(metrics.unsolicited, protocol.unsolicited)
+        metrics.sync_total(metrics.invalid_statuses, protocol.invalid_statuses)
         for reason, count in self.entry.guard.refused.items():
             metrics.sync_total(metrics.callers_refused.labels(reason), count)
 
--- a/arbutusbridge/daemon/metrics.py
+++ b/arbutusbridge/daemon/metrics.py
@@ -95,6 +95,10 @@
             "unsolicited",
             "Connections closed because of bytes that belong to no request.",
         )
+        self.invalid_statuses = self.counter(
+            "invalid_statuses",
+            "Connections closed because of a status that HTTP does not have.",
+        )
         self.callers_refused = self.counter(
             "callers_refused",
             "Connections of callers told off and closed.",
--- a/arbutusbridge/daemon/pool.py
+++ b/arbutusbridge/daemon/pool.py
@@ -42,8 +42,9 @@
 """Time after sending within which a close of a previously idle connection is
 attributed to the keep-alive timeout of the upstream."""
 
-UNSOLICITED_LOG_INTERVAL_S = 1.0
-"""Minimum interval of the log lines about unsolicited bytes of one upstream."""
+CLOSE_LOG_INTERVAL_S = 1.0
+"""Minimum interval of the log lines that state one reason why connections to
+one upstream are closed."""
 
 
 @dataclass(slots=True, eq=False)
@@ -99,6 +100,8 @@
       connects: Number of connection attempts since the start of the process.
       unsolicited: Number of connections closed because of bytes that belong to
         no request.
+      invalid_statuses: Number of connections closed because of a response with
+        a status that HTTP does not have.
     """
 
     encode: Callable[[Job, Connection, float], bytes]
@@ -109,6 +112,7 @@
     connect: Callable[..., Connection] = Connection
     connects: int = 0
     unsolicited: int = 0
+    invalid_statuses: int = 0
 
 
 class Pool:
@@ -128,7 +132,7 @@
         connect began.
       waiting: Queue of requests without a connection.
       retired: Whether the upstream was removed or has changed its address.
-      unsolicited_logged_at: Time of the last log line about unsolicited bytes.
+      logged_at: Time of the last log line about a close, by its reason.
     """
 
     def __init__(
@@ -151,7 +155,7 @@
         self.connecting: dict[Connection, float] = {}
         self.waiting: deque[Job] = deque()
         self.retired = False
-        self.unsolicited_logged_at = -math.inf
+        self.logged_at: dict[str, float] = {}
 
     @property
     def size(self) -> int:
@@ -282,8 +286,7 @@
 
     def on_closed(self, connection: Connection) -> None:
         """Handles the loss of a connection."""
-        if connection.unsolicited:
-            self.record_unsolicited()
+        self.record_early_close(connection)
         if self.connecting.pop(connection, None) is not None:
             if connection.refused:
                 self.protocol.handle_connect(self.upstream, False)
@@ -303,20 +306,31 @@
                 self.protocol.handle_idle_close(self.upstream)
         self.connect_for_waiting()
 
-    def record_unsolicited(self) -> None:
-        """Counts and logs a close because of unsolicited bytes."""
-        self.protocol.unsolicited += 1
+    def record_early_close(self, connection: Connection) -> None:
+        """Counts and logs a close because of what the upstream has sent."""
+        if connection.invalid_status:
+            self.protocol.invalid_statuses += 1
+            self.log_close(
+                "received a response with an invalid status",
+                self.protocol.invalid_statuses,
+            )
+        elif connection.unsolicited:
+            self.protocol.unsolicited += 1
+            self.log_close(
+                "received bytes that belong to no request",
+                self.protocol.unsolicited,
+            )
+
+    def log_close(self, reason: str, count: int) -> None:
+        """Logs why connections are closed, at a limited rate."""
         now = self.clock()
-        if now - self.unsolicited_logged_at >= UNSOLICITED_LOG_INTERVAL_S:
-            self.unsolicited_logged_at = now
+        if now - self.logged_at.get(reason, -math.inf) >= CLOSE_LOG_INTERVAL_S:
+            self.logged_at[reason] = now
             detail = {
                 "address": f"{self.address[0]}:{self.address[1]}",
-                "connections": self.protocol.unsolicited,
+                "connections": count,
             }
-            logger.warning(
-                "connection closed: received bytes that belong to no request",
-                extra=detail,
-            )
+            logger.warning(f"connection closed: {reason}", extra=detail)
 
     def on_lost(self, connection: Connection, job: Job) -> None:
         """Fails or requeues the request of a lost connection."""
@@ -397,7 +411,12 @@
     written, before any byte of a response, is attributed to the keep-alive
     timeout of the upstream. It may also be a crash, so the request may have
     run.
+
+    A response with an invalid status is no crash, and does not show that the
+    request has not run.
     """
+    if connection.invalid_status:
+        return ReplyKind.INVALID
     if now >= job.reply_deadline:
         return ReplyKind.EXPIRED
     was_idle = job.connection_idle_s >= STALE_IDLE_THRESHOLD_S
--- a/arbutusbridge/daemon/relayconnection.py
+++ b/arbutusbridge/daemon/relayconnection.py
@@ -10,9 +10,11 @@
 
 import httptools
 
+from arbutusbridge.core.httpstatus import is_valid_status
 from arbutusbridge.daemon.connection import MIN_FINAL_STATUS, Connection
 from arbutusbridge.daemon.responsesearch import (
     contains_status_line,
+    find_invalid_heads,
     find_response,
     incomplete_head_start,
 )
@@ -54,6 +56,12 @@
     flight begins where the rest of it was due. What was received is therefore
     searched for that response, too.
 
+    A response with a status that HTTP does not have is no response. It ends the
+    attempt as lost, unless it belongs to another request or the response in
+    flight follows it in the same read. What its headers say is not used: an
+    upstream that sends such a status is in trouble, so its statement that the
+    request has not run may be false, and the request would run twice.
+
     Attributes:
       source_ip: Address that the connection comes from, selected by the system
         if None.
@@ -141,6 +149,7 @@
         parsed = not self.parser_failed and self.parse(data)
         if self.matched:
             self.unmatched = b""
+            self.invalid_status = False
             self.out_of_sync = self.out_of_sync or not parsed
         elif self.mismatches or not parsed:
             self.find_own_response(parsed)
@@ -157,12 +166,22 @@
             self.unmatched = b""
             self.clear_body()
             self.record_mismatch()
-            self.parser_failed = False
+            self.parser_failed = self.invalid_status = False
             self.parser = httptools.HttpResponseParser(self)
             super().feed(data)
             return
+        invalid_heads = find_invalid_heads(self.unmatched)
+        if (parsed and self.invalid_status) or any(
+            self.may_be_own(head) for head in invalid_heads
+        ):
+            self.out_of_sync = self.invalid_status = True
+            return
         if not parsed and not self.mismatches:
-            self.out_of_sync = True
+            if not invalid_heads:
+                self.out_of_sync = True
+                return
+            self.record_mismatch()
+        self.invalid_status = False
         self.parser_failed = not parsed
         self.unmatched = self.unmatched[incomplete_head_start(self.unmatched) :]
 
@@ -197,6 +216,11 @@
         if self.is_merged or not self.is_expected(status):
             self.mismatched = True
             self.record_mismatch()
+        elif not is_valid_status(status):
+            # Skipped like a response to another request, until the bytes after
+            # it have been searched for the response in flight.
+            self.mismatched = self.invalid_status = True
+            self.record_mismatch()
         elif status >= MIN_FINAL_STATUS:
             self.matched = True
             if not self.expects_body:
@@ -241,6 +265,18 @@
             names_it = bool(identity.signature) and not self.names_requests
         return names_it and not self.is_copy(identity.signature)
 
+    def may_be_own(self, header_values: dict[bytes, bytes]) -> bool:
+        """Returns whether a response may belong to the request in flight.
+
+        Args:
+          header_values: Its header values by lower-case name.
+        """
+        identity = self.read_identity(header_values)
+        return identity.request_id in (
+            None,
+            self.request_id,
+        ) and not self.is_copy(identity.signature)
+
     def is_expected(self, status: int) -> bool:
         """Returns whether the response may belong to the request in flight.
 
--- a/arbutusbridge/daemon/responsesearch.py
+++ b/arbutusbridge/daemon/responsesearch.py
@@ -3,13 +3,23 @@
 from __future__ import annotations
 
 import re
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from itertools import pairwise
 
-STATUS_LINE_PATTERN = re.compile(rb"HTTP/1\.[01] \d{3}[ \r]")
+STATUS_LINE_PATTERN = re.compile(rb"HTTP/1\.[01] (\d+)(?=[ \r]|\Z)")
+"""Beginning of a status line with a numeric status, valid or not."""
+
+ANY_STATUS_LINE_PATTERN = re.compile(rb"HTTP/1\.[01] ([^ \r\n]*)[ \r]")
+"""Beginning of a status line with any text for a status."""
+
+VERSION_PATTERN = re.compile(rb"HTTP/1\.[01] ")
+VALID_STATUS_PATTERN = re.compile(rb"[1-5]\d\d")
+
+HEADER_VALUE_SEPARATORS = (b": ", b", ")
+"""Bytes after which a version and a word are part of a header such as Via."""
 
 STATUS_LINE_START_BYTES = len(b"HTTP/1.1 200 ")
-"""Size of the part of a status line that the pattern matches."""
+"""Size of a part of a status line that is kept until its end arrives."""
 
 HEAD_END = b"\r\n\r\n"
 
@@ -32,18 +42,58 @@
       is_expected: Whether a response is the expected one, given its header
         values by lower-case name.
     """
-    begins = [found.start() for found in STATUS_LINE_PATTERN.finditer(data)]
-    for begin, next_begin in pairwise([*begins, len(data)]):
-        head_end = data.find(HEAD_END, begin, next_begin)
-        if head_end >= 0 and is_expected(parse_headers(data[begin:head_end])):
+    lines = list(STATUS_LINE_PATTERN.finditer(data))
+    for begin, head in split_heads(data, lines):
+        if is_expected(head):
             return begin
     return None
 
 
+def find_invalid_heads(data: bytes) -> list[dict[bytes, bytes]]:
+    """Returns the headers of all complete heads with an invalid status.
+
+    Args:
+      data: Received bytes; a head may begin inside of another response.
+
+    Returns:
+      Header values by lower-case name, for each such head.
+    """
+    lines = [
+        found
+        for found in ANY_STATUS_LINE_PATTERN.finditer(data)
+        if found[1].isdigit()
+        or data[max(0, found.start() - 2) : found.start()]
+        not in HEADER_VALUE_SEPARATORS
+    ]
+    return [head for _begin, head in split_heads(data, lines, are_valid=False)]
+
+
+def split_heads(
+    data: bytes, lines: list[re.Match[bytes]], are_valid: bool = True
+) -> Iterator[tuple[int, dict[bytes, bytes]]]:
+    """Yields where complete heads begin, with their headers.
+
+    A head that is interrupted by another status line is incomplete.
+
+    Args:
+      data: Received bytes.
+      lines: Beginnings of status lines, with the status as first group.
+      are_valid: Whether heads with a valid status are wanted, or the others.
+    """
+    begins = [found.start() for found in lines]
+    for found, (begin, next_begin) in zip(
+        lines, pairwise([*begins, len(data)]), strict=True
+    ):
+        is_valid = VALID_STATUS_PATTERN.fullmatch(found[1]) is not None
+        head_end = data.find(HEAD_END, begin, next_begin)
+        if is_valid is are_valid and head_end >= 0:
+            yield begin, parse_headers(data[begin:head_end])
+
+
 def incomplete_head_start(data: bytes) -> int:
     """Returns where a head begins whose end may still follow."""
     begin = max(0, len(data) - STATUS_LINE_START_BYTES)
-    for found in STATUS_LINE_PATTERN.finditer(data):
+    for found in VERSION_PATTERN.finditer(data):
         if data.find(HEAD_END, found.start()) < 0:
             return min(begin, found.start())
     return begin
--- a/arbutusbridge/platform/http.py
+++ b/arbutusbridge/platform/http.py
@@ -8,6 +8,7 @@
 
 from result import Err, Ok, Result
 
+from arbutusbridge.core.httpstatus import is_valid_status
 from arbutusbridge.daemon.httpmessages import REASON_PHRASES
 from arbutusbridge.forwarding.messages import (
     AttemptEnd,
@@ -196,11 +197,16 @@
 def decode_reply(
     attempt_id: int, status: int, headers: Headers, body: bytes
 ) -> UpstreamReply:
-    """Decodes an upstream's response to an attempt."""
+    """Decodes an upstream's response to an attempt.
+
+    Nothing is taken from a response with an invalid status.
+    """
     header_values = {name.lower(): value for name, value in headers}
     stamp = header_values.get(STAMP_HEADER, b"").decode("latin-1")
     load = decode_load(header_values.get(LOAD_HEADER))
     end, detail = classify_response(status, header_values, stamp)
+    if not is_valid_status(status):
+        return UpstreamReply(attempt_id, end, detail=detail)
     forwarded: Headers = []
     if end in (AttemptEnd.RESULT, AttemptEnd.FAILED):
         forwarded = [
@@ -226,7 +232,14 @@
 def classify_response(
     status: int, header_values: dict[bytes, bytes], stamp: str
 ) -> tuple[AttemptEnd, str]:
-    """Returns the outcome of an attempt and a description of the problem."""
+    """Returns the outcome of an attempt and a description of the problem.
+
+    An invalid status comes first: an upstream that sends one is in trouble, so
+    its statement that the request has not run may be false, and the request
+    would run twice. Lost promises nothing.
+    """
+    if not is_valid_status(status):
+        return AttemptEnd.LOST, f"invalid status {status}"
     if status == MISDIRECTED_STATUS:
         return AttemptEnd.MISDIRECTED, "address belongs to another upstream"
     if NOT_EXECUTED_HEADER in header_values:
