Take nothing from invalid statuses of peers and the store

Cause: the status that a peer passes on went to the caller unchecked; the client of the store and the project's own interface waited for their timeout after a status below 100.

Change: an invalid status from a peer is a lost attempt, relayed again within the retry budget (decision peer_status_invalid) or answered with 502. A store call fails as unavailable, an attempt of the own interface ends as INVALID.

--- a/arbutusbridge/daemon/platform.py
+++ b/arbutusbridge/daemon/platform.py
@@ -15,6 +15,7 @@
 import orjson
 from circuits import BaseComponent, handler
 
+from arbutusbridge.core.httpstatus import is_valid_status
 from arbutusbridge.core.messages import (
     WATCH_TIMEOUT_S,
     StoreResult,
@@ -329,6 +330,11 @@
         if call is None:
             return
         status = StoreStatus.UNAVAILABLE
+        if connection.invalid_status:
+            logger.warning(
+                "store reply with an invalid status, not used",
+                extra={"call": call.token},
+            )
         if connection.too_large:
             status = StoreStatus.TOO_LARGE
             logger.warning(
@@ -376,6 +382,8 @@
 def decode_result(call: OpenCall, status: int, body: bytes) -> StoreResult:
     """Decodes a response; an invalid one counts as unavailable."""
     try:
+        if not is_valid_status(status):
+            raise ValueError("the status is not one of HTTP")
         return call.decode(call.token, status, body)
     except (ValueError, LookupError, TypeError) as err:
         logger.warning(
--- a/arbutusbridge/forwarding/peermessages.py
+++ b/arbutusbridge/forwarding/peermessages.py
@@ -8,6 +8,7 @@
 import math
 from typing import TYPE_CHECKING
 
+from arbutusbridge.core.httpstatus import is_valid_status
 from arbutusbridge.core.messages import Decision
 from arbutusbridge.forwarding import (
     attempts,
@@ -178,7 +179,9 @@
     part.group = None
     group.not_run = not message.may_have_run and message.response is None
     response = message.response
-    if response is not None:
+    if response is not None and not is_valid_status(response.status):
+        on_invalid_status(response.status, group, part, shared, now, out)
+    elif response is not None:
         reply = UpstreamReply(
             0,
             AttemptEnd.RESULT if response.is_result else AttemptEnd.FAILED,
@@ -203,6 +206,38 @@
     conclude_or_set_timer(exchange, shared, now, out)
 
 
+def on_invalid_status(
+    status: int,
+    group: DelegatedGroup,
+    part: Part,
+    shared: SharedState,
+    now: float,
+    out: list[object],
+) -> None:
+    """Treats a response with an invalid status as a lost attempt.
+
+    The request may have run at an upstream, whatever else the reply says, since
+    a peer that sends such a status is in trouble. An idempotent one is relayed
+    to another peer or sent from here, if the retry budget allows.
+    """
+    exchange = group.exchange
+    detail = {"peer": group.peer.name, "status": status}
+    request_id = exchange.request.request_id
+    out.append(Decision(request_id, "peer_status_invalid", detail))
+    part.arrivals += 1
+    part.asked_by_peers += 1
+    part.may_have_run = True
+    part.check_at = now
+    if exchange.relayed and exchange.route.idempotent:
+        # What is sent from here is counted when it is sent.
+        budget = shared.budget(part.service, now)
+        left = budget.remaining(shared.allowance(part.service), now)
+        part.given_up = left < 1.0
+        if not part.given_up:
+            budget.record_extra(now)
+    attempts.check_parts(exchange, shared, now, out)
+
+
 def record_tried_upstreams(
     part: Part, names: list[str], shared: SharedState
 ) -> None:
--- a/tests/test_daemon/test_invalid_statuses.py
+++ b/tests/test_daemon/test_invalid_statuses.py
@@ -3,15 +3,38 @@
 from __future__ import annotations
 
 import itertools
+import threading
 
 import testtools
 
+from arbutusbridge.core.messages import ReplyKind, StoreGet, StoreStatus
+from arbutusbridge.daemon import searchjobs, storeclient
+from arbutusbridge.daemon.platform import (
+    OpenCall,
+    PlatformClient,
+    decode_result,
+)
 from arbutusbridge.daemon.relayconnection import RelayConnection
+from arbutusbridge.daemon.subrequests import STATUS_REQUEST
+from arbutusbridge.daemon.upstreams import UpstreamPools
 from arbutusbridge.forwarding import AttemptEnd
 from arbutusbridge.platform import WIRE
+from arbutusbridge.platform.store import (
+    create_lease_request,
+    page_request,
+    renew_lease_request,
+    watch_request,
+    write_request,
+)
 from arbutusbridge.standins.deployment import LOOPBACK
-from tests.test_daemon.fixtures import ComponentBench, RawUpstream
+from tests.test_daemon.fixtures import (
+    ComponentBench,
+    RawUpstream,
+    attempt,
+    configuration,
+)
 from tests.test_daemon.test_relaypools import RelayPoolsCase, response
+from tests.test_daemon.test_upstreams import STATUS, result
 
 STATUSES = (
     *("000", "099", "600", "999", "42", "99", "1000", "2000", "9999"),
@@ -255,3 +278,157 @@
         reply = self.reply()
         self.assertEqual((AttemptEnd.RESULT, b"new"), (reply.end, reply.body))
         self.assertEqual([], self.relay_pools.idle_closes)
+
+
+def with_status(data: bytes, status: str) -> bytes:
+    """Returns a response with another status."""
+    _, _, rest = data.partition(b" 200 ")
+    return b"HTTP/1.1 " + status.encode() + b" " + rest
+
+
+class OwnInterfaceTest(testtools.TestCase):
+    """Upstreams of the project's own interface."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.bench = ComponentBench()
+        self.raw = RawUpstream()
+        self.addCleanup(self.raw.listener.close)
+        self.pools = UpstreamPools(
+            self.bench.hub, self.bench.timers, "queries"
+        ).register(self.bench)
+        self.pools.probe_due = lambda _upstream: False
+        self.pools.on_configured(configuration(u=self.raw.port))
+
+    def dispatch(self, number: int):
+        """Returns the socket on which an attempt is in flight."""
+        self.pools.on_dispatch([attempt(number, self.bench.now + 2.0)])
+        self.bench.turn()
+
+    # Guards against a search that waits for its deadline, and against a reply
+    # whose hits are used although its status is invalid.
+    def test_attempt_is_invalid_at_once(self) -> None:
+        wrong = []
+        for status, reused in itertools.product(STATUSES, (False, True)):
+            self.dispatch(1)
+            sock = self.raw.accept()
+            self.bench.turn()
+            sock.recv(4096)
+            if reused:
+                sock.sendall(result(1))
+                self.bench.turn_until(lambda: self.bench.replies)
+                self.bench.replies.clear()
+                self.dispatch(2)
+                sock.recv(4096)
+            sock.sendall(with_status(result(2 if reused else 1), status))
+            self.bench.turn(8)
+            kinds = [reply.kind for reply in self.bench.replies]
+            if kinds != [ReplyKind.INVALID]:
+                wrong.append((status, reused, kinds))
+            sock.close()
+            self.bench.turn(4)
+            self.bench.replies.clear()
+        self.assertEqual([], wrong)
+        count = self.pools.protocol.invalid_statuses
+        self.assertEqual(2 * len(STATUSES), count)
+
+    # Guards against the state of an upstream that is taken from such a
+    # response to a probe.
+    def test_probe_is_not_used(self) -> None:
+        reports = []
+        self.patch(
+            searchjobs,
+            "decode_status_report",
+            lambda *arguments: reports.append(arguments),
+        )
+        self.pools.probe_due = lambda _upstream: True
+        for status in STATUSES:
+            self.pools.probe_all()
+            self.bench.turn()
+            sock = self.raw.accept()
+            self.bench.turn()
+            self.assertEqual(STATUS_REQUEST, sock.recv(4096))
+            sock.sendall(with_status(STATUS, status))
+            self.bench.turn()
+            self.assertEqual([], reports, status)
+            self.assertEqual(b"", sock.recv(4096), status)
+
+
+class StoreTest(testtools.TestCase):
+    """The client of the store."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.bench = ComponentBench()
+        self.raw = RawUpstream()
+        self.addCleanup(self.raw.listener.close)
+        self.address = (LOOPBACK, self.raw.port)
+
+    # Guards against a call that counts as done, or waits for its timeout, and
+    # against an era that is taken from such a response.
+    def test_call_is_failed_at_once(self) -> None:
+        store = PlatformClient(
+            self.bench.hub, self.bench.timers, [self.address]
+        ).register(self.bench)
+        body = b'{"items": [], "events": [], "current_rev": 7, "lease": 1}'
+        wrong = []
+        for status, request in itertools.product(
+            STATUSES,
+            (
+                page_request("", ""),
+                watch_request("", 1, 3.0),
+                write_request("k", b"v", 1),
+                create_lease_request(9.0),
+                renew_lease_request(1),
+            ),
+        ):
+            results = []
+            store.send_call(request, ("t", "call"), results.append)
+            self.bench.turn()
+            sock = self.raw.accept()
+            self.bench.turn()
+            sock.recv(4096)
+            head = f"HTTP/1.1 {status} X\r\nStore-Era: 9\r\n"
+            sock.sendall(
+                f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body
+            )
+            self.bench.turn(8)
+            found = [result.status for result in results]
+            if found != [StoreStatus.UNAVAILABLE]:
+                wrong.append((status, request.path, found))
+            sock.close()
+            self.bench.turn(4)
+        self.assertEqual([], wrong)
+        self.assertIsNone(store.era)
+
+    # Guards against a decoder that takes any other status than an error for a
+    # success.
+    def test_invalid_status_is_not_decoded(self) -> None:
+        def decode(token, _status, _body):
+            raise AssertionError(token)
+
+        call = OpenCall(("t", "call"), lambda _result: None, 1, decode, None)
+        for status in (0, 99, 600, 999):
+            self.assertIs(
+                StoreStatus.UNAVAILABLE,
+                decode_result(call, status, b"{}").status,
+            )
+
+    # Guards against a step of a command that counts as done.
+    def test_blocking_client_fails_the_call(self) -> None:
+        step = StoreGet(("t", "get"), "k")
+        for status in STATUSES:
+            body = b'[{"Value": "eA==", "ModifyIndex": 1}]'
+            head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}"
+
+            def serve(data: bytes = head.encode() + b"\r\n\r\n" + body) -> None:
+                sock = self.raw.accept()
+                sock.recv(4096)
+                sock.sendall(data)
+                sock.close()
+
+            thread = threading.Thread(target=serve)
+            thread.start()
+            found = storeclient.call(step, self.address, "n")
+            thread.join()
+            self.assertIs(StoreStatus.UNAVAILABLE, found.status, status)
