Play invalid statuses in the soak

Cause: nothing showed that callers get no invalid status under other faults.

Guarantee status_is_valid.

--- a/arbutusbridge/cmd/soak.py
+++ b/arbutusbridge/cmd/soak.py
@@ -19,6 +19,7 @@
     seconds: float = 12.0,
     large: bool = False,
     other_build: Path | None = None,
+    invalid_statuses: bool = False,
 ) -> int:
     """Run deployments of real instances under faults, one for each seed.
 
@@ -31,6 +32,8 @@
       other_build: Folder that holds the package of another build, for example
         an export of the commit in production. Instances of both builds then
         run side by side, with updates and roll-backs as further faults.
+      invalid_statuses: Let upstreams send statuses that HTTP does not have, as
+        further faults.
 
     Returns:
       0 if every guarantee held, 1 if not, 2 for wrong usage.
@@ -55,7 +58,13 @@
             run_folder.mkdir(parents=True, exist_ok=True)
             shape = LARGE_SHAPE if large else None
             result = run_soak(
-                seed, run_folder, faults, seconds, shape, other_build
+                seed,
+                run_folder,
+                faults,
+                seconds,
+                shape,
+                other_build,
+                invalid_statuses,
             )
         report(result)
         held = held and not result.breaches
--- a/arbutusbridge/platform/standins.py
+++ b/arbutusbridge/platform/standins.py
@@ -36,6 +36,12 @@
 MAX_EXTRA_DELAY_S = 0.02
 """Maximum delay of additional bytes after a response."""
 
+INVALID_STATUSES = (
+    *("000", "099", "600", "999", "20", "99", "1000", "9999"),
+    *("abc", "2x0"),
+)
+"""Statuses of a faulty upstream that HTTP does not have."""
+
 RECORD_BYTES = 16
 """Size of one record in the body of an upstream's response."""
 
@@ -359,6 +365,7 @@
         they do not; each is reported through ``paused``.
       paused: Called with the run that such a rejection answers.
       sends_extra_bytes: Whether the first part of a copy follows a response.
+      invalid_share: Fraction of its responses with an invalid status.
       crash_marker: Part of the path of requests that crash it, empty for none.
       on_crash: Called with it and the run that crashed it.
     """
@@ -378,6 +385,7 @@
     retry_after_s: float | None = None
     paused: Callable[[UpstreamRun], None] = lambda _run: None
     sends_extra_bytes: bool = False
+    invalid_share: float = 0.0
     crash_marker: str = ""
     on_crash: Callable[[UpstreamStandIn, UpstreamRun], None] = (
         lambda _upstream, _run: None
@@ -446,6 +454,8 @@
         signed = f"{headers}X-Server-Stamp: {stamp}\r\n"
         if self.fault is UpstreamFault.DROPPING:
             connection.close()
+        elif self.invalid_share and self.rng.random() < self.invalid_share:
+            connection.write(encode_invalid_response(body, signed, self.rng))
         elif self.fault is UpstreamFault.FAILING:
             connection.respond(500, b"failed", signed)
         elif self.fault is UpstreamFault.DAMAGING:
@@ -463,6 +473,35 @@
                 self.schedule(delay_s, lambda: connection.write(part))
 
 
+def encode_invalid_response(
+    body: bytes, signed_headers: str, rng: random.Random
+) -> bytes:
+    """Encodes a response with an invalid status to a request that has run.
+
+    With or without a signature, a statement that the request has not run, and a
+    length or chunks.
+
+    Args:
+      body: Body.
+      signed_headers: Header lines with the id of the request and the signature.
+      rng: Random numbers that select the rest.
+    """
+    lines = f"HTTP/1.1 {rng.choice(INVALID_STATUSES)} X\r\n"
+    if rng.random() < 0.5:
+        lines += signed_headers
+    if rng.random() < 0.3:
+        lines += "X-Not-Executed: 1\r\n"
+    framing = rng.choice(
+        (
+            b"\r\n%b" % body,
+            b"Content-Length: %d\r\n\r\n%b" % (len(body), body),
+            b"Transfer-Encoding: chunked\r\n\r\n%x\r\n%b\r\n0\r\n\r\n"
+            % (len(body), body),
+        )
+    )
+    return lines.encode() + framing
+
+
 def encode_configuration(configuration: RoutingConfiguration) -> bytes:
     """Encodes a configuration as the operators write it."""
     routes = []
--- a/arbutusbridge/soak/environment.py
+++ b/arbutusbridge/soak/environment.py
@@ -127,6 +127,8 @@
       other_build: Folder that holds the package of another build, which some
         instances run; None if all run this one.
       update_rng: Random numbers for which instances run the other build.
+      invalid_statuses: Whether upstreams send invalid statuses at times.
+      status_rng: Random numbers for these.
     """
 
     channel = "soak"
@@ -137,9 +139,12 @@
         shape: SoakShape,
         folder: Path,
         other_build: Path | None = None,
+        invalid_statuses: bool = False,
     ) -> None:
         super().__init__()
         self.other_build = other_build
+        self.invalid_statuses = invalid_statuses
+        self.status_rng = random.Random(f"statuses {seed}")
         self.update_rng = random.Random(f"updates {seed}")
         self.shape = shape
         self.folder = folder
--- a/arbutusbridge/soak/faults.py
+++ b/arbutusbridge/soak/faults.py
@@ -65,6 +65,12 @@
 SECOND_RESTORE_FRACTION = 0.4
 """Fraction of the restores after which another one from the same copy comes."""
 
+INVALID_SHARE_RANGE = (0.05, 0.5)
+"""Minimum and maximum fraction of the responses with an invalid status."""
+
+MAX_STATUS_FAULTS = 2
+"""Maximum number of upstream groups that send invalid statuses in a run."""
+
 MAX_CRASH_FAULTS = 2
 """Maximum number of faults from CRASH_FAULTS in a run."""
 
@@ -468,6 +474,25 @@
 """Faults of which a run has one or two in addition to the others."""
 
 
+def send_invalid_statuses(environment: SoakEnvironment, seconds: float) -> None:
+    """Makes upstreams answer some requests with an invalid status."""
+    rng = environment.status_rng
+    slots = sorted(environment.upstreams)
+    chosen = [
+        environment.upstreams[slot]
+        for slot in rng.sample(slots, max(1, len(slots) // 4))
+    ]
+    share = rng.uniform(*INVALID_SHARE_RANGE)
+    for upstream in chosen:
+        upstream.invalid_share = share
+
+    def end() -> None:
+        for upstream in chosen:
+            upstream.invalid_share = 0.0
+
+    environment.schedule(seconds, end)
+
+
 def update_one(environment: SoakEnvironment, _seconds: float) -> None:
     """Replaces an instance by one of the other build."""
     name = environment.update_rng.choice(sorted(environment.instances))
@@ -525,6 +550,7 @@
     lines += plan_crashes(environment, seconds)
     lines += plan_updates(environment, seconds)
     lines += plan_platform(environment, seconds)
+    lines += plan_invalid_statuses(environment, seconds)
     return sorted(lines + plan_contracts(environment, seconds))
 
 
@@ -587,6 +613,26 @@
     return lines
 
 
+def plan_invalid_statuses(
+    environment: SoakEnvironment, seconds: float
+) -> list[str]:
+    """Schedules invalid statuses if they are on, and returns a line for each.
+
+    They are off by default, so that earlier seeds keep their plans.
+    """
+    if not environment.invalid_statuses:
+        return []
+    rng = environment.status_rng
+    lines = []
+    for _ in range(rng.randint(1, MAX_STATUS_FAULTS)):
+        at = rng.uniform(0.0, seconds)
+        duration_s = rng.uniform(0.3, MAX_FAULT_DURATION_S)
+        lines.append(
+            schedule(environment, at, send_invalid_statuses, duration_s)
+        )
+    return lines
+
+
 def schedule(
     environment: SoakEnvironment, at: float, fault: Fault, duration_s: float
 ) -> str:
--- a/arbutusbridge/soak/guarantees.py
+++ b/arbutusbridge/soak/guarantees.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from arbutusbridge.core.httpstatus import is_valid_status
 from arbutusbridge.forwarding.merge import merge_greatest
 
 if TYPE_CHECKING:
@@ -132,6 +133,15 @@
             yield Breach("answer_is_the_upstream_s", asked.request_id, detail)
 
 
+def status_is_valid(record: SoakRecord) -> Iterator[Breach]:
+    """Checks that no caller receives a status that HTTP does not have."""
+    for asked in record.asked.values():
+        answer = asked.answer
+        if answer is not None and not is_valid_status(answer.status):
+            detail = f"status {answer.status}"
+            yield Breach("status_is_valid", asked.request_id, detail)
+
+
 def merged_answer_is_whole(record: SoakRecord) -> Iterator[Breach]:
     """Checks that a merged success names its parts and holds their records."""
     runs = runs_by_request(record)
@@ -579,6 +589,7 @@
     runs_once,
     refusal_is_true,
     answer_is_the_upstream_s,
+    status_is_valid,
     merged_answer_is_whole,
     nothing_unasked,
     answered_in_time,
--- a/arbutusbridge/soak/run.py
+++ b/arbutusbridge/soak/run.py
@@ -88,6 +88,7 @@
     fault_window_s: float = 12.0,
     shape: SoakShape | None = None,
     other_build: Path | None = None,
+    invalid_statuses: bool = False,
 ) -> SoakResult:
     """Runs one deployment under faults.
 
@@ -100,10 +101,13 @@
       shape: Size of the deployment, selected by the seed if None.
       other_build: Folder that holds the package of another build. Half of the
         instances start with it, and some are updated or rolled back.
+      invalid_statuses: Whether upstreams send invalid statuses at times.
     """
     if shape is None:
         shape = random.Random(seed).choice(SHAPES)
-    environment = SoakEnvironment(seed, shape, folder, other_build)
+    environment = SoakEnvironment(
+        seed, shape, folder, other_build, invalid_statuses
+    )
     planned_faults: list[str] = []
 
     def begin_faults() -> None:
--- a/tests/test_soak/test_guarantees.py
+++ b/tests/test_soak/test_guarantees.py
@@ -148,6 +148,15 @@
         self.answer("once-1").status = 503
         self.assertEqual({"refusal_is_true"}, self.broken_guarantees())
 
+    # Guards against a check that misses a status which a caller cannot handle.
+    def test_answer_with_an_invalid_status(self) -> None:
+        for status in (0, 99, 600, 999):
+            self.answer("desk-1").status = status
+            self.assertEqual({"status_is_valid"}, self.broken_guarantees())
+        for status in (100, 599):
+            self.answer("desk-1").status = status
+            self.assertEqual(set(), self.broken_guarantees())
+
     def test_answer_not_from_any_upstream(self) -> None:
         self.answer("desk-1").body = b"other"
         self.assertEqual({"answer_is_the_upstream_s"}, self.broken_guarantees())
--- a/tests/test_soak/test_run.py
+++ b/tests/test_soak/test_run.py
@@ -20,6 +20,9 @@
 last two refused requests for the crashes of others before."""
 
 
+STATUS_SEEDS = ("2", "3")
+"""Runs in which upstreams send invalid statuses in addition."""
+
 UPDATE_SEEDS = ("11", "14")
 """Runs with instances of the production build, one with a large data centre
 and one with three equal ones."""
@@ -70,6 +73,11 @@
     def test_guarantees_hold(self) -> None:
         self.run_seeds(SEEDS)
 
+    # Guards against a caller that gets the invalid status of an upstream, or
+    # waits for it, and against a request that runs twice after one.
+    def test_guarantees_hold_with_invalid_statuses(self) -> None:
+        self.run_seeds(STATUS_SEEDS, "--invalid-statuses")
+
     # Guards against an update that turns the instances into two fleets, and
     # against a roll-back that does.
     def test_guarantees_hold_beside_the_production_build(self) -> None:
