Name one field per key in is_older

Cause: it kept a tuple of field names, none of which has more than one.

Change: one name for each kind of key.

Result: tests/test_platform/test_documents.py passes.

--- a/arbutusbridge/platform/documents.py
+++ b/arbutusbridge/platform/documents.py
@@ -242,14 +242,17 @@
     Versions of the configuration are numbered, and so are the announcements of
     one start of an upstream.
     """
-    numbers = {CONFIGURATION_KEY: ("version",)}.get(key, ())
-    if key.startswith(UPSTREAMS_PREFIX):
-        numbers = ("seq",)
+    if key == CONFIGURATION_KEY:
+        name = "version"
+    elif key.startswith(UPSTREAMS_PREFIX):
+        name = "seq"
+    else:
+        return False
     try:
         row, other_row = orjson.loads(value), orjson.loads(other)
         if row.get("born") != other_row.get("born"):
             return False
-        return any(row[name] < other_row[name] for name in numbers)
+        return bool(row[name] < other_row[name])
     except (ValueError, AttributeError, KeyError, TypeError):
         return False
 
