--- a/arbutusbridge/platform/http.py
+++ b/arbutusbridge/platform/http.py
@@ -38,11 +38,10 @@
 LEAVING_HEADER = b"server-leaving"
 LEAVING_VALUE = b"1"
 RETRY_AFTER_HEADER = b"retry-after"
-
-UNAVAILABLE_STATUS = 503
 CONTENT_ENCODING_HEADER = b"content-encoding"
 
 MISDIRECTED_STATUS = 421
+UNAVAILABLE_STATUS = 503
 
 HOP_BY_HOP_HEADERS = frozenset(
     {
