--- a/tests/test_daemon/test_store_restore.py
+++ b/tests/test_daemon/test_store_restore.py
@@ -121,6 +121,15 @@
         self.feed.begin()
         self.pass_time(1.0)
 
+    def restore_after_writes(self) -> None:
+        """Writes ten times; then the store comes back from before."""
+        copy = self.store.copy()
+        for number in range(9):
+            self.put("u0", announcement(2 + number))
+        self.store.put(CONFIGURATION, version(4))
+        self.pass_time(2.0)
+        self.store.restore(copy)
+
 
 class FeedRestoreTest(RestoreCase):
     """What is known of the keys."""
@@ -129,12 +138,7 @@
     # before that of the version before (review/3).
     def test_version_with_a_lower_revision_takes_effect(self) -> None:
         self.start()
-        copy = self.store.copy()
-        for number in range(9):
-            self.put("u0", announcement(2 + number))
-        self.store.put(CONFIGURATION, version(4))
-        self.pass_time(2.0)
-        self.store.restore(copy)
+        self.restore_after_writes()
         self.pass_time(0.3)
         self.store.put(CONFIGURATION, version(4))
         self.pass_time(1.0)
@@ -391,12 +395,7 @@
     # Guards against the same faults where the revision is the only sign.
     def test_lower_revision_is_the_first_sign(self) -> None:
         self.start()
-        copy = self.store.copy()
-        for number in range(9):
-            self.put("u0", announcement(2 + number))
-        self.store.put(CONFIGURATION, version(4))
-        self.pass_time(2.0)
-        self.store.restore(copy)
+        self.restore_after_writes()
         self.pass_time(2.0)
         self.store.put(CONFIGURATION, version(5))
         self.pass_time(2.0)
