Name RESTORE_LEASES_PER_S after what it counts

Cause: it is the number of instances that take a new lease in a second; each makes two writes, so that its name was wrong by a factor of two.

--- a/arbutusbridge/daemon/presence.py
+++ b/arbutusbridge/daemon/presence.py
@@ -19,7 +19,7 @@
 from arbutusbridge.forwarding.presence import (
     LEASE_DURATION_S,
     RENEW_INTERVAL_S,
-    RESTORE_WRITES_PER_S,
+    RESTORE_LEASES_PER_S,
     RETRY_DELAY_S,
     InstanceCount,
     data_centre_prefix,
@@ -116,7 +116,7 @@
         lease = self.instance_count.lease
         self.restores += 1
         self.instance_count.clear_lease()
-        spread_s = self.instance_count.instances / RESTORE_WRITES_PER_S
+        spread_s = self.instance_count.instances / RESTORE_LEASES_PER_S
         delay_s = random.uniform(0.0, spread_s)
         logger.notice(
             "instance lease void, taking a new one",
--- a/arbutusbridge/forwarding/presence.py
+++ b/arbutusbridge/forwarding/presence.py
@@ -36,10 +36,10 @@
 RETRY_DELAY_S = 1.5
 """Delay of the next attempt after a failed call."""
 
-RESTORE_WRITES_PER_S = 100
+RESTORE_LEASES_PER_S = 100
 """Number of instances that take a new lease in a second after the store came
-back from an older copy. Each makes two calls; the smallest store of the users
-takes 400 writes per second."""
+back from an older copy. Each makes two writes, one of the lease and one of the
+key; the smallest store of the users takes 400 writes per second."""
 
 COUNT_HOLD_S = 10.0
 """Time for which the highest recent count is kept; as long as the window of the
