Keep requests in the homes of their route and account

Cause: Exchange.homes was decoded and set, but every choice of an upstream or a peer ignored it. Change: placement.eligible filters the usable upstreams by the homes of the request and by evacuated data centres, and every choice in forwarding goes through it. placement.accepts keeps messages from peers outside the homes. A request that its homes alone keep from being served is refused at once as outside_homes, and the log names outside_homes or evacuated for each part. A draining upstream at home is used in its grace period even if others elsewhere are not draining. The rank of a part moved from SharedState to canaries.py, since the shared state must not depend on placement. A request of a peer gets the homes of its route as this instance knows them. Measured: 14 tests of test_placement.py hold; with accepts always true, the test of a cut-off instance without a peer at home fails.

--- a/arbutusbridge/forwarding/attempts.py
+++ b/arbutusbridge/forwarding/attempts.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from arbutusbridge.core.messages import Decision
-from arbutusbridge.forwarding import isolation, limits
+from arbutusbridge.forwarding import isolation, limits, placement
 from arbutusbridge.forwarding.choice import pick_cheapest
 from arbutusbridge.forwarding.leaving import latest_send
 from arbutusbridge.forwarding.messages import (
@@ -141,7 +141,7 @@
     allows another one. An upstream whose rate limit does not allow a request
     now is left out.
     """
-    usable = shared.directory.usable(part.service, now)
+    usable = placement.eligible(exchange, part.service, shared, now)
     if shared.limits.limited and not ignore_limits:
         usable = [
             candidate
--- a/arbutusbridge/forwarding/canaries.py
+++ b/arbutusbridge/forwarding/canaries.py
@@ -9,7 +9,8 @@
 import math
 from typing import TYPE_CHECKING
 
-from arbutusbridge.forwarding import attempts, delegation, losses
+from arbutusbridge.forwarding import attempts, delegation, losses, placement
+from arbutusbridge.forwarding.choice import reply_rank
 from arbutusbridge.forwarding.gather import GatherRelease
 
 if TYPE_CHECKING:
@@ -80,7 +81,7 @@
     sent: list[Part] = []
     while held and not sent:
         candidates = shared.rng.sample(held, min(CANDIDATES, len(held)))
-        candidates.sort(key=lambda part: shared.reply_rank(part, now))
+        candidates.sort(key=lambda part: rank_part(exchange, part, shared, now))
         for part in candidates[:wanted]:
             held.remove(part)
             part.held_back = False
@@ -93,6 +94,17 @@
     schedule_next(exchange, typical_s, now)
 
 
+def rank_part(
+    exchange: Exchange, part: Part, shared: SharedState, now: float
+) -> float:
+    """Returns a number that is lower the sooner a part may have a reply."""
+    upstreams = placement.eligible(exchange, part.service, shared, now)
+    return min(
+        (reply_rank(one, shared.place, now) for one in upstreams),
+        default=math.inf,
+    )
+
+
 def schedule_next(exchange: Exchange, typical_s: float, now: float) -> None:
     """Sets when another canary is sent if this one has no result by then."""
     wait_s = max(MIN_WAIT_S, TYPICAL_FACTOR * typical_s + SLACK_S)
--- a/arbutusbridge/forwarding/conclusion.py
+++ b/arbutusbridge/forwarding/conclusion.py
@@ -13,6 +13,7 @@
     notices,
     pauses,
     peerreplies,
+    placement,
 )
 from arbutusbridge.forwarding.attempts import drop_open_attempts
 from arbutusbridge.forwarding.merge import merge_greatest
@@ -226,6 +227,10 @@
             missing[part.service] = f"peer {part.group.peer.name}"
         elif attempts:
             missing[part.service] = "open " + " ".join(attempts)
+        elif not part.sends and (
+            obstacle := placement.find_obstacle(exchange, part.service, shared)
+        ):
+            missing[part.service] = obstacle
         elif part.given_up and exchange.relayed and not part.may_have_run:
             missing[part.service] = "isolated"
         elif part.limited:
@@ -259,7 +264,9 @@
         if exchange.peer_retry_after_s is not None:
             retry = exchange.peer_retry_after_s
         paused_s = pauses.retry_after_s(exchange, shared, now)
-        if paused_s is not None:
+        if placement.is_kept_by_homes(exchange, shared):
+            refusal = Refusal.OUTSIDE_HOMES
+        elif paused_s is not None:
             refusal, retry = Refusal.LIMITED, paused_s
         elif limited:
             refusal = Refusal.LIMITED
--- a/arbutusbridge/forwarding/delegation.py
+++ b/arbutusbridge/forwarding/delegation.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 from arbutusbridge.core.messages import Decision
-from arbutusbridge.forwarding import attempts, division
+from arbutusbridge.forwarding import attempts, division, placement
 from arbutusbridge.forwarding.exchange import DelegatedGroup, Exchange, Part
 from arbutusbridge.forwarding.gather import (
     MIN_GROUP_SHARDS,
@@ -19,7 +19,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Callable, Iterable
 
     from arbutusbridge.forwarding.gather import Peer
     from arbutusbridge.forwarding.shared import SharedState
@@ -56,7 +56,7 @@
     """
     if shared.gather.own_peer is None or exchange.peer_request is not None:
         return
-    near, far = split_by_region(parts, shared, now)
+    near, far = split_by_region(exchange, parts, shared, now)
     own = shared.gather.own_peer
     if division.is_wide(len(near), own.capacity):
         delegate_to_helpers(exchange, near, shared, now, out)
@@ -77,7 +77,7 @@
     own = shared.gather.own_peer
     if own is None or exchange.peer_request is not None:
         return
-    _, far = split_by_region(exchange.parts, shared, now)
+    _, far = split_by_region(exchange, exchange.parts, shared, now)
     if not division.is_wide(len(far), own.capacity):
         delegate_far_shards(exchange, far, shared, now, out)
 
@@ -99,7 +99,7 @@
     own = shared.gather.own_peer
     if own is None or exchange.peer_request is not None:
         return None
-    near, far = split_by_region(parts, shared, now)
+    near, far = split_by_region(exchange, parts, shared, now)
     held = near or far
     if not division.is_wide(len(held), own.capacity):
         return None
@@ -109,7 +109,7 @@
     shards = [
         part for part, data_centres in held if data_centre in data_centres
     ]
-    helpers = find_helpers(data_centre, len(shards), shared, now)
+    helpers = find_helpers(exchange, data_centre, len(shards), shared, now)
     shares = division.divide_by_capacity(shards, helpers) if helpers else []
     if not shares or own in helpers:
         return None
@@ -125,11 +125,16 @@
 
 
 def find_helpers(
-    data_centre: str, shards: int, shared: SharedState, now: float
+    exchange: Exchange | None,
+    data_centre: str,
+    shards: int,
+    shared: SharedState,
+    now: float,
 ) -> list[Peer]:
     """Returns the instances of a data centre that shards are divided among.
 
-    This instance may be one of them.
+    This instance may be one of them. Without a request, they are those of a
+    request that may be sent to any instance.
     """
     own = shared.gather.own_peer
     assert own is not None
@@ -137,7 +142,17 @@
     if own.data_centre == data_centre:
         members.append(own)
     held = shared.held_counts[data_centre]
-    return division.select_helpers(members, own.name, shards, held, now)
+    accepts = accepts_for(exchange, shared) if exchange is not None else None
+    return division.select_helpers(
+        members, own.name, shards, held, now, accepts
+    )
+
+
+def accepts_for(
+    exchange: Exchange, shared: SharedState
+) -> Callable[[Peer], bool]:
+    """Returns a function that tells whether a peer may get a request."""
+    return lambda peer: placement.accepts(exchange, peer, shared)
 
 
 def delegate_far_shards(
@@ -152,21 +167,28 @@
     if data_centre is None:
         return
     parts = [part for part, data_centres in far if data_centre in data_centres]
-    peer = pick_far_peer(data_centre, len(parts), shared, now)
+    peer = pick_far_peer(exchange, data_centre, len(parts), shared, now)
     if peer is not None and len(parts) >= MIN_GROUP_SHARDS:
         send_to_peer(exchange, peer, parts, shared, now, out)
 
 
 def pick_far_peer(
-    data_centre: str, shards: int, shared: SharedState, now: float
+    exchange: Exchange,
+    data_centre: str,
+    shards: int,
+    shared: SharedState,
+    now: float,
 ) -> Peer | None:
     """Returns the peer of another region that shards are delegated to.
 
     Where wide requests are divided, it is a helper of this instance.
     """
     if not shared.wide_shards:
-        return shared.gather.peer_table.pick_peer(data_centre, now, shared.rng)
-    return next(iter(find_helpers(data_centre, shards, shared, now)), None)
+        return shared.gather.peer_table.pick_peer(
+            data_centre, now, shared.rng, accepts_for(exchange, shared)
+        )
+    helpers = find_helpers(exchange, data_centre, shards, shared, now)
+    return next(iter(helpers), None)
 
 
 def delegate_to_helpers(
@@ -189,7 +211,7 @@
             part for part, data_centres in held if data_centre in data_centres
         ]
         held = [one for one in held if data_centre not in one[1]]
-        helpers = find_helpers(data_centre, len(parts), shared, now)
+        helpers = find_helpers(exchange, data_centre, len(parts), shared, now)
         for peer, share in division.divide_by_capacity(parts, helpers):
             if peer is not own:
                 send_to_peer(exchange, peer, share, shared, now, out)
@@ -282,7 +304,10 @@
 
 
 def split_by_region(
-    parts: Iterable[Part], shared: SharedState, now: float
+    exchange: Exchange,
+    parts: Iterable[Part],
+    shared: SharedState,
+    now: float,
 ) -> tuple[HeldShards, HeldShards]:
     """Returns the shards available in this region, and the others.
 
@@ -297,7 +322,9 @@
             continue
         data_centres = {
             upstream.announcement.data_centre
-            for upstream in shared.directory.usable(part.service, now)
+            for upstream in placement.eligible(
+                exchange, part.service, shared, now
+            )
             if upstream.is_available(now)
         }
         nearby = {one for one in data_centres if place.is_in_own_region(one)}
@@ -396,7 +423,7 @@
     assert own is not None
     if division.is_wide(len(remaining), own.capacity):
         group.superseded = True
-        near, far = split_by_region(remaining, shared, now)
+        near, far = split_by_region(exchange, remaining, shared, now)
         delegate_to_helpers(exchange, near or far, shared, now, out)
     for part in remaining:
         if part.group is None:
--- a/arbutusbridge/forwarding/dispatch.py
+++ b/arbutusbridge/forwarding/dispatch.py
@@ -4,7 +4,13 @@
 
 from typing import TYPE_CHECKING
 
-from arbutusbridge.forwarding import canaries, division, limits, relay
+from arbutusbridge.forwarding import (
+    canaries,
+    division,
+    limits,
+    placement,
+    relay,
+)
 from arbutusbridge.forwarding.conclusion import conclude_or_set_timer
 
 if TYPE_CHECKING:
@@ -45,14 +51,15 @@
 
     Parts whose upstreams have all just refused connections, or have rate limits
     that allow no request soon, do not count. They are given up too if the
-    others are not enough.
+    others are not enough. Upstreams that homes or an evacuation exclude are
+    left out.
     """
     unreachable = []
     limits_apply = bool(shared.limits.limited) and sends_itself(
         exchange, shared
     )
     for part in exchange.parts:
-        usable = shared.directory.usable(part.service, now)
+        usable = placement.eligible(exchange, part.service, shared, now)
         if not usable:
             part.given_up = True
         elif all(upstream.unreachable_until > now for upstream in usable):
--- a/arbutusbridge/forwarding/division.py
+++ b/arbutusbridge/forwarding/division.py
@@ -12,7 +12,7 @@
 from typing import TYPE_CHECKING, TypeVar
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Callable, Sequence
 
     from arbutusbridge.forwarding.gather import Peer
 
@@ -85,7 +85,12 @@
 
 
 def select_helpers(
-    peers: Sequence[Peer], own_name: str, shards: int, held: int, now: float
+    peers: Sequence[Peer],
+    own_name: str,
+    shards: int,
+    held: int,
+    now: float,
+    accepts: Callable[[Peer], bool] | None = None,
 ) -> list[Peer]:
     """Returns the instances that query a number of shards for this one.
 
@@ -100,6 +105,8 @@
       shards: Shards to query.
       held: Shards that the data centre holds.
       now: The time.
+      accepts: Returns whether an instance may be sent the request, None if all
+        may. It does not change the teams.
     """
     if not peers or not shards:
         return []
@@ -109,7 +116,7 @@
         peer
         for team in teams[own_team:] + teams[:own_team]
         for peer in team
-        if peer.is_available(now)
+        if peer.is_available(now) and (accepts is None or accepts(peer))
     ]
     return select_members(queue, shards)
 
--- a/arbutusbridge/forwarding/gather.py
+++ b/arbutusbridge/forwarding/gather.py
@@ -17,6 +17,7 @@
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Callable
 
     from arbutusbridge.forwarding.limitmessages import DemandNotice, ShareNotice
     from arbutusbridge.forwarding.quarantinemessages import QuarantineNotice
@@ -420,10 +421,23 @@
         ]
 
     def pick_peer(
-        self, data_centre: str, now: float, rng: random.Random
+        self,
+        data_centre: str,
+        now: float,
+        rng: random.Random,
+        accepts: Callable[[Peer], bool],
     ) -> Peer | None:
-        """Returns a random available peer of a data centre, if any."""
+        """Returns a random available peer of a data centre, if any.
+
+        Args:
+          data_centre: The data centre.
+          now: The time.
+          rng: Source of random numbers.
+          accepts: Returns whether a peer may be sent the request.
+        """
         available = [
-            peer for peer in self.members(data_centre) if peer.is_available(now)
+            peer
+            for peer in self.members(data_centre)
+            if peer.is_available(now) and accepts(peer)
         ]
         return rng.choice(available) if available else None
--- a/arbutusbridge/forwarding/isolation.py
+++ b/arbutusbridge/forwarding/isolation.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING
 
 from arbutusbridge.core.messages import Decision
+from arbutusbridge.forwarding import placement
 from arbutusbridge.forwarding.gather import (
     ISOLATION_TTL_S,
     IsolationNotice,
@@ -96,7 +97,7 @@
         return False
     if shared.isolation.dead_services.get(part.service, -math.inf) > now:
         return False
-    usable = shared.directory.usable(part.service, now)
+    usable = placement.eligible(exchange, part.service, shared, now)
     if not usable or any(one.unreachable_until <= now for one in usable):
         return False
     exchange.relayed = True
--- a/arbutusbridge/forwarding/limits.py
+++ b/arbutusbridge/forwarding/limits.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING
 
 from arbutusbridge.core.messages import Decision
+from arbutusbridge.forwarding import placement
 from arbutusbridge.forwarding.limitmessages import TermsReport
 from arbutusbridge.forwarding.messages import WithdrawAttempt
 from arbutusbridge.forwarding.ratelimit import URGENT_RESERVE, RateLimit
@@ -130,7 +131,7 @@
     return min(
         (
             ready_at(exchange, upstream, shared, now)
-            for upstream in shared.directory.usable(service, now)
+            for upstream in placement.eligible(exchange, service, shared, now)
         ),
         default=math.inf,
     )
@@ -164,7 +165,7 @@
         return NO_SHARE_RETRY_AFTER_S
     rate = sum(
         upstream.limit.rate(now)
-        for upstream in shared.directory.usable(service, now)
+        for upstream in placement.eligible(exchange, service, shared, now)
         if upstream.limit is not None
     )
     last = shared.limits.return_times.get(service, now)
--- a/arbutusbridge/forwarding/pauses.py
+++ b/arbutusbridge/forwarding/pauses.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from arbutusbridge.core.messages import Decision
+from arbutusbridge.forwarding import placement
 from arbutusbridge.forwarding.leaving import withdraw_unsent
 
 if TYPE_CHECKING:
@@ -51,18 +52,19 @@
     withdraw_unsent(upstream, out)
 
 
-def pause_ends_at(service: str, shared: SharedState, now: float) -> float:
+def pause_ends_at(
+    exchange: Exchange, service: str, shared: SharedState, now: float
+) -> float:
     """Returns when an upstream of a paused service may get a request again.
 
     Returns ``now`` if the service is not paused: one of its upstreams may get a
     request, or none would after a pause either.
     """
-    if shared.directory.usable(service, now):
+    if placement.eligible(exchange, service, shared, now):
         return now
-    upstreams = shared.directory.services.get(service, {}).values()
     paused = [
         one.paused_until
-        for one in upstreams
+        for one in placement.permitted(exchange, service, shared)
         if one.leaving_at == math.inf and not one.removed
     ]
     return max(now, min(paused, default=now))
@@ -77,7 +79,7 @@
     not come back at once. Returns None if no pause holds it back.
     """
     ends = {
-        part.service: pause_ends_at(part.service, shared, now)
+        part.service: pause_ends_at(exchange, part.service, shared, now)
         for part in exchange.parts
         if part.reply is None
     }
@@ -90,7 +92,7 @@
     route, place = exchange.route, shared.place.data_centre
     slots = sum(
         max(1, one.announcement.slots)
-        for one in shared.directory.services[service].values()
+        for one in placement.permitted(exchange, service, shared)
     )
     interval_s = shared.reply_times.typical(route, place) / slots
     last = shared.limits.return_times.get(service, now)
--- a/arbutusbridge/forwarding/peermessages.py
+++ b/arbutusbridge/forwarding/peermessages.py
@@ -253,6 +253,7 @@
         give_up_at,
         peer_request=message,
         second_upstream_at=now + message.alone_s,
+        homes=route.homes or None,
     )
     if message.accepts_updates and route.shards:
         exchange.next_update_at = exchange.partial_answer_at
--- a/arbutusbridge/forwarding/preconnect.py
+++ b/arbutusbridge/forwarding/preconnect.py
@@ -62,7 +62,9 @@
     helpers: list[Peer] = []
     delegated = count_delegated(shared.place, shared)
     for data_centre, shards in sorted(delegated.items()):
-        helpers += delegation.find_helpers(data_centre, shards, shared, now)
+        helpers += delegation.find_helpers(
+            None, data_centre, shards, shared, now
+        )
     return [one for one in helpers if one is not own]
 
 
--- a/arbutusbridge/forwarding/relay.py
+++ b/arbutusbridge/forwarding/relay.py
@@ -8,7 +8,7 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
-from arbutusbridge.forwarding import delegation, division, isolation
+from arbutusbridge.forwarding import delegation, division, isolation, placement
 from arbutusbridge.forwarding.attempts import drop_open_attempts
 from arbutusbridge.forwarding.conclusion import conclude_or_set_timer
 from arbutusbridge.forwarding.messages import WithdrawAttempt
@@ -35,11 +35,13 @@
         return False
     if not isolation.relays_requests(shared, now):
         return False
-    if not shared.isolation.isolated and not available_peers(shared, now):
+    if not shared.isolation.isolated and not available_peers(
+        exchange, shared, now
+    ):
         return False
     exchange.relayed = True
     for part in exchange.parts:
-        if not shared.directory.usable(part.service, now):
+        if not placement.eligible(exchange, part.service, shared, now):
             part.given_up = True
     if exchange.is_sufficient(exchange.attainable):
         relay_parts(exchange, exchange.pending_parts, shared, now, out)
@@ -57,7 +59,7 @@
     if exchange.route.shards:
         return False
     (part,) = exchange.parts
-    if not available_peers(shared, now):
+    if not available_peers(exchange, shared, now):
         return False
     if not isolation.relay_unreachable(exchange, part, shared, now):
         return False
@@ -85,16 +87,20 @@
         relay_parts(exchange, due, shared, now, out)
 
 
-def available_peers(shared: SharedState, now: float) -> list[Peer]:
+def available_peers(
+    exchange: Exchange, shared: SharedState, now: float
+) -> list[Peer]:
     """Returns the peers that may be sent a request."""
     return [
         peer
         for peer in shared.gather.peer_table.peers.values()
-        if peer.is_available(now)
+        if peer.is_available(now) and placement.accepts(exchange, peer, shared)
     ]
 
 
-def find_peers(tried: set[str], shared: SharedState, now: float) -> list[Peer]:
+def find_peers(
+    exchange: Exchange, tried: set[str], shared: SharedState, now: float
+) -> list[Peer]:
     """Returns the peers to relay to, other than those already tried.
 
     A peer that did not answer lately is better than none; one that is cut off
@@ -103,7 +109,9 @@
     peers = [
         peer
         for peer in shared.gather.peer_table.peers.values()
-        if peer.name not in tried and peer.isolated_until <= now
+        if peer.name not in tried
+        and peer.isolated_until <= now
+        and placement.accepts(exchange, peer, shared)
     ]
     return [peer for peer in peers if peer.is_available(now)] or peers
 
@@ -120,7 +128,7 @@
     Parts are given up if there is no peer, or if too many have failed.
     """
     tried = {name for part in parts for name in part.relayed_to}
-    peers = find_peers(tried, shared, now)
+    peers = find_peers(exchange, tried, shared, now)
     for part in parts:
         part.given_up = (
             not peers
@@ -129,7 +137,7 @@
         )
     remaining = [part for part in parts if not part.given_up]
     while remaining:
-        place, chosen = choose_place(remaining, peers, shared, now)
+        place, chosen = choose_place(exchange, remaining, peers, shared, now)
         remaining = [part for part in remaining if part not in chosen]
         members = [peer for peer in peers if peer.data_centre == place]
         for peer, share in divide(chosen, members, shared, now):
@@ -144,7 +152,11 @@
 
 
 def choose_place(
-    parts: list[Part], peers: list[Peer], shared: SharedState, now: float
+    exchange: Exchange,
+    parts: list[Part],
+    peers: list[Peer],
+    shared: SharedState,
+    now: float,
 ) -> tuple[str, list[Part]]:
     """Returns the data centre whose peers are sent parts, and these parts.
 
@@ -154,7 +166,7 @@
     places = {peer.data_centre for peer in peers}
     held = []
     for part in parts:
-        usable = shared.directory.usable(part.service, now)
+        usable = placement.eligible(exchange, part.service, shared, now)
         holding = {one.announcement.data_centre for one in usable} & places
         if holding:
             held.append((part, holding))
--- a/arbutusbridge/forwarding/shared.py
+++ b/arbutusbridge/forwarding/shared.py
@@ -18,7 +18,6 @@
     ServiceBudget,
     allowance_share,
 )
-from arbutusbridge.forwarding.choice import reply_rank
 from arbutusbridge.forwarding.evidence import NoticeState
 from arbutusbridge.forwarding.gather import Peer, PeerTable
 from arbutusbridge.forwarding.isolationstate import IsolationState
@@ -34,7 +33,6 @@
     from arbutusbridge.forwarding.exchange import (
         DelegatedGroup,
         Exchange,
-        Part,
     )
     from arbutusbridge.forwarding.model import CallerRequest
     from arbutusbridge.forwarding.routes import RouteTable
@@ -103,6 +101,7 @@
       newly_quarantined: Fingerprints whose open requests are to be ended.
       limits: Rate limits of upstreams.
       isolation: Whether this instance is cut off from all upstreams.
+      evacuated: Data centres to whose upstreams nothing is sent.
       seed_addresses: Addresses of possible peers while none is known.
     """
 
@@ -138,6 +137,7 @@
         self.newly_quarantined: list[str] = []
         self.limits = LimitBook()
         self.isolation = IsolationState(started_at)
+        self.evacuated: set[str] = set()
         self.seed_addresses: list[tuple[str, int]] = []
 
     def count(self, what: str) -> None:
@@ -174,16 +174,6 @@
         entry = self.quarantine.entries.get(request.fingerprint)
         return max(0.0, entry.until - now) if entry is not None else 0.0
 
-    def reply_rank(self, part: Part, now: float) -> float:
-        """Returns a number that is lower the sooner a part may have a reply."""
-        return min(
-            (
-                reply_rank(upstream, self.place, now)
-                for upstream in self.directory.usable(part.service, now)
-            ),
-            default=math.inf,
-        )
-
     def store_age_ms(self, now: float) -> int:
         """Returns the time since the store last confirmed its contents."""
         return round((now - self.get_confirmed_at()) * 1000)
--- a/arbutusbridge/forwarding/upstreams.py
+++ b/arbutusbridge/forwarding/upstreams.py
@@ -12,6 +12,8 @@
 from arbutusbridge.forwarding.terms import NO_TERMS
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
+
     from arbutusbridge.forwarding.messages import Load
     from arbutusbridge.forwarding.model import Announcement, Route
     from arbutusbridge.forwarding.terms import UpstreamTerms
@@ -335,30 +337,37 @@
         }
 
     def usable(self, service: str, now: float) -> list[Upstream]:
-        """Returns the upstreams of a service that may get a request.
-
-        Draining ones are used only while there is no other, and only for a
-        short time. Those that want no requests for some time are left out.
-        """
+        """Returns the upstreams of a service that may get a request."""
         current = self.services.get(service)
         if not current:
             return []
-        not_leaving = [
-            upstream
-            for upstream in current.values()
-            if upstream.leaving_at == math.inf
-            and upstream.paused_until <= now
-            and not upstream.removed
-        ]
-        if not_leaving:
-            return not_leaving
-        return [
-            upstream
-            for upstream in current.values()
-            if now - upstream.leaving_at < LEAVING_GRACE_S
-            and upstream.paused_until <= now
-            and not upstream.removed
-        ]
+        return select_usable(current.values(), now)
+
+
+def select_usable(
+    candidates: Collection[Upstream], now: float
+) -> list[Upstream]:
+    """Returns the upstreams among candidates that may get a request.
+
+    Draining ones are used only while there is no other, and only for a short
+    time. Those that want no requests for some time are left out.
+    """
+    not_leaving = [
+        upstream
+        for upstream in candidates
+        if upstream.leaving_at == math.inf
+        and upstream.paused_until <= now
+        and not upstream.removed
+    ]
+    if not_leaving:
+        return not_leaving
+    return [
+        upstream
+        for upstream in candidates
+        if now - upstream.leaving_at < LEAVING_GRACE_S
+        and upstream.paused_until <= now
+        and not upstream.removed
+    ]
 
 
 def is_restart(old: Announcement, new: Announcement) -> bool:
