Evacuate data centres by a key of the store

Cause: operators could not keep requests from the upstreams of a data centre without touching each of them. Change: Forwarder.evacuate and Forwarder.end_evacuation, driven by a topic of the store feed that comes before that of the upstreams; an instance is not ready before it has applied it. Attempts that wait for a connection are withdrawn; probes of a cut-off instance leave the data centre out, and failures there no longer suggest that this instance is cut off. A part that a peer delegated and that may not be sent is reported as unsent. A follower gets an evacuation whose removal its source still holds back. Each change is logged once; a gauge and the status show the evacuated data centres.

--- a/arbutusbridge/daemon/events.py
+++ b/arbutusbridge/daemon/events.py
@@ -112,6 +112,10 @@
     """Changed keys of upstreams: ``upstreams_changed(items)``."""
 
 
+class evacuations_changed(Event):  # noqa: N801
+    """Changed keys of evacuations: ``evacuations_changed(items)``."""
+
+
 class routing_changed(Event):  # noqa: N801
     """Changed keys of the routing configuration: ``routing_changed(items)``."""
 
--- a/arbutusbridge/daemon/forwarding.py
+++ b/arbutusbridge/daemon/forwarding.py
@@ -60,6 +60,7 @@
     Attributes:
       forwarder: Decides on requests; does no I/O itself.
       upstreams_loaded: Whether the upstreams have been read from the store.
+      evacuations_loaded: Whether the evacuated data centres have been.
     """
 
     channel = "forwarding"
@@ -80,6 +81,7 @@
             place, bounds, random.Random(), timers.clock()
         )
         self.upstreams_loaded = False
+        self.evacuations_loaded = False
         self.ingress: Ingress
         self.pools: RelayPools
         self.peers: PeerMessenger | None = None
@@ -97,7 +99,11 @@
     @property
     def ready(self) -> bool:
         """Whether requests can be routed to upstreams."""
-        return self.forwarder.table is not None and self.upstreams_loaded
+        return (
+            self.forwarder.table is not None
+            and self.upstreams_loaded
+            and self.evacuations_loaded
+        )
 
     @handler("request_arrived")
     def on_request_arrived(self, request: CallerRequest) -> None:
@@ -197,6 +203,19 @@
                 },
             )
 
+    @handler("evacuations_changed", channel="*")
+    def on_evacuations_changed(self, items: list[StoreItem]) -> None:
+        """Applies new and withdrawn evacuations of data centres."""
+        now = self.timers.clock()
+        for item in items:
+            data_centre = item.key.removeprefix(self.wire.evacuations_prefix)
+            if item.value is None:
+                actions = self.forwarder.end_evacuation(data_centre, now)
+            else:
+                actions = self.forwarder.evacuate(data_centre, now)
+            self.carry_out(actions)
+        self.evacuations_loaded = True
+
     @handler("upstreams_changed", channel="*")
     def on_upstreams_changed(self, items: list[StoreItem]) -> None:
         """Applies changed, new and removed announcements of upstreams."""
--- a/arbutusbridge/daemon/forwardinstance.py
+++ b/arbutusbridge/daemon/forwardinstance.py
@@ -10,6 +10,7 @@
 
 from arbutusbridge.core.stop import StopPlan
 from arbutusbridge.daemon.events import (
+    evacuations_changed,
     instances_changed,
     quarantine_changed,
     routing_changed,
@@ -170,6 +171,9 @@
         self.feed = StoreFeed(
             [
                 (wire.configuration_key, routing_changed),
+                # Before the upstreams, so that none of an evacuated data
+                # centre is used at the start.
+                (wire.evacuations_prefix, evacuations_changed),
                 (wire.upstreams_prefix, upstreams_changed),
                 (INSTANCES_PREFIX, instances_changed),
                 (QUARANTINE_PREFIX, quarantine_changed),
@@ -342,6 +346,7 @@
             "phase": self.lifecycle.plan.phase.value,
             "instances_counted": forwarder.instances,
             "upstreams": len(forwarder.directory.by_name),
+            "evacuated": sorted(forwarder.evacuated),
             "requests_open": len(forwarder.exchanges),
             "attempts_open": len(forwarder.attempts),
             "quarantine": forwarder.quarantine.count_states(),
@@ -381,6 +386,7 @@
         for state, number in forwarder.quarantine.count_states().items():
             metrics.fingerprints.labels(state).set(number)
         metrics.upstreams.set(len(forwarder.directory.by_name))
+        metrics.evacuated.set(len(forwarder.evacuated))
         now = self.timers.clock()
         metrics.response_age.set(now - forwarder.isolation.responded_at)
         metrics.limited.set(count_limited(forwarder))
--- a/arbutusbridge/daemon/forwardmetrics.py
+++ b/arbutusbridge/daemon/forwardmetrics.py
@@ -114,6 +114,11 @@
             "Upstreams announced.",
             registry=self.registry,
         )
+        self.evacuated = Gauge(
+            "arbutusbridge_forward_evacuated_data_centres",
+            "Data centres being evacuated, to whose upstreams nothing is sent.",
+            registry=self.registry,
+        )
         self.limited = Gauge(
             "arbutusbridge_forward_limited_upstreams",
             "Upstreams that name a limit for the rate of requests.",
--- a/arbutusbridge/forwarding/dispatch.py
+++ b/arbutusbridge/forwarding/dispatch.py
@@ -62,6 +62,12 @@
         usable = placement.eligible(exchange, part.service, shared, now)
         if not usable:
             part.given_up = True
+            # A peer that delegated the part may send it itself; it may not know
+            # of an evacuation yet.
+            part.not_arrived = exchange.peer_request is not None and (
+                placement.find_obstacle(exchange, part.service, shared)
+                is not None
+            )
         elif all(upstream.unreachable_until > now for upstream in usable):
             unreachable.append(part)
         elif limits_apply:
--- a/arbutusbridge/forwarding/exchange.py
+++ b/arbutusbridge/forwarding/exchange.py
@@ -59,7 +59,7 @@
       relays: Number of peers that it was relayed to and that did not decline.
       relayed_to: Names of all peers that it was relayed to.
       not_arrived: Whether no attempt has reached an upstream, as this instance
-        was cut off before.
+        was cut off before, or as homes or an evacuation allow none.
     """
 
     service: str
--- a/arbutusbridge/forwarding/feed.py
+++ b/arbutusbridge/forwarding/feed.py
@@ -77,12 +77,16 @@
       is_older: Returns whether a value was written before another one, given
         the key, the value and the other one; False if that is not known.
       permanent: Keys that are never taken for removed.
+      lasting_prefixes: Prefixes of keys that are in force until their removal
+        is, also for instances that follow this one. The value of another key
+        with a held removal is passed on to none.
     """
 
     is_older: Callable[[str, bytes, bytes], bool] = (
         lambda _key, _value, _other: False
     )
     permanent: frozenset[str] = frozenset()
+    lasting_prefixes: tuple[str, ...] = ()
 
 
 @dataclass(slots=True)
@@ -249,9 +253,15 @@
         return self.apply(items, None)
 
     def confirmed_items(self) -> list[StoreItem]:
-        """Returns the current items, except those with a pending removal."""
+        """Returns the current items, except those with a pending removal.
+
+        Those that last until then are returned too.
+        """
+        lasting = self.rules.lasting_prefixes
         return [
-            item for key, item in self.items.items() if key not in self.held
+            item
+            for key, item in self.items.items()
+            if key not in self.held or key.startswith(lasting)
         ]
 
     def on_page(
--- a/arbutusbridge/forwarding/forwarder.py
+++ b/arbutusbridge/forwarding/forwarder.py
@@ -25,6 +25,7 @@
     notices,
     pauses,
     peermessages,
+    placement,
     preconnect,
     relay,
 )
@@ -122,6 +123,22 @@
         leaving.withdraw_unsent(self.directory.by_name[upstream], out)
         return out
 
+    def evacuate(self, data_centre: str, now: float) -> list[object]:
+        """Sends nothing more to the upstreams of a data centre.
+
+        Requests that wait for a connection to one are sent elsewhere; those
+        that run there are completed.
+        """
+        out: list[object] = []
+        placement.evacuate(data_centre, self, now, out)
+        return out
+
+    def end_evacuation(self, data_centre: str, now: float) -> list[object]:
+        """Uses the upstreams of a data centre again."""
+        out: list[object] = []
+        placement.end_evacuation(data_centre, self, now, out)
+        return out
+
     def withdraw(self, upstream: str) -> None:
         """Removes an upstream whose announcement was removed."""
         self.directory.remove(upstream)
--- a/arbutusbridge/forwarding/isolation.py
+++ b/arbutusbridge/forwarding/isolation.py
@@ -65,8 +65,14 @@
     state = shared.isolation
     if not shared.gather.peer_table.peers:
         return False
-    enough = min(MIN_FAILED_UPSTREAMS, max(1, len(shared.directory.by_name)))
-    return state.isolated or len(state.failed) >= enough
+    if state.isolated or not state.failed:
+        return state.isolated
+    known, failed = len(shared.directory.by_name), len(state.failed)
+    if shared.evacuated:
+        # Those of an evacuated data centre may be stopped at any time.
+        names = {one.name for one in placement.in_service(shared)}
+        known, failed = len(names), len(names & state.failed)
+    return failed >= min(MIN_FAILED_UPSTREAMS, max(1, known))
 
 
 def relays_requests(shared: SharedState, now: float) -> bool:
@@ -184,10 +190,13 @@
 
 
 def send_probes(shared: SharedState, now: float, out: list[object]) -> None:
-    """Tries to connect to some upstreams, preferably none that has failed."""
+    """Tries to connect to some upstreams, preferably none that has failed.
+
+    Those of evacuated data centres may be down and are left out.
+    """
     state = shared.isolation
     state.probed_at = now
-    upstreams = list(shared.directory.by_name.values())
+    upstreams = placement.in_service(shared)
     untried = [one for one in upstreams if one.name not in state.failed]
     if len(untried) < PROBED_UPSTREAMS:
         untried = upstreams
@@ -210,7 +219,7 @@
         state.clear_failures()
         return
     state.connected.add(announcement.upstream)
-    known = len(shared.directory.by_name)
+    known = len(placement.in_service(shared))
     if len(state.connected) < min(MIN_CONNECTED_PROBES, known):
         return
     state.isolated = False
--- a/arbutusbridge/forwarding/placement.py
+++ b/arbutusbridge/forwarding/placement.py
@@ -8,6 +8,8 @@
 
 from typing import TYPE_CHECKING
 
+from arbutusbridge.core.messages import Decision
+from arbutusbridge.forwarding.leaving import withdraw_unsent
 from arbutusbridge.forwarding.upstreams import select_usable
 
 if TYPE_CHECKING:
@@ -67,6 +69,55 @@
     return homes is None or shared.place.regions.get(data_centre) in homes
 
 
+def in_service(shared: SharedState) -> list[Upstream]:
+    """Returns all upstreams but those of evacuated data centres."""
+    upstreams = list(shared.directory.by_name.values())
+    if not shared.evacuated:
+        return upstreams
+    return [
+        one
+        for one in upstreams
+        if one.announcement.data_centre not in shared.evacuated
+    ]
+
+
+def evacuate(
+    data_centre: str, shared: SharedState, now: float, out: list[object]
+) -> None:
+    """Begins the evacuation of a data centre, unless it is in progress."""
+    if data_centre in shared.evacuated:
+        return
+    shared.evacuated.add(data_centre)
+    upstreams = [
+        one
+        for one in shared.directory.by_name.values()
+        if one.announcement.data_centre == data_centre
+    ]
+    detail = {
+        "data_centre": data_centre,
+        "upstreams": len(upstreams),
+        "open": sum(len(one.open_attempts) for one in upstreams),
+        "store_age_ms": shared.store_age_ms(now),
+    }
+    out.append(Decision("", "evacuation_began", detail))
+    for one in upstreams:
+        withdraw_unsent(one, out)
+
+
+def end_evacuation(
+    data_centre: str, shared: SharedState, now: float, out: list[object]
+) -> None:
+    """Ends the evacuation of a data centre, if there is one."""
+    if data_centre not in shared.evacuated:
+        return
+    shared.evacuated.discard(data_centre)
+    detail = {
+        "data_centre": data_centre,
+        "store_age_ms": shared.store_age_ms(now),
+    }
+    out.append(Decision("", "evacuation_ended", detail))
+
+
 def accepts(exchange: Exchange, peer: Peer, shared: SharedState) -> bool:
     """Returns whether a peer may be sent a request."""
     return is_home(exchange, peer.data_centre, shared)
--- a/arbutusbridge/platform/documents.py
+++ b/arbutusbridge/platform/documents.py
@@ -254,7 +254,9 @@
         return False
 
 
-KEY_RULES = KeyRules(is_older, frozenset({CONFIGURATION_KEY}))
+KEY_RULES = KeyRules(
+    is_older, frozenset({CONFIGURATION_KEY}), (EVACUATIONS_PREFIX,)
+)
 """What the values of keys say of their age."""
 
 
--- a/tests/test_daemon/test_forwardinstance.py
+++ b/tests/test_daemon/test_forwardinstance.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import orjson
 import testtools
 from prometheus_client import generate_latest
 
+from arbutusbridge.core.messages import StoreItem
 from arbutusbridge.daemon.forwardinstance import (
     CHECK_SETTINGS,
     RELOAD,
@@ -72,3 +74,40 @@
         self.instance.collect_metrics()
         text = generate_latest(self.instance.metrics.registry).decode()
         self.assertIn("arbutusbridge_forward_response_age_seconds", text)
+
+    # Guards against an instance that starts with the copy of a peer, or from
+    # the store, and uses upstreams before it knows the evacuations.
+    def test_evacuations_apply_before_upstreams(self) -> None:
+        driver = self.instance.forwarding
+        known_at_upstreams = []
+
+        def announce(_announcement, _now) -> bool:
+            known_at_upstreams.append(set(driver.forwarder.evacuated))
+            return True
+
+        driver.forwarder.announce = announce
+        upstream = orjson.dumps(
+            {
+                "instance": "u1",
+                "service": "records",
+                "addr": "10.0.0.1:80",
+                "zone": "north",
+                "state": "ready",
+            }
+        )
+        items = [
+            StoreItem(f"{WIRE.upstreams_prefix}records/u1", upstream, 4),
+            StoreItem(f"{WIRE.evacuations_prefix}north", b"any value", 3),
+        ]
+        self.instance.feed.apply_snapshot(items, 5, 0.0)
+        self.instance.flush()
+        self.assertTrue(driver.evacuations_loaded)
+        self.assertEqual([{"north"}], known_at_upstreams)
+        self.assertEqual(["north"], self.instance.status()["evacuated"])
+        self.instance.collect_metrics()
+        text = generate_latest(self.instance.metrics.registry).decode()
+        self.assertIn("arbutusbridge_forward_evacuated_data_centres 1.0", text)
+        removal = StoreItem(f"{WIRE.evacuations_prefix}north", None, 6)
+        self.instance.feed.apply_changes([removal], 6, 0.0)
+        self.instance.flush()
+        self.assertEqual([], self.instance.status()["evacuated"])
--- a/tests/test_forwarding/test_feed.py
+++ b/tests/test_forwarding/test_feed.py
@@ -16,6 +16,7 @@
     REMOVAL_GRACE_S,
     WATCH_DELAY_S,
     KeyFeed,
+    KeyRules,
     StoreCallKind,
 )
 
@@ -80,6 +81,19 @@
         self.assertEqual("k2", ended.key)
         self.assertIn("k1", feed.items)
 
+    def test_lasting_key_is_passed_on_until_its_removal(self) -> None:
+        """Guards against an evacuation that ends early for a follower."""
+        feed = self.loaded()
+        feed.rules = KeyRules(lasting_prefixes=("k3",))
+        feed.on_failure()
+        feed.on_changes(page(11, item(3, 11, None), item(4, 11, None)), NOW)
+        passed_on = {one.key for one in feed.confirmed_items()}
+        self.assertIn("k3", passed_on)
+        self.assertNotIn("k4", passed_on)
+        feed.release_held(NOW + REMOVAL_GRACE_S + 0.1)
+        passed_on = {one.key for one in feed.confirmed_items()}
+        self.assertNotIn("k3", passed_on)
+
     def test_mass_removal_is_held(self) -> None:
         feed = self.loaded()
         ends = [item(number, 20 + number, None) for number in range(6)]
--- a/tests/test_forwarding/test_placement.py
+++ b/tests/test_forwarding/test_placement.py
@@ -12,11 +12,18 @@
     MergedAnswer,
     RefusedAnswer,
     RoutingConfiguration,
+    WithdrawAttempt,
+    isolation,
+)
+from arbutusbridge.forwarding.gather import (
+    GatherReply,
+    GatherRequest,
+    SendGatherMessage,
 )
-from arbutusbridge.forwarding.gather import GatherRequest, SendGatherMessage
 from arbutusbridge.forwarding.messages import Refusal
 from arbutusbridge.forwarding.model import Account
 from tests.test_forwarding.fixtures import (
+    HOST,
     REGIONS,
     ended,
     make_forwarder,
@@ -41,12 +48,32 @@
 
     Attributes:
       delegated: Data centre of the peer and target of each request.
+      evacuated: Data centres that are being evacuated.
     """
 
     def __init__(self, *args, **kwargs) -> None:
         self.delegated: list[tuple[str, str]] = []
+        self.evacuated: set[str] = set()
         super().__init__(*args, **kwargs)
 
+    def start(self, name: str) -> None:
+        """Starts an instance, which reads the evacuations first."""
+        super().start(name)
+        for place in self.evacuated:
+            self.carry_out(name, self.instances[name].evacuate(place, self.now))
+
+    def evacuate(self, place: str) -> None:
+        """Tells all instances to evacuate a data centre."""
+        self.evacuated.add(place)
+        for name, forwarder in self.instances.items():
+            self.carry_out(name, forwarder.evacuate(place, self.now))
+
+    def end_evacuation(self, place: str) -> None:
+        """Tells all instances that an evacuation has ended."""
+        self.evacuated.discard(place)
+        for name, forwarder in self.instances.items():
+            self.carry_out(name, forwarder.end_evacuation(place, self.now))
+
     def send_message(self, name: str, action: SendGatherMessage) -> None:
         """Delivers a message to a peer and records a request."""
         if isinstance(action.message, GatherRequest):
@@ -282,3 +309,148 @@
         fleet.run_until(NOW + 5.0)
         self.assertEqual([], fleet.delegated)
         self.assertEqual(1, fleet.outcomes("/fetch/")["isolated"])
+
+
+class EvacuationTest(testtools.TestCase):
+    """Nothing is sent to the upstreams of an evacuated data centre."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        routes = [plain(), sharded(SHARDS)]
+        self.fleet = make_fleet(routes)
+        self.fleet.work_range_s = (0.003, 0.08)
+        for prefix in ("/fetch/", "/search/"):
+            self.fleet.send_series(
+                lambda n, prefix=prefix: f"{prefix}{n}", 0.01, NOW + 6.0
+            )
+        self.fleet.run_until(NOW + 2.0)
+
+    def run_and_check(self, places: set[str]) -> None:
+        """Runs the traffic and checks the data centres that get requests.
+
+        Requests already on their way at the change arrive within 50 ms.
+        """
+        since = self.fleet.now + 0.05
+        self.fleet.run_until(self.fleet.now + 1.5)
+        for prefix in ("/fetch/", "/search/"):
+            found = self.fleet.served_places(prefix, since)
+            self.assertEqual(places, found)
+
+    def check_served(self) -> None:
+        """Checks that no request was lost or refused."""
+        self.fleet.run_until(NOW + 9.0)
+        for prefix in ("/fetch/", "/search/"):
+            self.assertEqual({"served"}, set(self.fleet.outcomes(prefix)))
+
+    def test_one_data_centre(self) -> None:
+        """Guards against requests there, and against lost running ones."""
+        self.fleet.evacuate("north")
+        self.fleet.crash(self.fleet.upstreams["s0-central"])
+        self.run_and_check({"central", "south"})
+        self.check_served()
+
+    def test_two_of_three_regions(self) -> None:
+        """Guards against requests to either of two evacuated regions."""
+        self.fleet.evacuate("north")
+        self.fleet.evacuate("central")
+        self.run_and_check({"south"})
+        self.check_served()
+
+    def test_all_data_centres(self) -> None:
+        """Guards against a wait for the deadline while nothing may be used."""
+        for place in ALL_PLACES:
+            self.fleet.evacuate(place)
+        self.run_and_check(set())
+        for prefix in ("/fetch/", "/search/"):
+            number = self.fleet.send("north-0", f"{prefix}last")
+            at, answer = self.fleet.answers[number]
+            self.assertEqual(self.fleet.now, at)
+            self.assertIs(Refusal.UNSERVABLE, answer.refusal)
+
+    def test_withdrawn_evacuation(self) -> None:
+        """Guards against a data centre that stays unused afterwards."""
+        self.fleet.evacuate("north")
+        self.run_and_check({"central", "south"})
+        self.fleet.end_evacuation("north")
+        self.fleet.run_until(NOW + 6.0)
+        since = NOW + 3.6
+        self.assertIn("north", self.fleet.served_places("/fetch/", since))
+        self.assertIn("north", self.fleet.served_places("/search/", since))
+        self.check_served()
+
+    def test_instance_that_starts_meanwhile(self) -> None:
+        """Guards against an instance that only applies later changes."""
+        self.fleet.evacuate("north")
+        self.fleet.stop("north-0")
+        self.fleet.start("north-0")
+        self.run_and_check({"central", "south"})
+
+    def test_restarted_upstream(self) -> None:
+        """Guards against an upstream that is used after its new start."""
+        self.fleet.evacuate("north")
+        for name in ("records-north-0", "s1-north"):
+            self.fleet.restart(self.fleet.upstreams[name])
+        self.run_and_check({"central", "south"})
+
+    def test_peer_that_knows_before(self) -> None:
+        """Guards against a message that reports unsent shards as run."""
+        north = self.fleet.instances["north-0"]
+        north.evacuate("north", self.fleet.now)
+        north.evacuate("central", self.fleet.now)
+        north.evacuate("south", self.fleet.now)
+        own = self.fleet.address_of("central-0")
+        message = GatherRequest(
+            5, own, "r", "GET", "/search/x", HOST, [], b"", ["s0"], 0.2, 1.0, 0
+        )
+        actions = north.handle_peer_message(message, self.fleet.now)
+        replies = [
+            one.message
+            for one in actions
+            if isinstance(one, SendGatherMessage)
+            and isinstance(one.message, GatherReply)
+        ]
+        self.assertEqual(["s0"], replies[0].unsent)
+
+
+class EvacuatedForwarderTest(testtools.TestCase):
+    """What one instance does when an evacuation begins."""
+
+    def test_waiting_attempts_are_sent_elsewhere(self) -> None:
+        """Guards against requests that are sent once they get a connection."""
+        forwarder, actions = homes_of(route=NORTH | CENTRAL)
+        (send,) = sends_of(actions)
+        out = forwarder.evacuate("north", NOW)
+        self.assertEqual(send.attempt_id, only(out, WithdrawAttempt).attempt_id)
+        reply = ended(send, AttemptEnd.WITHDRAWN)
+        (again,) = sends_of(forwarder.replies([reply], NOW))
+        self.assertEqual("central", again.upstream.data_centre)
+
+    def test_only_home_is_evacuated(self) -> None:
+        """Guards against a request that leaves its homes instead."""
+        forwarder, _ = homes_of(route=NORTH)
+        forwarder.evacuate("north", NOW)
+        actions = forwarder.handle_request(request(2, "/fetch/x"), NOW)
+        self.assertEqual([], sends_of(actions))
+        self.assertIs(Refusal.UNSERVABLE, only(actions, RefusedAnswer).refusal)
+        decision = only(actions, Decision)
+        self.assertEqual({"records": "evacuated"}, decision.detail["missing"])
+
+    def test_change_is_logged_once(self) -> None:
+        """Guards against a line for each value that the store repeats."""
+        forwarder, _ = homes_of()
+        first = forwarder.evacuate("south", NOW)
+        self.assertEqual("evacuation_began", only(first, Decision).what)
+        self.assertEqual([], forwarder.evacuate("south", NOW))
+        last = forwarder.end_evacuation("south", NOW)
+        self.assertEqual("evacuation_ended", only(last, Decision).what)
+        self.assertEqual([], forwarder.end_evacuation("south", NOW))
+
+    def test_probes(self) -> None:
+        """Guards against an instance that waits for stopped upstreams."""
+        forwarder, _ = homes_of()
+        forwarder.evacuate("north", NOW)
+        forwarder.isolation.isolated = True
+        out: list[object] = []
+        isolation.send_probes(forwarder, NOW, out)
+        places = {one.upstream.data_centre for one in out}
+        self.assertEqual({"central", "south"}, places)
