Limit the rate of requests to cold upstreams

Cause: a cold upstream got its full share of requests from every instance, and a data centre that came back cold got all of its load at once. Change: while an upstream is cold by its announcement and its service has a maximum rate, it is treated as one that names a rate limit. Messages are unchanged. A limit that the upstream names itself binds as well.

--- a/arbutusbridge/daemon/forwarding.py
+++ b/arbutusbridge/daemon/forwarding.py
@@ -191,6 +191,8 @@
             if taken:
                 self.ingress.set_limits(configuration.bounds)
                 self.share(self.forwarder.instances)
+                now = self.timers.clock()
+                self.carry_out(self.forwarder.update_cold(now))
                 self.metrics.version.set(configuration.version)
             logger.info(
                 "routing configuration applied"
@@ -246,6 +248,8 @@
                 self.pools.retire(name)
             elif announcement.leaving:
                 self.carry_out(self.forwarder.withdraw_unsent(name))
+            if announcement.warm_up_s > 0.0:
+                self.carry_out(self.forwarder.update_cold(now))
             logger.info(
                 "upstream announced" if is_new else "upstream updated",
                 extra={
--- a/arbutusbridge/forwarding/allocation.py
+++ b/arbutusbridge/forwarding/allocation.py
@@ -14,13 +14,15 @@
 from typing import TYPE_CHECKING
 
 from arbutusbridge.core.messages import Decision
-from arbutusbridge.forwarding import limits
+from arbutusbridge.forwarding import limits, warmup
 from arbutusbridge.forwarding.gather import SendGatherMessage
 from arbutusbridge.forwarding.limitbook import ReportedDemand
 from arbutusbridge.forwarding.limitmessages import DemandNotice, ShareNotice
 from arbutusbridge.forwarding.notices import contacts
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from arbutusbridge.forwarding.gather import Peer
     from arbutusbridge.forwarding.limitmessages import TermsReport
     from arbutusbridge.forwarding.shared import SharedState
@@ -77,15 +79,37 @@
 """Change of a share from which on it is logged."""
 
 
-def rank_allocators(upstream: Upstream, shared: SharedState) -> list[Peer]:
+def divides_alone(upstream: Upstream, shared: SharedState, now: float) -> bool:
+    """Returns whether this instance is the only allocator of an upstream.
+
+    It is the first in order, and no instance that was so lately is gone. One
+    that does not hear from the store may have been replaced.
+    """
+    if now - shared.get_confirmed_at() > warmup.MAX_STORE_AGE_S:
+        return False
+    if now - shared.started_at < warmup.ALLOCATOR_HOLD_S:
+        return False
+    lately = warmup.recent_members(shared, now)
+    ranked = rank_allocators(upstream, shared, lately)
+    return ranked[0] is shared.gather.own_peer
+
+
+def rank_allocators(
+    upstream: Upstream, shared: SharedState, others: Iterable[Peer] = ()
+) -> list[Peer]:
     """Returns the instances that may allocate a limit, the first one first.
 
     These are the instances in the data centre of the upstream, which are the
     least likely to be cut off from it, or all if there is none.
+
+    Args:
+      upstream: The upstream.
+      shared: State of this instance.
+      others: Instances to rank besides those that are known now.
     """
     own = shared.gather.own_peer
     assert own is not None
-    everyone = [own, *shared.gather.peer_table.peers.values()]
+    everyone = [own, *shared.gather.peer_table.peers.values(), *others]
     place = upstream.announcement.data_centre
     near = [peer for peer in everyone if peer.data_centre == place]
     name = upstream.name
@@ -130,11 +154,13 @@
     book = shared.limits
     for name, upstream in list(book.limited.items()):
         ended_at = book.ended_at.get(name, math.inf)
-        if upstream.removed or now - ended_at > END_REPORT_S:
+        has_ended = now - ended_at > END_REPORT_S
+        if upstream.removed or (has_ended and not upstream.cold_limit):
             del book.limited[name]
             book.ended_at.pop(name, None)
             book.reported.pop(name, None)
         elif upstream.limit is not None:
+            # That of a cold one is updated with its limit.
             upstream.limit.fallback_share = limits.fallback_share(shared)
 
 
@@ -149,7 +175,7 @@
         is_idle = upstream.demand.rate(now) < IDLE_DEMAND
         if (
             is_idle
-            and upstream.limit is not None
+            and (upstream.limit or upstream.cold_limit)
             and now - last_at < IDLE_INTERVAL_S
         ):
             continue
@@ -245,13 +271,15 @@
             book.spread.discard(upstream_name)
             continue
         report = limits.build_report(upstream, now)
-        shares = divide_limit(upstream, demands, shared)
+        shares = divide_limit(upstream, demands, shared, now)
         for name, demand in demands.items():
             if demand.reply_to is None:
-                adopt_share(upstream, shares[name], own.name, now, out)
+                if shares[name] >= 0.0:
+                    adopt_share(upstream, shares[name], own.name, now, out)
             else:
                 add(demand.reply_to, report, shares[name])
-        if upstream_name not in book.spread:
+        is_named = upstream.terms.max_rate is not None
+        if is_named and upstream_name not in book.spread:
             book.spread.add(upstream_name)
             for peer in contacts(shared):
                 if peer.name not in demands:
@@ -266,12 +294,18 @@
     upstream: Upstream,
     demands: dict[str, ReportedDemand],
     shared: SharedState,
+    now: float,
 ) -> dict[str, float]:
     """Returns the share of each instance in the limit of an upstream.
 
-    Shares are proportional to demand. A low limit is divided among the few
-    instances with the greatest demand.
+    A cold one is divided by an instance that is the only one to do so, and
+    otherwise by none. Shares are proportional to demand. A low limit is divided
+    among the few instances with the greatest demand.
     """
+    if upstream.cold_limit is not None:
+        if not divides_alone(upstream, shared, now):
+            return dict.fromkeys(demands, NO_GRANT)
+        return warmup.divide(upstream, demands, shared.limits, now)
     max_rate = upstream.terms.max_rate or 0.0
     shares = dict.fromkeys(demands, 0.0)
     ordered = sorted(demands, key=lambda name: (-demands[name].rate, name))
@@ -307,11 +341,15 @@
     out: list[object],
 ) -> None:
     """Adopts the share of a limit; logs a great change."""
-    limit = upstream.limit
+    cold_limit = upstream.cold_limit
+    limit = upstream.limit or cold_limit
     if limit is None:
         return
     previous = limit.share if limit.has_grant(now) else 0.0
-    limit.grant(share, now)
+    if cold_limit is not None:
+        cold_limit.grant(share, now)
+    if limit is not cold_limit:
+        limit.grant(share, now)
     if abs(share - previous) >= LOGGED_SHARE_CHANGE:
         detail = {
             "upstream": upstream.name,
--- a/arbutusbridge/forwarding/attempts.py
+++ b/arbutusbridge/forwarding/attempts.py
@@ -196,11 +196,13 @@
         # Only a suspect is sent on a connection that shows its upstream to be
         # up.
         alive_at=now if fresh else -math.inf,
-        counted=upstream.limit is not None,
+        counted=upstream.limit is not None or upstream.cold_limit is not None,
     )
     upstream.demand.add(now)
     if upstream.limit is not None:
         upstream.limit.take(now)
+    if upstream.cold_limit is not None:
+        upstream.cold_limit.take(now)
     shared.attempts[attempt_id] = attempt
     upstream.open_attempts[attempt_id] = attempt
     part.open_attempts.append(attempt)
--- a/arbutusbridge/forwarding/forwarder.py
+++ b/arbutusbridge/forwarding/forwarder.py
@@ -28,6 +28,7 @@
     placement,
     preconnect,
     relay,
+    warmup,
 )
 from arbutusbridge.forwarding.exchange import Exchange, Part
 from arbutusbridge.forwarding.gather import (
@@ -52,6 +53,10 @@
 from arbutusbridge.forwarding.upstreams import is_restart
 
 if TYPE_CHECKING:
+    import random
+
+    from arbutusbridge.forwarding.budget import RetryBudgetLimits
+    from arbutusbridge.forwarding.choice import Locality
     from arbutusbridge.forwarding.gather import GatherMessage, Peer
     from arbutusbridge.forwarding.model import (
         Account,
@@ -94,10 +99,21 @@
     Attributes:
       final_answers_at: Time at which a planned stop answers all open requests;
         one that is due later is rejected.
+      cold_actions: Actions that announcements of cold upstreams have caused.
     """
 
     final_answers_at: float = math.inf
 
+    def __init__(
+        self,
+        place: Locality,
+        bounds: RetryBudgetLimits,
+        rng: random.Random,
+        started_at: float = 0.0,
+    ) -> None:
+        super().__init__(place, bounds, rng, started_at)
+        self.cold_actions: list[object] = []
+
     def configure(self, configuration: RoutingConfiguration) -> bool:
         """Applies a configuration and returns whether it is a newer one.
 
@@ -115,7 +131,22 @@
         Returns:
           Whether it is a new upstream.
         """
-        return self.directory.announce(announcement, now)
+        is_new = self.directory.announce(announcement, now)
+        if announcement.warm_up_s > 0.0:
+            upstream = self.directory.by_name[announcement.upstream]
+            self.limits.cold[upstream.name] = upstream
+            warmup.update_one(upstream, self, now, self.cold_actions)
+        return is_new
+
+    def update_cold(self, now: float) -> list[object]:
+        """Limits the requests to upstreams that are cold, as long as they are.
+
+        It is called after announcements and configurations, and regularly.
+        """
+        out, self.cold_actions = self.cold_actions, []
+        if self.limits.cold:
+            warmup.update(self, now, out)
+        return out
 
     def withdraw_unsent(self, upstream: str) -> list[object]:
         """Returns actions that send waiting requests elsewhere."""
@@ -344,7 +375,8 @@
 
     def maintain(self, now: float) -> list[object]:
         """Exchanges demand and shares of limits, and probes lost links."""
-        out: list[object] = []
+        out = self.update_cold(now)
+        warmup.note_members(self, now)
         allocation.exchange(self, now, out)
         isolation.probe(self, now, out)
         self.check_links(now, out)
@@ -430,8 +462,10 @@
         elif reply.end is AttemptEnd.MISDIRECTED:
             upstream.removed = True
         elif reply.end in UNSENT_ENDS:
-            if attempt.counted and upstream.limit is not None:
-                upstream.limit.give_back()
+            if attempt.counted:
+                for limit in (upstream.limit, upstream.cold_limit):
+                    if limit is not None:
+                        limit.give_back()
             if attempt.extra:
                 part = attempt.part
                 assert isinstance(part, Part)
--- a/arbutusbridge/forwarding/limitbook.py
+++ b/arbutusbridge/forwarding/limitbook.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from arbutusbridge.forwarding.gather import Peer
     from arbutusbridge.forwarding.upstreams import Upstream
 
 
@@ -42,6 +43,13 @@
       grants_due: Whether an instance has reported demand for the first time.
       spread: Upstreams whose limit all peers have been told of.
       granted_at: Time of the last grants.
+      cold: Upstreams that were announced as cold, by name.
+      cold_grants: Recent grants of this instance for cold upstreams, by
+        upstream and instance, each with its time.
+      fallbacks: Share without a grant of each cold upstream, with the peers
+        for which it was computed.
+      members: Peers at the last check.
+      departed: Peers that have left the list since, each with the time.
       return_times: Latest time at which a refused request was told to come
         back, by service.
     """
@@ -57,4 +65,13 @@
     grants_due: bool = False
     granted_at: float = -math.inf
     spread: set[str] = field(default_factory=set)
+    cold: dict[str, Upstream] = field(default_factory=dict)
+    cold_grants: dict[str, dict[str, list[tuple[float, float]]]] = field(
+        default_factory=dict
+    )
+    fallbacks: dict[str, tuple[dict[str, Peer], float]] = field(
+        default_factory=dict
+    )
+    members: dict[str, Peer] = field(default_factory=dict)
+    departed: dict[str, tuple[Peer, float]] = field(default_factory=dict)
     return_times: dict[str, float] = field(default_factory=dict)
--- a/arbutusbridge/forwarding/limits.py
+++ b/arbutusbridge/forwarding/limits.py
@@ -33,6 +33,9 @@
 MAX_RETRY_AFTER_S = 5.0
 """Maximum Retry-After delay of a request that limits hold back."""
 
+MAX_REPORT_AGE_S = 86_400.0
+"""Age that is reported of the terms of an upstream that has named none."""
+
 NO_SHARE_RETRY_AFTER_S = 0.5
 """Retry-after delay if this instance has no share of a limit; others have."""
 
@@ -115,10 +118,19 @@
     exchange: Exchange, upstream: Upstream, shared: SharedState, now: float
 ) -> float:
     """Returns when the limit of an upstream allows a request."""
-    if upstream.limit is None:
-        return now
-    reserve = reserve_for_urgent(exchange, upstream, shared)
-    return upstream.limit.ready_at(reserve, now)
+    ready = now
+    if upstream.limit is not None:
+        reserve = reserve_for_urgent(exchange, upstream, shared)
+        ready = upstream.limit.ready_at(reserve, now)
+    if upstream.cold_limit is not None and upstream.warmed_up_at > now:
+        ready = max(ready, upstream.cold_limit.ready_at(0.0, now))
+    return ready
+
+
+def current_rate(upstream: Upstream, now: float) -> float:
+    """Returns the rate that its limits leave to this instance, 0 if none."""
+    found = (upstream.limit, upstream.cold_limit)
+    return min((one.rate(now) for one in found if one), default=0.0)
 
 
 def service_ready_at(
@@ -164,9 +176,8 @@
     if math.isinf(ready):
         return NO_SHARE_RETRY_AFTER_S
     rate = sum(
-        upstream.limit.rate(now)
+        current_rate(upstream, now)
         for upstream in placement.eligible(exchange, service, shared, now)
-        if upstream.limit is not None
     )
     last = shared.limits.return_times.get(service, now)
     at = max(ready, last + 1.0 / rate if rate > 0.0 else now)
@@ -188,7 +199,7 @@
     return TermsReport(
         upstream.name,
         upstream.announcement.started_ms,
-        now - upstream.terms_as_of,
+        min(now - upstream.terms_as_of, MAX_REPORT_AGE_S),
         upstream.terms.max_rate,
     )
 
--- a/arbutusbridge/forwarding/ratelimit.py
+++ b/arbutusbridge/forwarding/ratelimit.py
@@ -62,6 +62,9 @@
       share: Granted share of the limit, 0 to 1.
       granted_at: Time of the grant.
       tokens: Requests that may be sent at once.
+      reserve: Tokens that are left to more urgent requests.
+      depth_s: Depth of the bucket above that, as a time at its rate.
+      keeps_tokens: Whether tokens stay while there is no rate.
     """
 
     max_rate: float
@@ -70,6 +73,9 @@
     share: float = 0.0
     granted_at: float = -math.inf
     tokens: float = 0.0
+    reserve: float = URGENT_RESERVE
+    depth_s: float = DEPTH_S
+    keeps_tokens: bool = True
 
     def has_grant(self, now: float) -> bool:
         """Returns whether the granted share is valid."""
@@ -84,7 +90,9 @@
         """Adds the tokens of the time that has passed."""
         rate = self.rate(now)
         elapsed_s = max(0.0, now - self.refilled_at)
-        depth = URGENT_RESERVE + max(MIN_DEPTH, rate * DEPTH_S)
+        depth = self.reserve + max(MIN_DEPTH, rate * self.depth_s)
+        if not self.keeps_tokens:
+            depth = MIN_DEPTH + rate * self.depth_s if rate > 0.0 else 0.0
         self.tokens = min(depth, self.tokens + elapsed_s * rate)
         self.refilled_at = now
 
--- a/arbutusbridge/forwarding/upstreams.py
+++ b/arbutusbridge/forwarding/upstreams.py
@@ -126,6 +126,8 @@
       terms: What it asked of the instances in its latest response.
       terms_as_of: When the request of that response was sent.
       limit: This instance's part of the limit that it names, None without one.
+      cold_limit: This instance's part of the limit while it is cold, None
+        without one.
       demand: Rate of the requests that are or would be sent to it.
     """
 
@@ -147,6 +149,7 @@
     terms: UpstreamTerms = NO_TERMS
     terms_as_of: float = -math.inf
     limit: RateLimit | None = None
+    cold_limit: RateLimit | None = None
     demand: RateMeter = field(default_factory=RateMeter)
 
     @property
