Check hedges and retries of requests with two homes

Cause: the test of searches in one home had no hedges, since no shard had a second upstream there. Change: two tests with homes in two regions, one with upstreams that hang and one with crashes, which require hedges and retries to have happened.

--- a/tests/test_forwarding/test_placement.py
+++ b/tests/test_forwarding/test_placement.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+from collections import Counter
 
 import testtools
 
@@ -49,9 +50,11 @@
     Attributes:
       delegated: Data centre of the peer and target of each request.
       evacuated: Data centres that are being evacuated.
+      decisions: Number of decisions by name.
     """
 
     def __init__(self, *args, **kwargs) -> None:
+        self.decisions: Counter[str] = Counter()
         self.delegated: list[tuple[str, str]] = []
         self.evacuated: set[str] = set()
         super().__init__(*args, **kwargs)
@@ -62,6 +65,13 @@
         for place in self.evacuated:
             self.carry_out(name, self.instances[name].evacuate(place, self.now))
 
+    def carry_out(self, name: str, actions: list) -> None:
+        """Performs the actions of an instance and counts its decisions."""
+        self.decisions.update(
+            one.what for one in actions if isinstance(one, Decision)
+        )
+        super().carry_out(name, actions)
+
     def evacuate(self, place: str) -> None:
         """Tells all instances to evacuate a data centre."""
         self.evacuated.add(place)
@@ -246,10 +256,13 @@
         kinds = fleet.outcomes(prefix)
         self.assertGreater(kinds["served"], 0.9 * sum(kinds.values()))
 
-    def run_searches(self, **fields) -> RecordingFleet:
+    def run_searches(
+        self, homes=NORTH, silent=False, **fields
+    ) -> RecordingFleet:
         """Runs searches while upstreams crash and some of them are slow."""
-        fleet = make_fleet([sharded(SHARDS, homes=NORTH)], **fields)
+        fleet = make_fleet([sharded(SHARDS, homes=homes)], **fields)
         fleet.work_range_s = (0.003, 0.08)
+        fleet.crashes_are_silent = silent
         fleet.send_series(lambda n: f"/search/{n}", 0.01, NOW + 4.0)
         for number in range(2):
             down = fleet.upstreams[f"s{number}-north"]
@@ -257,12 +270,32 @@
         fleet.run_until(NOW + 8.0)
         return fleet
 
-    def test_canaries_hedges_retries_and_delegated_shards(self) -> None:
+    def test_canaries_and_delegated_shards(self) -> None:
         """Guards against any attempt or message to another region."""
         fleet = self.run_searches()
         self.check_stays(fleet, "/search/", "north")
         self.assertEqual({"north"}, fleet.delegated_places("/search/"))
 
+    def check_two_homes(self, fleet: RecordingFleet) -> None:
+        """Checks that the third region got nothing."""
+        for found in (
+            fleet.served_places("/search/"),
+            fleet.delegated_places("/search/"),
+        ):
+            self.assertEqual({"north", "central"}, found)
+
+    def test_hedges(self) -> None:
+        """Guards against hedges outside the homes of upstreams that hang."""
+        fleet = self.run_searches(NORTH | CENTRAL, silent=True)
+        self.assertGreater(fleet.decisions["hedge"], 0)
+        self.check_two_homes(fleet)
+
+    def test_retries(self) -> None:
+        """Guards against retries outside the homes after a crash."""
+        fleet = self.run_searches(NORTH | CENTRAL)
+        self.assertGreater(fleet.decisions["retry"], 0)
+        self.check_two_homes(fleet)
+
     def test_wide_searches(self) -> None:
         """Guards against helpers outside the homes."""
         fleet = self.run_searches(
