--- a/arbutusbridge/forwarding/attempts.py
+++ b/arbutusbridge/forwarding/attempts.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from arbutusbridge.core.messages import Decision
-from arbutusbridge.forwarding import isolation, limits
+from arbutusbridge.forwarding import isolation, limits, placement
 from arbutusbridge.forwarding.choice import pick_cheapest
 from arbutusbridge.forwarding.leaving import latest_send
 from arbutusbridge.forwarding.messages import (
@@ -149,7 +149,7 @@
     allows another one. An upstream whose rate limit does not allow a request
     now is left out.
     """
-    usable = shared.directory.usable(part.service, now)
+    usable = placement.eligible(exchange, part.service, shared, now)
     if shared.limits.limited and not ignore_limits:
         usable = [
             candidate
@@ -204,11 +204,13 @@
         # Only a suspect is sent on a connection that shows its upstream to be
         # up.
         alive_at=now if fresh else -math.inf,
-        counted=upstream.limit is not None,
+        counted=upstream.limit is not None or upstream.cold_limit is not None,
     )
     upstream.demand.add(now)
     if upstream.limit is not None:
         upstream.limit.take(now)
+    if upstream.cold_limit is not None:
+        upstream.cold_limit.take(now)
     shared.attempts[attempt_id] = attempt
     upstream.open_attempts[attempt_id] = attempt
     part.open_attempts.append(attempt)
--- a/arbutusbridge/forwarding/division.py
+++ b/arbutusbridge/forwarding/division.py
@@ -90,7 +90,7 @@
     shards: int,
     held: int,
     now: float,
-    accepts: Callable[[Peer], bool] = lambda _peer: True,
+    accepts: Callable[[Peer], bool] | None = None,
 ) -> list[Peer]:
     """Returns the instances that query a number of shards for this one.
 
@@ -105,8 +105,8 @@
       shards: Shards to query.
       held: Shards that the data centre holds.
       now: The time.
-      accepts: Returns whether a peer may get the request. The teams do not
-        depend on it, so that all instances form the same ones.
+      accepts: Returns whether an instance may be sent the request, None if all
+        may. It does not change the teams.
     """
     if not peers or not shards:
         return []
@@ -116,7 +116,7 @@
         peer
         for team in teams[own_team:] + teams[:own_team]
         for peer in team
-        if peer.is_available(now) and accepts(peer)
+        if peer.is_available(now) and (accepts is None or accepts(peer))
     ]
     return select_members(queue, shards)
 
--- a/arbutusbridge/forwarding/forwarder.py
+++ b/arbutusbridge/forwarding/forwarder.py
@@ -25,8 +25,10 @@
     notices,
     pauses,
     peermessages,
+    placement,
     preconnect,
     relay,
+    warmup,
 )
 from arbutusbridge.forwarding.accounts import explain_refusal, find_homes
 from arbutusbridge.forwarding.exchange import Exchange, Part
@@ -53,6 +55,10 @@
 from arbutusbridge.forwarding.upstreams import is_restart
 
 if TYPE_CHECKING:
+    import random
+
+    from arbutusbridge.forwarding.budget import RetryBudgetLimits
+    from arbutusbridge.forwarding.choice import Locality
     from arbutusbridge.forwarding.gather import GatherMessage, Peer
     from arbutusbridge.forwarding.model import (
         Announcement,
@@ -93,10 +99,21 @@
     Attributes:
       final_answers_at: Time at which a planned stop answers all open requests;
         one that is due later is rejected.
+      cold_actions: Actions that announcements of cold upstreams have caused.
     """
 
     final_answers_at: float = math.inf
 
+    def __init__(
+        self,
+        place: Locality,
+        bounds: RetryBudgetLimits,
+        rng: random.Random,
+        started_at: float = 0.0,
+    ) -> None:
+        super().__init__(place, bounds, rng, started_at)
+        self.cold_actions: list[object] = []
+
     def configure(self, configuration: RoutingConfiguration) -> bool:
         """Applies a configuration and returns whether it is a newer one.
 
@@ -114,7 +131,22 @@
         Returns:
           Whether it is a new upstream.
         """
-        return self.directory.announce(announcement, now)
+        is_new = self.directory.announce(announcement, now)
+        if announcement.warm_up_s > 0.0:
+            upstream = self.directory.by_name[announcement.upstream]
+            self.limits.cold[upstream.name] = upstream
+            warmup.update_one(upstream, self, now, self.cold_actions)
+        return is_new
+
+    def update_cold(self, now: float) -> list[object]:
+        """Limits the requests to upstreams that are cold, as long as they are.
+
+        It is called after announcements and configurations, and regularly.
+        """
+        out, self.cold_actions = self.cold_actions, []
+        if self.limits.cold:
+            warmup.update(self, now, out)
+        return out
 
     def withdraw_unsent(self, upstream: str) -> list[object]:
         """Returns actions that send waiting requests elsewhere."""
@@ -122,6 +154,22 @@
         leaving.withdraw_unsent(self.directory.by_name[upstream], out)
         return out
 
+    def evacuate(self, data_centre: str, now: float) -> list[object]:
+        """Sends nothing more to the upstreams of a data centre.
+
+        Requests that wait for a connection to one are sent elsewhere; those
+        that run there are completed.
+        """
+        out: list[object] = []
+        placement.evacuate(data_centre, self, now, out)
+        return out
+
+    def end_evacuation(self, data_centre: str, now: float) -> list[object]:
+        """Uses the upstreams of a data centre again."""
+        out: list[object] = []
+        placement.end_evacuation(data_centre, self, now, out)
+        return out
+
     def withdraw(self, upstream: str) -> None:
         """Removes an upstream whose announcement was removed."""
         self.directory.remove(upstream)
@@ -329,7 +377,8 @@
 
     def maintain(self, now: float) -> list[object]:
         """Exchanges demand and shares of limits, and probes lost links."""
-        out: list[object] = []
+        out = self.update_cold(now)
+        warmup.note_members(self, now)
         allocation.exchange(self, now, out)
         isolation.probe(self, now, out)
         self.check_links(now, out)
@@ -415,8 +464,10 @@
         elif reply.end is AttemptEnd.MISDIRECTED:
             upstream.removed = True
         elif reply.end in UNSENT_ENDS:
-            if attempt.counted and upstream.limit is not None:
-                upstream.limit.give_back()
+            if attempt.counted:
+                for limit in (upstream.limit, upstream.cold_limit):
+                    if limit is not None:
+                        limit.give_back()
             if attempt.extra:
                 part = attempt.part
                 assert isinstance(part, Part)
--- a/arbutusbridge/forwarding/gather.py
+++ b/arbutusbridge/forwarding/gather.py
@@ -458,8 +458,8 @@
         Args:
           data_centre: The data centre.
           now: The time.
-          rng: Source of the choice.
-          accepts: Returns whether a peer may get the request.
+          rng: Source of random numbers.
+          accepts: Returns whether a peer may be sent the request.
         """
         available = [
             peer
--- a/arbutusbridge/forwarding/relay.py
+++ b/arbutusbridge/forwarding/relay.py
@@ -41,7 +41,7 @@
         return False
     exchange.relayed = True
     for part in exchange.parts:
-        if not shared.directory.usable(part.service, now):
+        if not placement.eligible(exchange, part.service, shared, now):
             part.given_up = True
     if exchange.is_sufficient(exchange.attainable):
         relay_parts(exchange, exchange.pending_parts, shared, now, out)
@@ -137,7 +137,7 @@
         )
     remaining = [part for part in parts if not part.given_up]
     while remaining:
-        place, chosen = choose_place(remaining, peers, shared, now)
+        place, chosen = choose_place(exchange, remaining, peers, shared, now)
         remaining = [part for part in remaining if part not in chosen]
         members = [peer for peer in peers if peer.data_centre == place]
         for peer, share in divide(chosen, members, shared, now):
@@ -152,7 +152,11 @@
 
 
 def choose_place(
-    parts: list[Part], peers: list[Peer], shared: SharedState, now: float
+    exchange: Exchange,
+    parts: list[Part],
+    peers: list[Peer],
+    shared: SharedState,
+    now: float,
 ) -> tuple[str, list[Part]]:
     """Returns the data centre whose peers are sent parts, and these parts.
 
@@ -162,7 +166,7 @@
     places = {peer.data_centre for peer in peers}
     held = []
     for part in parts:
-        usable = shared.directory.usable(part.service, now)
+        usable = placement.eligible(exchange, part.service, shared, now)
         holding = {one.announcement.data_centre for one in usable} & places
         if holding:
             held.append((part, holding))
