--- a/arbutusbridge/cmd/soak.py
+++ b/arbutusbridge/cmd/soak.py
@@ -20,6 +20,7 @@
     large: bool = False,
     other_build: Path | None = None,
     invalid_statuses: bool = False,
+    evacuate: bool = False,
 ) -> int:
     """Run deployments of real instances under faults, one for each seed.
 
@@ -34,6 +35,7 @@
         run side by side, with updates and roll-backs as further faults.
       invalid_statuses: Let upstreams send statuses that HTTP does not have, as
         further faults.
+      evacuate: Evacuate a data centre during the faults of each run.
 
     Returns:
       0 if every guarantee held, 1 if not, 2 for wrong usage.
@@ -65,6 +67,7 @@
                 shape,
                 other_build,
                 invalid_statuses,
+                evacuate,
             )
         report(result)
         held = held and not result.breaches
--- a/arbutusbridge/soak/environment.py
+++ b/arbutusbridge/soak/environment.py
@@ -24,6 +24,7 @@
 )
 from arbutusbridge.platform.documents import (
     CONFIGURATION_KEY,
+    EVACUATIONS_PREFIX,
     UPSTREAMS_PREFIX,
 )
 from arbutusbridge.platform.standins import (
@@ -138,6 +139,7 @@
         upstreams say of themselves.
       account_rng: Random numbers for accounts.
       accounts: Accounts of the next version, None for none.
+      evacuation_rng: Random numbers for evacuations of data centres.
       announced: Number of announcements written so far.
       cut_off: Instances that are cut off from all upstreams.
       version: Version of the configuration published last.
@@ -177,6 +179,7 @@
         self.platform_rng = random.Random(f"platform {seed}")
         self.account_rng = random.Random(f"accounts {seed}")
         self.accounts: tuple[Account, ...] | None = None
+        self.evacuation_rng = random.Random(f"evacuation {seed}")
         self.poller = EPoll().register(self)
         self.timers = TimerService().register(self)
         self.hub = SocketHub().register(self)
@@ -257,6 +260,7 @@
             upstream.announcement, address=proxy.address, started_ms=self.born
         )
         self.upstreams[slot] = upstream
+        self.record.places[upstream.announcement.upstream] = data_centre
         self.announce(upstream.announcement)
 
     def on_crash(self, upstream: UpstreamStandIn, run: UpstreamRun) -> None:
@@ -381,6 +385,12 @@
         self.store.put(CONFIGURATION_KEY, encode_configuration(configuration))
         for upstream in self.upstreams.values():
             self.announce(upstream.announcement)
+        for evacuation in self.record.evacuations:
+            if math.isinf(evacuation.until):
+                key = EVACUATIONS_PREFIX + evacuation.data_centre
+                self.store.put(key, b"")
+            else:
+                self.store.delete(EVACUATIONS_PREFIX + evacuation.data_centre)
 
     def add_proxy(
         self, kind: str, target: str, forward_address: tuple[str, int]
--- a/arbutusbridge/soak/run.py
+++ b/arbutusbridge/soak/run.py
@@ -89,6 +89,7 @@
     shape: SoakShape | None = None,
     other_build: Path | None = None,
     invalid_statuses: bool = False,
+    evacuates: bool = False,
 ) -> SoakResult:
     """Runs one deployment under faults.
 
@@ -102,6 +103,7 @@
       other_build: Folder that holds the package of another build. Half of the
         instances start with it, and some are updated or rolled back.
       invalid_statuses: Whether upstreams send invalid statuses at times.
+      evacuates: Whether a data centre is evacuated during the faults.
     """
     if shape is None:
         shape = random.Random(seed).choice(SHAPES)
@@ -112,7 +114,7 @@
 
     def begin_faults() -> None:
         planned_faults.extend(
-            faults.plan(environment, fault_count, fault_window_s)
+            faults.plan(environment, fault_count, fault_window_s, evacuates)
         )
         environment.schedule(fault_window_s + OBSERVATION_TAIL_S, finish)
 
