Decide which fraction of the work leaves a data centre

Cause: traffic to another region costs a fixed 30 ms in the choice of an upstream, whatever the load, and shards held in the own region never leave it. A data centre whose own servers are too few has no way out.

Change: OverflowState holds smoothed delays beyond the reply time without load, the occupancy of the upstreams, and a fraction per data centre and route. overflow.update moves the fractions, overflow.choose decides for one request. Nothing calls them yet. The state is in overflowstate.py, since shared.py may not import a module that refers to SharedState.

--- a/arbutusbridge/forwarding/exchange.py
+++ b/arbutusbridge/forwarding/exchange.py
@@ -126,6 +126,8 @@
         it is sent from here.
       account: Client account of the caller, None without one.
       homes: Regions that may run the request, None for all.
+      destinations: Data centre that its work was sent to, by the one that it
+        goes to without overflow.
     """
 
     request: CallerRequest
@@ -154,6 +156,7 @@
     canary_group: DelegatedGroup | None = None
     account: Account | None = None
     homes: frozenset[str] | None = None
+    destinations: dict[str, str] = field(default_factory=dict)
 
     @property
     def urgency(self) -> int:
--- a/arbutusbridge/forwarding/shared.py
+++ b/arbutusbridge/forwarding/shared.py
@@ -23,6 +23,7 @@
 from arbutusbridge.forwarding.gather import Peer, PeerTable
 from arbutusbridge.forwarding.isolationstate import IsolationState
 from arbutusbridge.forwarding.limitbook import LimitBook
+from arbutusbridge.forwarding.overflowstate import OverflowState
 from arbutusbridge.forwarding.upstreams import ReplyTimes, UpstreamDirectory
 
 if TYPE_CHECKING:
@@ -103,6 +104,7 @@
       newly_quarantined: Fingerprints whose open requests are to be ended.
       limits: Rate limits of upstreams.
       isolation: Whether this instance is cut off from all upstreams.
+      overflow: Delays at the data centres, and what is sent away from them.
       seed_addresses: Addresses of possible peers while none is known.
     """
 
@@ -138,6 +140,7 @@
         self.newly_quarantined: list[str] = []
         self.limits = LimitBook()
         self.isolation = IsolationState(started_at)
+        self.overflow = OverflowState()
         self.seed_addresses: list[tuple[str, int]] = []
 
     def count(self, what: str) -> None:
