--- a/arbutusbridge/forwarding/attempts.py
+++ b/arbutusbridge/forwarding/attempts.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from arbutusbridge.core.messages import Decision
-from arbutusbridge.forwarding import isolation, limits
+from arbutusbridge.forwarding import isolation, limits, overflowrouting
 from arbutusbridge.forwarding.choice import pick_cheapest
 from arbutusbridge.forwarding.leaving import latest_send
 from arbutusbridge.forwarding.messages import (
@@ -157,9 +157,14 @@
     tried_before = part.asked or part.asked_by_peers > 1
     if tried_before and asked >= exchange.route.most_upstreams:
         untried = []
+    candidates = untried or [
+        candidate for candidate in options if candidate in part.asked
+    ]
+    candidates = overflowrouting.limit_upstreams(
+        exchange, part, candidates, shared, now
+    )
     return pick_cheapest(
-        untried
-        or [candidate for candidate in options if candidate in part.asked],
+        candidates,
         exchange.route,
         shared.reply_times,
         shared.place,
--- a/arbutusbridge/forwarding/delegation.py
+++ b/arbutusbridge/forwarding/delegation.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 from arbutusbridge.core.messages import Decision
-from arbutusbridge.forwarding import attempts, division
+from arbutusbridge.forwarding import attempts, division, overflowrouting
 from arbutusbridge.forwarding.exchange import DelegatedGroup, Exchange, Part
 from arbutusbridge.forwarding.gather import (
     MIN_GROUP_SHARDS,
@@ -57,6 +57,7 @@
     if shared.gather.own_peer is None or exchange.peer_request is not None:
         return
     near, far = split_by_region(parts, shared, now)
+    near, far = overflowrouting.move_shards(exchange, near, far, shared, now)
     own = shared.gather.own_peer
     if division.is_wide(len(near), own.capacity):
         delegate_to_helpers(exchange, near, shared, now, out)
@@ -100,6 +101,7 @@
     if own is None or exchange.peer_request is not None:
         return None
     near, far = split_by_region(parts, shared, now)
+    near, far = overflowrouting.move_shards(exchange, near, far, shared, now)
     held = near or far
     if not division.is_wide(len(held), own.capacity):
         return None
@@ -110,7 +112,8 @@
         part for part, data_centres in held if data_centre in data_centres
     ]
     helpers = find_helpers(data_centre, len(shards), shared, now)
-    shares = division.divide_by_capacity(shards, helpers) if helpers else []
+    weights = overflowrouting.weigh_helpers(helpers, shared, now)
+    shares = division.divide_by_capacity(shards, helpers, weights)
     if not shares or own in helpers:
         return None
     peer, share = shared.rng.choice(shares)
@@ -190,7 +193,8 @@
         ]
         held = [one for one in held if data_centre not in one[1]]
         helpers = find_helpers(data_centre, len(parts), shared, now)
-        for peer, share in division.divide_by_capacity(parts, helpers):
+        weights = overflowrouting.weigh_helpers(helpers, shared, now)
+        for peer, share in division.divide_by_capacity(parts, helpers, weights):
             if peer is not own:
                 send_to_peer(exchange, peer, share, shared, now, out)
 
@@ -333,6 +337,7 @@
         if group.check_at <= now:
             group.peer.silent(now)
             why = NO_REPLY if group.acknowledged else SILENT
+            overflowrouting.observe_silence(group, shared, now)
             give_up(group, why, shared, now, out)
 
 
--- a/arbutusbridge/forwarding/division.py
+++ b/arbutusbridge/forwarding/division.py
@@ -165,18 +165,27 @@
 
 
 def divide_by_capacity(
-    items: Sequence[T], helpers: Sequence[Peer]
+    items: Sequence[T],
+    helpers: Sequence[Peer],
+    capacities: Sequence[float] | None = None,
 ) -> list[tuple[Peer, list[T]]]:
     """Divides items among instances in proportion to their CPU capacity.
 
     The order is kept, so that a shard mostly stays with the same instance.
+
+    Args:
+      items: The items.
+      helpers: The instances.
+      capacities: Capacity of each, by default the one that it announces.
     """
-    total = sum(peer.capacity for peer in helpers)
+    if capacities is None:
+        capacities = [peer.capacity for peer in helpers]
+    total = sum(capacities)
     shares = []
     first = 0
     cumulative = 0.0
-    for peer in helpers:
-        cumulative += peer.capacity
+    for peer, capacity in zip(helpers, capacities, strict=True):
+        cumulative += capacity
         end = round(len(items) * cumulative / total)
         if end > first:
             shares.append((peer, list(items[first:end])))
--- a/arbutusbridge/forwarding/forwarder.py
+++ b/arbutusbridge/forwarding/forwarder.py
@@ -23,6 +23,8 @@
     limits,
     losses,
     notices,
+    overflow,
+    overflowrouting,
     pauses,
     peermessages,
     preconnect,
@@ -326,10 +328,14 @@
         return out
 
     def maintain(self, now: float) -> list[object]:
-        """Exchanges demand and shares of limits, and probes lost links."""
+        """Exchanges demand and shares of limits, and probes lost links.
+
+        The fractions that are sent to other data centres are updated as well.
+        """
         out: list[object] = []
         allocation.exchange(self, now, out)
         isolation.probe(self, now, out)
+        overflow.update(self, now, out)
         self.check_links(now, out)
         return out
 
@@ -403,6 +409,7 @@
             request_id = exchange.request.request_id
             pauses.learn_pause(upstream, reply.pause_s, request_id, now, out)
         upstream.record_outcome(attempt, reply.end, now)
+        overflowrouting.observe_attempt(exchange, attempt, reply, self, now)
         if reply.end is AttemptEnd.LOST and not attempt.dropped:
             out.append(build_loss_decision(attempt, exchange, reply, now))
         if reply.end is AttemptEnd.RESULT:
--- a/arbutusbridge/forwarding/gather.py
+++ b/arbutusbridge/forwarding/gather.py
@@ -161,10 +161,16 @@
       gather_id: Id of the request.
       declined: Why another instance has to query the shards, None if the peer
         does.
+      lag_ms: Smoothed lag of the peer's timers; 0 also if it does not tell,
+        because overflow is off there.
+      occupancy: Requests per slot of the upstreams in its data centre, None if
+        it is not known.
     """
 
     gather_id: int
     declined: DeclineReason | None = None
+    lag_ms: int = 0
+    occupancy: float | None = None
 
 
 @dataclass(slots=True)
--- a/arbutusbridge/forwarding/peermessages.py
+++ b/arbutusbridge/forwarding/peermessages.py
@@ -14,6 +14,7 @@
     canaries,
     delegation,
     notices,
+    overflowrouting,
     peerreplies,
 )
 from arbutusbridge.forwarding.conclusion import abandon, conclude_or_set_timer
@@ -57,6 +58,7 @@
     group = shared.gather.groups.get(message.gather_id)
     if group is None or group.acknowledged:
         return
+    overflowrouting.observe_ack(message, group, shared, now)
     if message.declined is not None:
         # A peer that declines has sent nothing to upstreams.
         exclusion_s = DECLINE_EXCLUSIONS_S[message.declined]
@@ -105,6 +107,7 @@
         request_id = exchange.request.request_id
         out.append(Decision(request_id, "peer_reply_ignored", detail))
         return
+    overflowrouting.observe_group(message, group, shared, now)
     group.replied_at = now
     group.covered = len(message.stamps)
     if message.is_final:
@@ -222,8 +225,8 @@
     gather = shared.gather
     table = shared.table
     route = table.find(message.host, message.target) if table else None
-    taken = GatherAck(
-        message.gather_id, find_decline_reason(message, route, shared)
+    taken = overflowrouting.build_ack(
+        message, find_decline_reason(message, route, shared), shared, now
     )
     out.append(SendGatherMessage(message.reply_to, taken))
     if taken.declined is not None:
