--- a/arbutusbridge/daemon/forwardinstance.py
+++ b/arbutusbridge/daemon/forwardinstance.py
@@ -128,6 +128,9 @@
             wire,
             self.metrics,
         ).register(self)
+        self.forwarding.forwarder.overflow.configure(
+            settings.overflow.max_fraction
+        )
         self.ingress = Ingress(
             (settings.callers.ip, settings.callers.port),
             self.hub,
@@ -325,6 +328,9 @@
         self.forwarding.forwarder.set_budget_limits(
             build_retry_budget_limits(settings)
         )
+        self.forwarding.forwarder.overflow.configure(
+            settings.overflow.max_fraction
+        )
         logger.notice("settings reloaded", extra={"instance": settings.name})
 
     def status(self) -> dict[str, Any]:
--- a/arbutusbridge/settings/forwarding.py
+++ b/arbutusbridge/settings/forwarding.py
@@ -63,6 +63,17 @@
     speed: float = Field(default=1.0, gt=0, le=1024)
 
 
+class OverflowSettings(StrictModel):
+    """Work that may be sent to another data centre.
+
+    Attributes:
+      max_fraction: Maximum fraction of the requests that is sent away from a
+        data centre; 0 switches it off.
+    """
+
+    max_fraction: float = Field(default=0.0, ge=0, le=1)
+
+
 class ForwardSettings(StrictModel):
     """Settings file of one forwarding instance.
 
@@ -88,6 +99,8 @@
       extras: Bounds on retries and hedges.
       processor: Processor time that it may use. Peers divide requests to many
         shards among each other in proportion to it.
+      overflow: Work that may be sent to another data centre while the usual
+        one is too slow.
       log_level: Lowest level that is logged.
     """
 
@@ -106,6 +119,7 @@
     balancer_lag_seconds: float = Field(default=2.5, ge=0, le=60)
     extras: RetryBudgetSettings = RetryBudgetSettings()
     processor: ProcessorSettings = ProcessorSettings()
+    overflow: OverflowSettings = OverflowSettings()
     log_level: Literal["debug", "info", "notice", "warning", "error"] = "info"
 
     @property
