Show the fractions that are sent to other data centres

Cause: an operator cannot see which data centre sends work away, and whether callers are served by another one.

Change: a gauge of the fraction by data centre, and a counter of the requests whose work was sent away.

--- a/arbutusbridge/daemon/forwardinstance.py
+++ b/arbutusbridge/daemon/forwardinstance.py
@@ -390,6 +390,7 @@
         now = self.timers.clock()
         metrics.response_age.set(now - forwarder.isolation.responded_at)
         metrics.limited.set(count_limited(forwarder))
+        metrics.set_overflow(forwarder.overflow.fractions())
         metrics.store_age.set(now - self.feed.last_confirmed_at)
 
     @handler("exception", channel="*")
--- a/arbutusbridge/daemon/forwardmetrics.py
+++ b/arbutusbridge/daemon/forwardmetrics.py
@@ -119,6 +119,19 @@
             "Upstreams that name a limit for the rate of requests.",
             registry=self.registry,
         )
+        self.overflowed = self.counter(
+            "forward_overflowed",
+            "Requests of which work was sent to another data centre, because "
+            "the usual one was too slow.",
+            ["work"],
+        )
+        self.overflow_fraction = Gauge(
+            "arbutusbridge_forward_overflow_fraction",
+            "Fraction of the requests that is sent away, by the data centre "
+            "that they usually go to.",
+            ["data_centre"],
+            registry=self.registry,
+        )
         self.response_age = Gauge(
             "arbutusbridge_forward_response_age_seconds",
             "Time since any upstream last responded.",
@@ -130,12 +143,19 @@
             registry=self.registry,
         )
 
+    def set_overflow(self, fractions: dict[str, float]) -> None:
+        """Sets the fractions that are sent away, by data centre."""
+        self.overflow_fraction.clear()
+        for data_centre, fraction in fractions.items():
+            self.overflow_fraction.labels(data_centre).set(fraction)
+
     def sync_decision_count(self, what: str, count: int) -> None:
         """Sets the total of the decisions that are not logged one by one."""
         for prefix, counter in (
             ("limit_", self.held_back),
             ("relay_", self.relays),
             ("declined_", self.declined),
+            ("overflow_", self.overflowed),
         ):
             if what.startswith(prefix):
                 label = what.removeprefix(prefix)
