Leave the own lag out of what overflow observes

Cause: a busy instance reads all replies and acknowledgements late.

Requests without shards that are not sent away keep the choice by expected cost. Observations have a module of their own, overflowevidence.py.

--- a/arbutusbridge/forwarding/delegation.py
+++ b/arbutusbridge/forwarding/delegation.py
@@ -7,7 +7,12 @@
 from typing import TYPE_CHECKING
 
 from arbutusbridge.core.messages import Decision
-from arbutusbridge.forwarding import attempts, division, overflowrouting
+from arbutusbridge.forwarding import (
+    attempts,
+    division,
+    overflowevidence,
+    overflowrouting,
+)
 from arbutusbridge.forwarding.exchange import DelegatedGroup, Exchange, Part
 from arbutusbridge.forwarding.gather import (
     MIN_GROUP_SHARDS,
@@ -337,7 +342,7 @@
         if group.check_at <= now:
             group.peer.silent(now)
             why = NO_REPLY if group.acknowledged else SILENT
-            overflowrouting.observe_silence(group, shared, now)
+            overflowevidence.observe_silence(group, shared, now)
             give_up(group, why, shared, now, out)
 
 
--- a/arbutusbridge/forwarding/forwarder.py
+++ b/arbutusbridge/forwarding/forwarder.py
@@ -24,7 +24,7 @@
     losses,
     notices,
     overflow,
-    overflowrouting,
+    overflowevidence,
     pauses,
     peermessages,
     preconnect,
@@ -409,7 +409,7 @@
             request_id = exchange.request.request_id
             pauses.learn_pause(upstream, reply.pause_s, request_id, now, out)
         upstream.record_outcome(attempt, reply.end, now)
-        overflowrouting.observe_attempt(exchange, attempt, reply, self, now)
+        overflowevidence.observe_attempt(exchange, attempt, reply, self, now)
         if reply.end is AttemptEnd.LOST and not attempt.dropped:
             out.append(build_loss_decision(attempt, exchange, reply, now))
         if reply.end is AttemptEnd.RESULT:
@@ -438,6 +438,7 @@
         if exchange.peer_request is not None and lag > BUSY_LAG_THRESHOLD_S:
             attempts.postpone_checks(exchange, now)
         self.lag_s += (lag - self.lag_s) * LAG_WEIGHT
+        overflowevidence.observe_lag(lag, self, now)
         delegation.check_groups(exchange, self, now, out)
         relay.relay_due_parts(exchange, self, now, out)
         attempts.check_parts(exchange, self, now, out)
--- a/arbutusbridge/forwarding/overflow.py
+++ b/arbutusbridge/forwarding/overflow.py
@@ -53,6 +53,9 @@
 """Round trip to another data centre of the own region; they are 0.5 to 0.9 ms
 apart one way."""
 
+MAX_LAG_S = 0.1
+"""Maximum lag that is counted; a longer one is a pause of the process."""
+
 REQUEST_MEMORY_S = 30.0
 """Time after its last request in which a fraction is kept up to date."""
 
@@ -70,8 +73,8 @@
         return 0.0
     if place.is_in_own_region(data_centre):
         return OWN_REGION_ROUND_TRIP_S
-    measured_s = shared.gather.peer_table.ack_times.get(data_centre)
-    return OTHER_REGION_ROUND_TRIP_S if measured_s is None else measured_s
+    measured = shared.overflow.round_trips.get(data_centre)
+    return OTHER_REGION_ROUND_TRIP_S if measured is None else measured.low_s
 
 
 def expected_gain(
@@ -190,6 +193,11 @@
     # The timer that calls this may be a little early.
     if not state.is_on or now - state.updated_at < 0.9 * UPDATE_INTERVAL_S:
         return
+    if state.updated_at > -math.inf:
+        # The timers of requests rarely become due while nothing is late, so
+        # that they do not show the end of a lag.
+        late_s = now - state.updated_at - UPDATE_INTERVAL_S
+        state.own_lag.add(min(max(late_s, 0.0), MAX_LAG_S), now)
     state.updated_at = now
     for key, outflow in list(state.outflows.items()):
         origin, route = key
--- a/arbutusbridge/forwarding/overflowstate.py
+++ b/arbutusbridge/forwarding/overflowstate.py
@@ -5,13 +5,15 @@
 import enum
 import math
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeVar
 
 if TYPE_CHECKING:
     from collections.abc import Collection
 
     from arbutusbridge.forwarding.model import Route
 
+K = TypeVar("K")
+
 UPDATE_INTERVAL_S = 0.25
 """Interval at which fractions change."""
 
@@ -28,6 +30,10 @@
 """Maximum weight of one observation, so that a single slow reply at an instance
 with few requests sends nothing away."""
 
+NORMAL_LAG_S = 0.02
+"""Lag up to which a helper gets its whole share; a busy instance checks its
+messages before it sends more from this lag on."""
+
 MEAN_WEIGHT = 0.1
 """Weight of one reply time in the mean that a baseline follows."""
 
@@ -77,11 +83,11 @@
 
 @dataclass(slots=True)
 class Baseline:
-    """Reply time without load, in seconds.
+    """Time without load, in seconds.
 
     Attributes:
-      mean_s: Smoothed reply time.
-      low_s: Lowest smoothed reply time, which rises slowly.
+      mean_s: Smoothed time.
+      low_s: Lowest smoothed time, which rises slowly.
       updated_at: When it was last updated.
     """
 
@@ -90,7 +96,7 @@
     updated_at: float
 
     def add(self, seconds: float, now: float) -> None:
-        """Adds a reply time."""
+        """Adds a time."""
         self.mean_s += (seconds - self.mean_s) * MEAN_WEIGHT
         elapsed_s = now - self.updated_at
         self.updated_at = now
@@ -99,6 +105,17 @@
         self.low_s = min(self.low_s, self.mean_s)
 
 
+def add_to_baseline(
+    baselines: dict[K, Baseline], key: K, seconds: float, now: float
+) -> None:
+    """Adds a time to a baseline, which starts with the first one."""
+    known = baselines.get(key)
+    if known is None:
+        baselines[key] = Baseline(seconds, seconds, now)
+    else:
+        known.add(seconds, now)
+
+
 @dataclass(slots=True)
 class Outflow:
     """Work of one route that a data centre would get, and its fraction.
@@ -144,9 +161,11 @@
       max_fraction: Maximum fraction; 0 switches overflow off.
       signals: Delays by data centre and source, beyond the baseline.
       baselines: Reply times without load, by source, route and data centre.
+      round_trips: Time to the acknowledgements of helpers, by data centre.
       outflows: Fractions by data centre and route.
       occupancies: Running and waiting requests per slot of the upstreams, by
         data centre.
+      own_lag: Lag of the timers of this instance.
       helper_lags: Lag that helpers reported, by name.
       updated_at: When the fractions were last updated.
     """
@@ -156,8 +175,10 @@
     baselines: dict[tuple[Source, str, str], Baseline] = field(
         default_factory=dict
     )
+    round_trips: dict[str, Baseline] = field(default_factory=dict)
     outflows: dict[tuple[str, str], Outflow] = field(default_factory=dict)
     occupancies: dict[str, Signal] = field(default_factory=dict)
+    own_lag: Signal = field(default_factory=Signal)
     helper_lags: dict[str, Signal] = field(default_factory=dict)
     updated_at: float = -math.inf
 
@@ -172,6 +193,7 @@
         if not self.is_on:
             self.signals.clear()
             self.baselines.clear()
+            self.round_trips.clear()
             self.outflows.clear()
             self.occupancies.clear()
             self.helper_lags.clear()
@@ -216,11 +238,7 @@
     ) -> None:
         """Updates the reply time without load with a reply time."""
         key = (source, route.name, data_centre)
-        known = self.baselines.get(key)
-        if known is None:
-            self.baselines[key] = Baseline(seconds, seconds, now)
-        else:
-            known.add(seconds, now)
+        add_to_baseline(self.baselines, key, seconds, now)
 
     def delay(self, data_centre: str, now: float) -> float | None:
         """Returns the delay at a data centre, None without a recent one.
@@ -236,6 +254,10 @@
         ]
         return max(fresh, default=None)
 
+    def lag(self, now: float) -> float:
+        """Returns the lag of this instance, in seconds."""
+        return self.own_lag.value if self.own_lag.is_fresh(now) else 0.0
+
     def occupancy(self, data_centre: str, now: float) -> float | None:
         """Returns the requests per slot, None without a recent report."""
         signal = self.occupancies.get(data_centre)
@@ -272,6 +294,16 @@
                 outflow.fraction /= 2
                 outflow.halved_at = now
 
+    def destinations(self) -> list[str]:
+        """Returns the data centres that work may be sent away to."""
+        found = {
+            option
+            for outflow in self.outflows.values()
+            if outflow.fraction > 0
+            for option in outflow.options
+        }
+        return sorted(found)
+
     def fractions(self) -> dict[str, float]:
         """Returns the greatest fraction of any route by data centre."""
         found: dict[str, float] = {}
--- a/arbutusbridge/forwarding/peermessages.py
+++ b/arbutusbridge/forwarding/peermessages.py
@@ -14,7 +14,7 @@
     canaries,
     delegation,
     notices,
-    overflowrouting,
+    overflowevidence,
     peerreplies,
 )
 from arbutusbridge.forwarding.conclusion import abandon, conclude_or_set_timer
@@ -58,7 +58,7 @@
     group = shared.gather.groups.get(message.gather_id)
     if group is None or group.acknowledged:
         return
-    overflowrouting.observe_ack(message, group, shared, now)
+    overflowevidence.observe_ack(message, group, shared, now)
     if message.declined is not None:
         # A peer that declines has sent nothing to upstreams.
         exclusion_s = DECLINE_EXCLUSIONS_S[message.declined]
@@ -107,7 +107,7 @@
         request_id = exchange.request.request_id
         out.append(Decision(request_id, "peer_reply_ignored", detail))
         return
-    overflowrouting.observe_group(message, group, shared, now)
+    overflowevidence.observe_group(message, group, shared, now)
     group.replied_at = now
     group.covered = len(message.stamps)
     if message.is_final:
@@ -225,7 +225,7 @@
     gather = shared.gather
     table = shared.table
     route = table.find(message.host, message.target) if table else None
-    taken = overflowrouting.build_ack(
+    taken = overflowevidence.build_ack(
         message, find_decline_reason(message, route, shared), shared, now
     )
     out.append(SendGatherMessage(message.reply_to, taken))
--- a/arbutusbridge/forwarding/preconnect.py
+++ b/arbutusbridge/forwarding/preconnect.py
@@ -55,7 +55,8 @@
 def select_own_helpers(shared: SharedState, now: float) -> list[Peer]:
     """Returns the peers that wide requests of this instance are divided among.
 
-    A request goes to any of the data centres that hold its shards.
+    A request goes to any of the data centres that hold its shards, and to
+    others while work is sent away.
     """
     own = shared.gather.own_peer
     assert own is not None
@@ -63,6 +64,9 @@
     delegated = count_delegated(shared.place, shared)
     for data_centre, shards in sorted(delegated.items()):
         helpers += delegation.find_helpers(data_centre, shards, shared, now)
+    for data_centre in shared.overflow.destinations():
+        held = shared.held_counts[data_centre]
+        helpers += delegation.find_helpers(data_centre, held, shared, now)
     return [one for one in helpers if one is not own]
 
 
