Test overflow with many instances on virtual time

Change: the simulated upstreams may have queues and report their load, and instances may have processors that handle one event after the other.

--- a/tests/test_forwarding/fleet.py
+++ b/tests/test_forwarding/fleet.py
@@ -29,6 +29,7 @@
     CheckUpstream,
     DropAttempt,
     Forwarder,
+    Load,
     Locality,
     MergedAnswer,
     ProbeUpstream,
@@ -70,6 +71,9 @@
 MAX_EVENTS = 1_000_000
 """Number of events above which a timer must be firing without end."""
 
+EVENT_CPU_TIME_S = 0.0006
+"""Processor time of one event on a full core, if processors are simulated."""
+
 HANGING, REFUSED = "hang", "refused"
 
 CRASHING = "crash"
@@ -85,12 +89,28 @@
       running: Attempts that it runs, as instance and attempt id.
       down: Whether it has crashed and is not back yet.
       terms: What it says of the requests that it takes.
+      free_at: When each of its slots is free, if it has a queue.
     """
 
     announcement: Announcement
     running: set[tuple[str, int]] = field(default_factory=set)
     down: bool = False
     terms: UpstreamTerms = NO_TERMS
+    free_at: list[float] = field(default_factory=list)
+
+    def run(self, now: float, work_s: float) -> float:
+        """Takes the next free slot and returns when the request ends."""
+        if not self.free_at:
+            self.free_at = [now] * self.announcement.slots
+        end = max(now, heapq.heappop(self.free_at)) + work_s
+        heapq.heappush(self.free_at, end)
+        return end
+
+    def load(self) -> Load:
+        """Returns its load, including a request that is about to end."""
+        slots = self.announcement.slots
+        running = min(len(self.running), slots)
+        return Load(running, len(self.running) - running, slots)
 
 
 @dataclass
@@ -131,6 +151,11 @@
         attempt id.
       work_range_s: Shortest and longest processing time of a request that
         crashes nothing, in seconds.
+      has_queues: Whether an upstream runs only as many requests at once as it
+        has slots, and reports its load.
+      has_processors: Whether an instance handles its events one after the
+        other, each of which takes processor time.
+      free_at: When the processor of each instance is free.
       crash_after_s: Time into a run at which a crashing request crashes its
         upstream, in seconds.
       crashes_are_silent: Whether crashed upstreams close and refuse nothing.
@@ -170,6 +195,9 @@
         self.told: dict[tuple[str, str], float] = {}
         self.lost_reports: dict[tuple[str, int], Callable[..., None]] = {}
         self.work_range_s = WORK_RANGE_S
+        self.has_queues = False
+        self.has_processors = False
+        self.free_at: dict[str, float] = {}
         self.crash_after_s = 0.0
         self.crashes_are_silent = False
         self.silenced: set[tuple[str, int]] = set()
@@ -225,7 +253,9 @@
             self.carry_out(name, forwarder.maintain(self.now))
             self.after(
                 CHECK_INTERVAL_S,
-                lambda: self.maintain(name, forwarder),
+                lambda: self.process(
+                    name, lambda: self.maintain(name, forwarder)
+                ),
             )
 
     def exchange_notices(self, name: str, forwarder: Forwarder) -> None:
@@ -245,6 +275,15 @@
         """Schedules a function after a delay."""
         self.at(self.now + seconds, function)
 
+    def process(self, name: str, function: Callable[[], None]) -> None:
+        """Lets an instance handle an event once its processor is free."""
+        if not self.has_processors:
+            function()
+            return
+        begin = max(self.now, self.free_at.get(name, 0.0))
+        self.free_at[name] = begin + EVENT_CPU_TIME_S / self.capacity
+        self.at(self.free_at[name], function)
+
     def run_until(self, end: float) -> None:
         """Runs all events up to a time."""
         count = 0
@@ -279,7 +318,11 @@
         self.sent[request_id] = request
         self.entered[request_id] = name
         forwarder = self.instances[name]
-        self.carry_out(name, forwarder.handle_request(request, self.now))
+
+        def accept() -> None:
+            self.carry_out(name, forwarder.handle_request(request, self.now))
+
+        self.process(name, accept)
         return request_id
 
     def send_series(
@@ -380,7 +423,7 @@
                     name, forwarder.handle_timer(action.request, self.now)
                 )
 
-        self.at(action.at, due)
+        self.at(action.at, lambda: self.process(name, due))
 
     def delay(self, place: str, other: str) -> float:
         """Returns the network delay between two data centres, one way."""
@@ -407,7 +450,10 @@
                 peer, forwarder.handle_peer_message(message, self.now)
             )
 
-        self.after(self.delay(self.places[name], self.places[peer]), arrive)
+        self.after(
+            self.delay(self.places[name], self.places[peer]),
+            lambda: self.process(peer, arrive),
+        )
 
     def send_attempt(
         self, name: str, forwarder: Forwarder, action: SendAttempt
@@ -427,7 +473,7 @@
                         self.told.setdefault(source, self.now)
                     self.carry_out(name, forwarder.replies([reply], self.now))
 
-            self.after(way_s, deliver)
+            self.after(way_s, lambda: self.process(name, deliver))
 
         def arrive() -> None:
             silent = upstream.down and self.crashes_are_silent
@@ -455,7 +501,11 @@
             if CRASHING in action.request.target:
                 self.after(self.crash_after_s, crash)
                 return
-            self.after(self.rng.uniform(*self.work_range_s), finish)
+            work_s = self.rng.uniform(*self.work_range_s)
+            end = self.now + work_s
+            if self.has_queues:
+                end = upstream.run(self.now, work_s)
+            self.at(end, finish)
 
         def expire() -> None:
             if key in self.silenced:
@@ -484,6 +534,7 @@
         def finish() -> None:
             if key not in upstream.running or name in self.cut_off:
                 return
+            load = upstream.load() if self.has_queues else None
             upstream.running.discard(key)
             self.lost_reports.pop(key, None)
             stamp = f"{action.upstream.upstream}.{key[1]}"
@@ -493,6 +544,7 @@
                 body=b"",
                 stamp=stamp,
                 terms=upstream.terms,
+                load=load,
             )
 
         self.after(way_s, arrive)
