--- a/arbutusbridge/forwarding/overflow.py
+++ b/arbutusbridge/forwarding/overflow.py
@@ -199,6 +199,9 @@
         late_s = now - state.updated_at - UPDATE_INTERVAL_S
         state.own_lag.add(min(max(late_s, 0.0), MAX_LAG_S), now)
     state.updated_at = now
+    for name, lag in list(state.helper_lags.items()):
+        if now - lag.observed_at > REQUEST_MEMORY_S:
+            del state.helper_lags[name]
     for key, outflow in list(state.outflows.items()):
         origin, route = key
         if now - outflow.asked_at > REQUEST_MEMORY_S:
@@ -241,20 +244,25 @@
         return
     outflow.logged, outflow.logged_at = outflow.fraction, now
     state = shared.overflow
+    origin = outflow.data_centre
     detail: dict[str, object] = {
         "route": route,
-        "data_centre": outflow.data_centre,
+        "data_centre": origin,
         "fraction": round(outflow.fraction, 3),
         "to": best,
+        "here_ms": in_ms(state.delay(origin, now)),
+        "here_age_ms": in_ms(state.age(origin, now)),
+        "occupancy": state.occupancy(origin, now),
     }
     if best is not None:
-        detail["added_ms"] = round(round_trip(best, shared) * 1000, 1)
-    for which, name in (("here", outflow.data_centre), ("there", best)):
-        if name is None:
-            continue
-        delay_s, age_s = state.delay(name, now), state.age(name, now)
-        detail[f"{which}_ms"] = delay_s and round(delay_s * 1000, 1)
-        detail[f"{which}_age_ms"] = (
-            None if math.isinf(age_s) else round(age_s * 1000)
-        )
+        detail["there_ms"] = in_ms(state.delay(best, now))
+        detail["there_age_ms"] = in_ms(state.age(best, now))
+        detail["added_ms"] = in_ms(round_trip(best, shared))
     out.append(Decision("", "overflow", detail))
+
+
+def in_ms(seconds: float | None) -> float | None:
+    """Returns a time in milliseconds, None if it is not known."""
+    if seconds is None or math.isinf(seconds):
+        return None
+    return round(seconds * 1000, 1)
--- a/arbutusbridge/forwarding/overflowevidence.py
+++ b/arbutusbridge/forwarding/overflowevidence.py
@@ -34,6 +34,10 @@
 """Number of times that the lag of a helper delays a group: when it reads the
 message and when it replies."""
 
+MAX_OCCUPANCY = 64.0
+"""Maximum occupancy that is taken from a message; a greater one, or one that is
+no number, is an error of the peer."""
+
 SILENT_ENDS = frozenset(
     {AttemptEnd.FAILED, AttemptEnd.MISDIRECTED, AttemptEnd.WITHDRAWN}
 )
@@ -152,15 +156,16 @@
     if message.declined is not None:
         state.record_failure(peer.data_centre, now)
         return
-    if message.occupancy is not None:
-        state.record_occupancy(peer.data_centre, message.occupancy, now)
+    occupancy = message.occupancy
+    if occupancy is not None and 0.0 <= occupancy <= MAX_OCCUPANCY:
+        state.record_occupancy(peer.data_centre, occupancy, now)
     add_to_baseline(
         state.round_trips,
         peer.data_centre,
         elapsed(group.sent_at, shared, now),
         now,
     )
-    lag_s = message.lag_ms / 1000
+    lag_s = min(max(message.lag_ms / 1000, 0.0), overflow.MAX_LAG_S)
     state.helper_lags.setdefault(peer.name, Signal()).add(lag_s, now)
     state.observe(
         peer.data_centre, LAGS_PER_GROUP * lag_s, 0.0, now, Source.LAG
--- a/tests/test_daemon/test_forwardinstance.py
+++ b/tests/test_daemon/test_forwardinstance.py
@@ -10,6 +10,7 @@
     RELOAD,
     ForwardInstance,
 )
+from arbutusbridge.forwarding.overflowstate import Outflow
 from arbutusbridge.platform import DIALECT, WIRE
 from arbutusbridge.settings.forwarding import ForwardSettings
 from arbutusbridge.standins.deployment import LOOPBACK, find_free_ports
@@ -66,6 +67,24 @@
         self.instance.on_due([RELOAD])
         self.assertEqual(7.0, self.slack())
 
+    # Guards against a setting that needs a restart of all instances.
+    def test_overflow_is_switched_by_a_changed_file(self) -> None:
+        overflow = self.instance.forwarding.forwarder.overflow
+        self.assertFalse(overflow.is_on)
+        self.fields["overflow"] = {"max_fraction": 0.5}
+        self.instance.on_due([RELOAD])
+        self.assertEqual(0.5, overflow.max_fraction)
+        overflow.observe("north", 1.0, 0.0, 1.0)
+        overflow.outflows["north", "search"] = Outflow("north", 0.1)
+        self.instance.collect_metrics()
+        text = generate_latest(self.instance.metrics.registry).decode()
+        name = "arbutusbridge_forward_overflow_fraction"
+        self.assertIn(f'{name}{{data_centre="north"}} 0.0', text)
+        del self.fields["overflow"]
+        self.instance.on_due([RELOAD])
+        self.assertFalse(overflow.is_on)
+        self.assertEqual({}, overflow.outflows)
+
     # Guards against a metric of a value that its owner no longer has, which
     # makes every scrape of the metrics fail.
     def test_metrics_can_be_read(self) -> None:
--- a/tests/test_forwarding/test_gatherwire.py
+++ b/tests/test_forwarding/test_gatherwire.py
@@ -109,6 +109,14 @@
         self.assertEqual(plain, found)
         self.assertEqual(extended, decode_message(encode_message(extended)))
 
+    # Guards against an acknowledgement that the build in production rejects.
+    def test_lag_and_occupancy_are_left_out_for_the_oldest_build(self) -> None:
+        plain = SAMPLES["ack"]
+        extended = dataclasses.replace(plain, lag_ms=40, occupancy=0.75)
+        found = decode_message(encode_message(extended, OLDEST_PROTOCOL))
+        self.assertEqual(plain, found)
+        self.assertEqual(extended, decode_message(encode_message(extended)))
+
     # Guards against an update that is taken for the final reply, because the
     # key of its receiver is not known yet.
     def test_update_is_never_sent_as_a_final_reply(self) -> None:
--- a/tests/test_forwarding/test_overflow.py
+++ b/tests/test_forwarding/test_overflow.py
@@ -359,6 +359,19 @@
         self.assertEqual(0.5, forwarder.overflow.fractions()["north"])
         self.assertEqual(1, forwarder.decision_counts["overflow_shards"])
 
+    # Guards against a new connection for each message to another region.
+    def test_connections_to_helpers_elsewhere_are_opened(self) -> None:
+        forwarder = make_forwarder([sharded(45)], shard_upstreams(45))
+        forwarder.gather.own_peer = Peer(
+            "north-0", "north", ("10.0.0.1", 1), 0.5
+        )
+        there = Peer("central-0", "central", ("10.0.0.2", 1), 0.5)
+        forwarder.gather.peer_table.update([there])
+        forwarder.update_instance_count(2)
+        self.assertNotIn(there, forwarder.find_likely_peers(NOW))
+        self.fill(forwarder)
+        self.assertIn(there, forwarder.find_likely_peers(NOW))
+
     # Guards against a helper that gets the same share however busy it is.
     def test_helper_with_lag_gets_less(self) -> None:
         forwarder = make_forwarder([ROUTE], [])
