--- a/arbutusbridge/daemon/forwardinstance.py
+++ b/arbutusbridge/daemon/forwardinstance.py
@@ -129,6 +129,9 @@
             wire,
             self.metrics,
         ).register(self)
+        self.forwarding.forwarder.overflow.configure(
+            settings.overflow.max_fraction
+        )
         self.ingress = Ingress(
             (settings.callers.ip, settings.callers.port),
             self.hub,
@@ -329,6 +332,9 @@
         self.forwarding.forwarder.set_budget_limits(
             build_retry_budget_limits(settings)
         )
+        self.forwarding.forwarder.overflow.configure(
+            settings.overflow.max_fraction
+        )
         logger.notice("settings reloaded", extra={"instance": settings.name})
 
     def status(self) -> dict[str, Any]:
@@ -391,6 +397,7 @@
         now = self.timers.clock()
         metrics.response_age.set(now - forwarder.isolation.responded_at)
         metrics.limited.set(count_limited(forwarder))
+        metrics.set_overflow(forwarder.overflow.fractions())
         metrics.store_age.set(now - self.feed.last_confirmed_at)
 
     @handler("exception", channel="*")
--- a/arbutusbridge/forwarding/attempts.py
+++ b/arbutusbridge/forwarding/attempts.py
@@ -6,7 +6,12 @@
 from typing import TYPE_CHECKING
 
 from arbutusbridge.core.messages import Decision
-from arbutusbridge.forwarding import isolation, limits, placement
+from arbutusbridge.forwarding import (
+    isolation,
+    limits,
+    overflowrouting,
+    placement,
+)
 from arbutusbridge.forwarding.choice import pick_cheapest
 from arbutusbridge.forwarding.leaving import latest_send
 from arbutusbridge.forwarding.messages import (
@@ -165,9 +170,14 @@
     tried_before = part.asked or part.asked_by_peers > 1
     if tried_before and asked >= exchange.route.most_upstreams:
         untried = []
+    candidates = untried or [
+        candidate for candidate in options if candidate in part.asked
+    ]
+    candidates = overflowrouting.limit_upstreams(
+        exchange, part, candidates, shared, now
+    )
     return pick_cheapest(
-        untried
-        or [candidate for candidate in options if candidate in part.asked],
+        candidates,
         exchange.route,
         shared.reply_times,
         shared.place,
--- a/arbutusbridge/forwarding/exchange.py
+++ b/arbutusbridge/forwarding/exchange.py
@@ -129,6 +129,8 @@
         seconds; None before it is first needed.
       account: Client account of the caller, None without one.
       homes: Regions that may run the request, None for all.
+      destinations: Data centre that its work was sent to, by the one that it
+        goes to without overflow.
     """
 
     request: CallerRequest
@@ -158,6 +160,7 @@
     backup_reply_s: float | None = None
     account: Account | None = None
     homes: frozenset[str] | None = None
+    destinations: dict[str, str] = field(default_factory=dict)
 
     @property
     def urgency(self) -> int:
--- a/arbutusbridge/forwarding/forwarder.py
+++ b/arbutusbridge/forwarding/forwarder.py
@@ -23,6 +23,8 @@
     limits,
     losses,
     notices,
+    overflow,
+    overflowevidence,
     pauses,
     peermessages,
     placement,
@@ -376,11 +378,15 @@
         return out
 
     def maintain(self, now: float) -> list[object]:
-        """Exchanges demand and shares of limits, and probes lost links."""
+        """Exchanges demand and shares of limits, and probes lost links.
+
+        The fractions that are sent to other data centres are updated as well.
+        """
         out = self.update_cold(now)
         warmup.note_members(self, now)
         allocation.exchange(self, now, out)
         isolation.probe(self, now, out)
+        overflow.update(self, now, out)
         self.check_links(now, out)
         return out
 
@@ -454,6 +460,7 @@
             request_id = exchange.request.request_id
             pauses.learn_pause(upstream, reply.pause_s, request_id, now, out)
         upstream.record_outcome(attempt, reply.end, now)
+        overflowevidence.observe_attempt(exchange, attempt, reply, self, now)
         if reply.end is AttemptEnd.LOST and not attempt.dropped:
             out.append(build_loss_decision(attempt, exchange, reply, now))
         if reply.end is AttemptEnd.RESULT:
@@ -484,6 +491,7 @@
         if exchange.peer_request is not None and lag > BUSY_LAG_THRESHOLD_S:
             attempts.postpone_checks(exchange, now)
         self.lag_s += (lag - self.lag_s) * LAG_WEIGHT
+        overflowevidence.observe_lag(lag, self, now)
         delegation.check_groups(exchange, self, now, out)
         relay.relay_due_parts(exchange, self, now, out)
         attempts.check_parts(exchange, self, now, out)
--- a/arbutusbridge/forwarding/shared.py
+++ b/arbutusbridge/forwarding/shared.py
@@ -22,6 +22,7 @@
 from arbutusbridge.forwarding.gather import Peer, PeerTable
 from arbutusbridge.forwarding.isolationstate import IsolationState
 from arbutusbridge.forwarding.limitbook import LimitBook
+from arbutusbridge.forwarding.overflowstate import OverflowState
 from arbutusbridge.forwarding.upstreams import ReplyTimes, UpstreamDirectory
 
 if TYPE_CHECKING:
@@ -102,6 +103,7 @@
       limits: Rate limits of upstreams.
       isolation: Whether this instance is cut off from all upstreams.
       evacuated: Data centres to whose upstreams nothing is sent.
+      overflow: Delays at the data centres, and what is sent away from them.
       seed_addresses: Addresses of possible peers while none is known.
     """
 
@@ -138,6 +140,7 @@
         self.limits = LimitBook()
         self.isolation = IsolationState(started_at)
         self.evacuated: set[str] = set()
+        self.overflow = OverflowState()
         self.seed_addresses: list[tuple[str, int]] = []
 
     def count(self, what: str) -> None:
