Evacuate a data centre in the soak

Cause: only tests on virtual time showed that nothing is sent to an evacuated data centre. A guarantee checks from outside that nothing reaches its upstreams later than 5 s after the write to the store. What is written again after a restore of the store includes evacuations.

--- a/arbutusbridge/cmd/soak.py
+++ b/arbutusbridge/cmd/soak.py
@@ -19,6 +19,7 @@
     seconds: float = 12.0,
     large: bool = False,
     other_build: Path | None = None,
+    evacuate: bool = False,
 ) -> int:
     """Run deployments of real instances under faults, one for each seed.
 
@@ -31,6 +32,7 @@
       other_build: Folder that holds the package of another build, for example
         an export of the commit in production. Instances of both builds then
         run side by side, with updates and roll-backs as further faults.
+      evacuate: Evacuate a data centre during the faults of each run.
 
     Returns:
       0 if every guarantee held, 1 if not, 2 for wrong usage.
@@ -55,7 +57,13 @@
             run_folder.mkdir(parents=True, exist_ok=True)
             shape = LARGE_SHAPE if large else None
             result = run_soak(
-                seed, run_folder, faults, seconds, shape, other_build
+                seed,
+                run_folder,
+                faults,
+                seconds,
+                shape,
+                other_build,
+                evacuate,
             )
         report(result)
         held = held and not result.breaches
--- a/arbutusbridge/soak/environment.py
+++ b/arbutusbridge/soak/environment.py
@@ -23,6 +23,7 @@
 )
 from arbutusbridge.platform.documents import (
     CONFIGURATION_KEY,
+    EVACUATIONS_PREFIX,
     UPSTREAMS_PREFIX,
 )
 from arbutusbridge.platform.standins import (
@@ -118,6 +119,7 @@
       contract_rng: Random numbers for limits of upstreams and cut links.
       platform_rng: Random numbers for restores of the store, and for what
         upstreams say of themselves.
+      evacuation_rng: Random numbers for evacuations of data centres.
       announced: Number of announcements written so far.
       cut_off: Instances that are cut off from all upstreams.
       version: Version of the configuration published last.
@@ -150,6 +152,7 @@
         self.crash_delays: dict[str, float] = {}
         self.contract_rng = random.Random(f"contracts {seed}")
         self.platform_rng = random.Random(f"platform {seed}")
+        self.evacuation_rng = random.Random(f"evacuation {seed}")
         self.poller = EPoll().register(self)
         self.timers = TimerService().register(self)
         self.hub = SocketHub().register(self)
@@ -230,6 +233,7 @@
             upstream.announcement, address=proxy.address, started_ms=self.born
         )
         self.upstreams[slot] = upstream
+        self.record.places[upstream.announcement.upstream] = data_centre
         self.announce(upstream.announcement)
 
     def on_crash(self, upstream: UpstreamStandIn, run: UpstreamRun) -> None:
@@ -354,6 +358,12 @@
         self.store.put(CONFIGURATION_KEY, encode_configuration(configuration))
         for upstream in self.upstreams.values():
             self.announce(upstream.announcement)
+        for evacuation in self.record.evacuations:
+            if math.isinf(evacuation.until):
+                key = EVACUATIONS_PREFIX + evacuation.data_centre
+                self.store.put(key, b"")
+            else:
+                self.store.delete(EVACUATIONS_PREFIX + evacuation.data_centre)
 
     def add_proxy(
         self, kind: str, target: str, forward_address: tuple[str, int]
--- a/arbutusbridge/soak/faults.py
+++ b/arbutusbridge/soak/faults.py
@@ -8,8 +8,9 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
+from arbutusbridge.platform.documents import EVACUATIONS_PREFIX
 from arbutusbridge.platform.standins import StoreFault, UpstreamFault
-from arbutusbridge.soak.record import NamedLimit, Pause
+from arbutusbridge.soak.record import Evacuation, NamedLimit, Pause
 
 if TYPE_CHECKING:
     from arbutusbridge.platform.standins import UpstreamStandIn
@@ -52,6 +53,13 @@
 """Minimum time for which an upstream names its first limit, longer than the
 time after which it must hold and a window in which it is checked."""
 
+EVACUATION_DURATION_S = 8.0
+"""Duration of an evacuation, longer than the time after which it must hold."""
+
+LATEST_EVACUATION = 1 / 3
+"""Part of a run's faults after which no evacuation begins, so that it ends
+before the recovery is checked."""
+
 LINK_CUT_DURATION_S = 7.0
 """Minimum duration of a cut of links, longer than the time after which the
 requests of callers must be served nevertheless."""
@@ -376,6 +384,21 @@
 """Faults of which a run has one group in addition to the others."""
 
 
+def evacuate(environment: SoakEnvironment, seconds: float) -> None:
+    """Evacuates a data centre for a time."""
+    places = sorted(environment.shape.instances)
+    place = environment.evacuation_rng.choice(places)
+    evacuation = Evacuation(place, environment.clock())
+    environment.record.evacuations.append(evacuation)
+    environment.store.put(EVACUATIONS_PREFIX + place, b"")
+
+    def end() -> None:
+        evacuation.until = environment.clock()
+        environment.store.delete(EVACUATIONS_PREFIX + place)
+
+    environment.schedule(seconds, end)
+
+
 def restore_store(environment: SoakEnvironment, seconds: float) -> None:
     """Takes the store away and brings it back from an older copy, twice."""
     copy = environment.store.copy()
@@ -505,13 +528,19 @@
     return environment.rng.choice(sorted(environment.upstreams))
 
 
-def plan(environment: SoakEnvironment, count: int, seconds: float) -> list[str]:
+def plan(
+    environment: SoakEnvironment,
+    count: int,
+    seconds: float,
+    evacuates: bool = False,
+) -> list[str]:
     """Schedules random faults.
 
     Args:
       environment: Environment that the faults affect.
       count: Number of faults.
       seconds: Time within which the faults begin.
+      evacuates: Whether a data centre is evacuated besides.
 
     Returns:
       One line for each fault, with its start, name and duration.
@@ -525,6 +554,10 @@
     lines += plan_crashes(environment, seconds)
     lines += plan_updates(environment, seconds)
     lines += plan_platform(environment, seconds)
+    if evacuates:
+        latest = LATEST_EVACUATION * seconds
+        at = environment.evacuation_rng.uniform(0.0, latest)
+        lines.append(schedule(environment, at, evacuate, EVACUATION_DURATION_S))
     return sorted(lines + plan_contracts(environment, seconds))
 
 
--- a/arbutusbridge/soak/guarantees.py
+++ b/arbutusbridge/soak/guarantees.py
@@ -23,6 +23,10 @@
 """Time after which a draining upstream gets no new requests; the shortest time
 limit that the users specify."""
 
+EVACUATION_S = 5.0
+"""Time after the request of operators after which the upstreams of an evacuated
+data centre get no requests, as specified by the users."""
+
 ANSWER_GRACE_S = 0.5
 """Grace period past a caller's deadline in which an answer still counts."""
 
@@ -292,6 +296,36 @@
             yield Breach("leaving_is_left", run.request_id, detail)
 
 
+def evacuated_upstreams_get_no_requests(
+    record: SoakRecord,
+) -> Iterator[Breach]:
+    """Checks that nothing reaches upstreams of an evacuated data centre.
+
+    Requests count from EVACUATION_S after the write on, whenever they came from
+    their callers. Those at instances that were disturbed do not; neither do
+    searches, which peers may send, while any instance was.
+    """
+    for evacuation in record.evacuations:
+        since = evacuation.since + EVACUATION_S
+        for run in record.runs:
+            asked = record.asked.get(run.request_id)
+            if asked is None or not since < run.at < evacuation.until:
+                continue
+            if record.places.get(run.upstream) != evacuation.data_centre:
+                continue
+            is_sharded = bool(route_of(record, asked).shards)
+            begun = asked.at - SETTLING_TIME_S
+            if not is_undisturbed(record, asked) or (
+                is_sharded and is_any_instance_disturbed(record, begun, run.at)
+            ):
+                continue
+            detail = (
+                f"{run.upstream}, {run.at - evacuation.since:.1f} s after the "
+                f"evacuation of {evacuation.data_centre}"
+            )
+            yield Breach("evacuated_is_left", run.request_id, detail)
+
+
 def sent_directly(
     record: SoakRecord, run: UpstreamRun, since: float, until: float
 ) -> str:
@@ -586,6 +620,7 @@
     valid_request_is_not_denied,
     version_is_in_force,
     leaving_upstream_gets_no_requests,
+    evacuated_upstreams_get_no_requests,
     upstream_that_says_so_is_left,
     pauses_are_kept,
     extra_arrivals_are_bounded,
--- a/arbutusbridge/soak/record.py
+++ b/arbutusbridge/soak/record.py
@@ -75,6 +75,21 @@
     until: float = math.inf
 
 
+@dataclass(slots=True)
+class Evacuation:
+    """Evacuation of a data centre that the operators request.
+
+    Attributes:
+      data_centre: The data centre.
+      since: Time of the write to the store, in seconds.
+      until: Time of its withdrawal, infinite while that is not known.
+    """
+
+    data_centre: str
+    since: float
+    until: float = math.inf
+
+
 @dataclass(slots=True)
 class Pause:
     """Rejection of a request that asks for no requests for a time.
@@ -126,6 +141,8 @@
       crashes: Crashes of upstreams by requests.
       quarantine_refusals: Ids of requests that an instance refused because
         they crash upstreams, from its log.
+      evacuations: Evacuations of data centres.
+      places: Data centre of each upstream, by its id.
       leaving: Time at which each upstream was announced as leaving, by its id.
       retry_ratio: Extra arrivals allowed per request in a window.
       retry_slack: Extra arrivals allowed in a window on top of the ratio.
@@ -147,6 +164,8 @@
     pauses: list[Pause] = field(default_factory=list)
     crashes: list[UpstreamCrash] = field(default_factory=list)
     quarantine_refusals: list[str] = field(default_factory=list)
+    evacuations: list[Evacuation] = field(default_factory=list)
+    places: dict[str, str] = field(default_factory=dict)
     leaving: dict[str, float] = field(default_factory=dict)
     retry_ratio: float = 0.2
     retry_slack: float = 50.0
--- a/arbutusbridge/soak/run.py
+++ b/arbutusbridge/soak/run.py
@@ -88,6 +88,7 @@
     fault_window_s: float = 12.0,
     shape: SoakShape | None = None,
     other_build: Path | None = None,
+    evacuates: bool = False,
 ) -> SoakResult:
     """Runs one deployment under faults.
 
@@ -100,6 +101,7 @@
       shape: Size of the deployment, selected by the seed if None.
       other_build: Folder that holds the package of another build. Half of the
         instances start with it, and some are updated or rolled back.
+      evacuates: Whether a data centre is evacuated during the faults.
     """
     if shape is None:
         shape = random.Random(seed).choice(SHAPES)
@@ -108,7 +110,7 @@
 
     def begin_faults() -> None:
         planned_faults.extend(
-            faults.plan(environment, fault_count, fault_window_s)
+            faults.plan(environment, fault_count, fault_window_s, evacuates)
         )
         environment.schedule(fault_window_s + OBSERVATION_TAIL_S, finish)
 
--- a/tests/test_soak/test_guarantees.py
+++ b/tests/test_soak/test_guarantees.py
@@ -15,6 +15,7 @@
 from arbutusbridge.soak import SoakRecord, check
 from arbutusbridge.soak.record import (
     Disturbance,
+    Evacuation,
     NamedLimit,
     Pause,
     SentRequest,
@@ -209,6 +210,22 @@
         self.record.leaving["i-1"] = 26.0
         self.assertEqual({"leaving_is_left"}, self.broken_guarantees())
 
+    def test_request_to_evacuated_data_centre(self) -> None:
+        self.record.places["i-1"] = "north"
+        evacuation = Evacuation("north", 25.5, 60.0)
+        self.record.evacuations.append(evacuation)
+        self.assertEqual(set(), self.broken_guarantees())
+        evacuation.since = 24.0
+        self.assertEqual({"evacuated_is_left"}, self.broken_guarantees())
+        evacuation.until = 29.0
+        self.assertEqual(set(), self.broken_guarantees())
+        evacuation.until, evacuation.data_centre = 60.0, "south"
+        self.assertEqual(set(), self.broken_guarantees())
+        # A restart of the instance excuses it.
+        evacuation.data_centre = "north"
+        self.record_disturbance("kill", "n-0", 28.0)
+        self.assertEqual(set(), self.broken_guarantees())
+
     def test_request_to_upstream_that_said_that_it_leaves(self) -> None:
         def run(request_id: str, at: float) -> UpstreamRun:
             found = self.add_request(request_id, "once", at, "once")
