Grant no share of a cold upstream before its allocator knows

Cause: an allocator that the announcement had not reached yet divided the rate of the upstream by the rule of named limits, without reserving shares. An instance that knew it to be cold could use such a share for 4 s beside the reserved ones.

--- a/arbutusbridge/forwarding/allocation.py
+++ b/arbutusbridge/forwarding/allocation.py
@@ -89,6 +89,10 @@
         return False
     if now - shared.started_at < warmup.ALLOCATOR_HOLD_S:
         return False
+    cold_s = now - upstream.cold_since
+    if upstream.limit is not None and cold_s < warmup.RESERVATION_S:
+        # Shares of the limit that it names have not been reserved.
+        return False
     lately = warmup.recent_members(shared, now)
     ranked = rank_allocators(upstream, shared, lately)
     return ranked[0] is shared.gather.own_peer
@@ -306,7 +310,11 @@
         if not divides_alone(upstream, shared, now):
             return dict.fromkeys(demands, NO_GRANT)
         return warmup.divide(upstream, demands, shared.limits, now)
-    max_rate = upstream.terms.max_rate or 0.0
+    if upstream.terms.max_rate is None:
+        # An instance that knows it to be cold already must not use a share that
+        # is not reserved.
+        return dict.fromkeys(demands, NO_GRANT)
+    max_rate = upstream.terms.max_rate
     shares = dict.fromkeys(demands, 0.0)
     ordered = sorted(demands, key=lambda name: (-demands[name].rate, name))
     most_holders = max(1, int(HOLDERS_PER_RATE * max_rate + MIN_HOLDERS))
--- a/arbutusbridge/forwarding/upstreams.py
+++ b/arbutusbridge/forwarding/upstreams.py
@@ -128,6 +128,7 @@
       limit: This instance's part of the limit that it names, None without one.
       cold_limit: This instance's part of the limit while it is cold, None
         without one.
+      cold_since: When that limit began.
       demand: Rate of the requests that are or would be sent to it.
     """
 
@@ -150,6 +151,7 @@
     terms_as_of: float = -math.inf
     limit: RateLimit | None = None
     cold_limit: RateLimit | None = None
+    cold_since: float = -math.inf
     demand: RateMeter = field(default_factory=RateMeter)
 
     @property
--- a/arbutusbridge/forwarding/warmup.py
+++ b/arbutusbridge/forwarding/warmup.py
@@ -118,6 +118,7 @@
         limit.max_rate = GRANTED_FRACTION * rate
         limit.fallback_share = fallback_share(upstream, shared)
         return
+    upstream.cold_since = now
     upstream.cold_limit = RateLimit(
         GRANTED_FRACTION * rate,
         now,
--- a/tests/test_forwarding/test_warmup.py
+++ b/tests/test_forwarding/test_warmup.py
@@ -311,6 +311,28 @@
         self.fleet.run_until(since + warmup.MAX_STORE_AGE_S + 0.1)
         self.assertEqual([], self.allocators())
 
+    def test_announcement_that_comes_later(self) -> None:
+        """Guards against shares of an allocator that takes it for warm.
+
+        An instance that knows better would use them beside reserved ones.
+        """
+        (first,) = self.allocators()
+        forwarder = self.fleet.instances[first]
+        one = forwarder.directory.by_name["u0"]
+        demands = {"i0": ReportedDemand(None, 9.0, COLD_AT)}
+        one.cold_limit = None
+        shares = allocation.divide_limit(one, demands, forwarder, COLD_AT)
+        self.assertEqual({"i0": allocation.NO_GRANT}, shares)
+        limits.learn_terms(
+            one, UpstreamTerms(9.0), COLD_AT, "", "", forwarder, COLD_AT, []
+        )
+        forwarder.update_cold(COLD_AT)
+        shares = allocation.divide_limit(one, demands, forwarder, COLD_AT)
+        self.assertEqual({"i0": allocation.NO_GRANT}, shares)
+        later = COLD_AT + warmup.RESERVATION_S
+        shares = allocation.divide_limit(one, demands, forwarder, later)
+        self.assertGreater(shares["i0"], 0.0)
+
     def test_allocator_that_starts_again(self) -> None:
         """Guards against grants without a memory of earlier ones."""
         (first,) = self.allocators()
