Decide on quotas of accounts over all instances

An account has a rate over all instances together, and each instance sees its own requests only.

One instance per group of accounts is the ledger and keeps token buckets. Open accounts are admitted at once and reported in numbered batches; metered ones need a token for each request. Instances that do not reach the ledger turn to a substitute in their own region. The ranking by crc32 and the exclusion of silent peers move from allocation.py into ranking.py, which both use; RateMeter gets its averaging time as a field.

--- a/arbutusbridge/forwarding/allocation.py
+++ b/arbutusbridge/forwarding/allocation.py
@@ -10,7 +10,6 @@
 from __future__ import annotations
 
 import math
-import zlib
 from typing import TYPE_CHECKING
 
 from arbutusbridge.core.messages import Decision
@@ -19,6 +18,7 @@
 from arbutusbridge.forwarding.limitbook import ReportedDemand
 from arbutusbridge.forwarding.limitmessages import DemandNotice, ShareNotice
 from arbutusbridge.forwarding.notices import contacts
+from arbutusbridge.forwarding.ranking import rank_peers
 
 if TYPE_CHECKING:
     from arbutusbridge.forwarding.gather import Peer
@@ -88,11 +88,7 @@
     everyone = [own, *shared.gather.peer_table.peers.values()]
     place = upstream.announcement.data_centre
     near = [peer for peer in everyone if peer.data_centre == place]
-    name = upstream.name
-    return sorted(
-        near or everyone,
-        key=lambda peer: zlib.crc32(f"{name} {peer.name}".encode()),
-    )
+    return rank_peers(upstream.name, near or everyone)
 
 
 def choose_allocator(
@@ -100,9 +96,8 @@
 ) -> Peer:
     """Returns the allocator that this instance reports to."""
     ranked = rank_allocators(upstream, shared)
-    excluded_until = shared.limits.excluded_until
     for peer in ranked:
-        if excluded_until.get(peer.name, -math.inf) <= now:
+        if not shared.limits.silence.is_excluded(peer.name, now):
             return peer
     return ranked[0]
 
@@ -178,11 +173,10 @@
 ) -> bool:
     """Returns whether an allocator no longer answers, and excludes it then."""
     book = shared.limits
-    silent_s = now - book.silent_since.setdefault(name, now)
+    silent_s = book.silence.sent(name, now)
     if silent_s <= SILENCE_LIMIT_S:
         return False
-    book.excluded_until[name] = now + ALLOCATOR_EXCLUSION_S
-    del book.silent_since[name]
+    book.silence.exclude(name, now + ALLOCATOR_EXCLUSION_S)
     book.report_due = True
     detail = {"peer": name, "silent_s": round(silent_s, 1)}
     out.append(Decision("", "allocator_given_up", detail))
@@ -292,7 +286,7 @@
     notice: ShareNotice, shared: SharedState, now: float, out: list[object]
 ) -> None:
     """Adopts the shares that an allocator grants."""
-    shared.limits.silent_since.pop(notice.sender, None)
+    shared.limits.silence.heard(notice.sender)
     for report, share in zip(notice.terms, notice.shares, strict=False):
         upstream = limits.learn_report(report, notice.sender, shared, now, out)
         if upstream is not None and share >= 0.0:
--- a/arbutusbridge/forwarding/exchange.py
+++ b/arbutusbridge/forwarding/exchange.py
@@ -126,6 +126,7 @@
         it is sent from here.
       account: Client account of the caller, None without one.
       homes: Regions that may run the request, None for all.
+      has_token: Whether it counts towards the quota of its account.
     """
 
     request: CallerRequest
@@ -154,6 +155,7 @@
     canary_group: DelegatedGroup | None = None
     account: Account | None = None
     homes: frozenset[str] | None = None
+    has_token: bool = False
 
     @property
     def urgency(self) -> int:
--- a/arbutusbridge/forwarding/gather.py
+++ b/arbutusbridge/forwarding/gather.py
@@ -20,6 +20,7 @@
 
     from arbutusbridge.forwarding.limitmessages import DemandNotice, ShareNotice
     from arbutusbridge.forwarding.quarantinemessages import QuarantineNotice
+    from arbutusbridge.forwarding.quotamessages import QuotaMessage
 
 
 UPDATES_PROTOCOL = 0x16
@@ -275,7 +276,13 @@
     """Action: send a message to another instance."""
 
     address: tuple[str, int]
-    message: GatherMessage | QuarantineNotice | DemandNotice | ShareNotice
+    message: (
+        GatherMessage
+        | QuarantineNotice
+        | DemandNotice
+        | ShareNotice
+        | QuotaMessage
+    )
 
 
 @dataclass(slots=True, eq=False)
--- a/arbutusbridge/forwarding/gatherwire.py
+++ b/arbutusbridge/forwarding/gatherwire.py
@@ -33,6 +33,14 @@
 )
 from arbutusbridge.forwarding.limitmessages import DemandNotice, ShareNotice
 from arbutusbridge.forwarding.quarantinemessages import QuarantineNotice
+from arbutusbridge.forwarding.quotamessages import (
+    MeteredNotice,
+    QuotaAck,
+    QuotaAsk,
+    QuotaBatch,
+    QuotaGrant,
+    QuotaMessage,
+)
 
 OLDEST_PROTOCOL = 0x15
 """Protocol of the oldest build that is understood, the one in production."""
@@ -55,6 +63,7 @@
     | QuarantineNotice
     | DemandNotice
     | ShareNotice
+    | QuotaMessage
 )
 
 MESSAGE_TYPES: tuple[type, ...] = (
@@ -69,6 +78,11 @@
     ShareNotice,
     IsolationNotice,
     GatherRelease,
+    QuotaBatch,
+    QuotaAck,
+    QuotaAsk,
+    QuotaGrant,
+    MeteredNotice,
 )
 """Message types; the index of a type is its number on the wire. Those without
 an entry in OLDEST_FIELD_COUNTS are not sent to peers of the oldest protocol."""
@@ -127,7 +141,8 @@
     kind = type(message)
     number = MESSAGE_TYPES.index(kind)
     fields: Any
-    if isinstance(message, GatherReply) and not message.is_final:
+    is_update = isinstance(message, GatherReply) and not message.is_final
+    if is_update or isinstance(message, QuotaAck | QuotaGrant):
         # Its request could only be sent by a build that understands it, also
         # if the key of that instance is not known yet.
         protocol = NUMBERED_PROTOCOL
--- a/arbutusbridge/forwarding/limitbook.py
+++ b/arbutusbridge/forwarding/limitbook.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from arbutusbridge.forwarding.ranking import PeerSilence
+
 if TYPE_CHECKING:
     from arbutusbridge.forwarding.upstreams import Upstream
 
@@ -35,8 +37,7 @@
       report_due: Whether a limit has begun or ended since the last report.
       reported_at: Time of the last report.
       reported: Time of the last report on each upstream, by its name.
-      silent_since: Time of the first report that an allocator has not answered.
-      excluded_until: Time until which a silent allocator is not asked.
+      silence: Allocators that do not answer reports.
       demands: Reported demand, by upstream and instance, of the upstreams that
         this instance allocates.
       grants_due: Whether an instance has reported demand for the first time.
@@ -51,8 +52,7 @@
     ended_at: dict[str, float] = field(default_factory=dict)
     reported_at: float = -math.inf
     reported: dict[str, float] = field(default_factory=dict)
-    silent_since: dict[str, float] = field(default_factory=dict)
-    excluded_until: dict[str, float] = field(default_factory=dict)
+    silence: PeerSilence = field(default_factory=PeerSilence)
     demands: dict[str, dict[str, ReportedDemand]] = field(default_factory=dict)
     grants_due: bool = False
     granted_at: float = -math.inf
--- a/arbutusbridge/forwarding/limits.py
+++ b/arbutusbridge/forwarding/limits.py
@@ -13,7 +13,11 @@
 from arbutusbridge.core.messages import Decision
 from arbutusbridge.forwarding.limitmessages import TermsReport
 from arbutusbridge.forwarding.messages import WithdrawAttempt
-from arbutusbridge.forwarding.ratelimit import URGENT_RESERVE, RateLimit
+from arbutusbridge.forwarding.ratelimit import (
+    URGENT_RESERVE,
+    RateLimit,
+    spread_return,
+)
 from arbutusbridge.forwarding.terms import UpstreamTerms
 
 if TYPE_CHECKING:
@@ -168,7 +172,7 @@
         if upstream.limit is not None
     )
     last = shared.limits.return_times.get(service, now)
-    at = max(ready, last + 1.0 / rate if rate > 0.0 else now)
+    at = spread_return(last, ready, rate)
     at = min(at, now + MAX_RETRY_AFTER_S)
     shared.limits.return_times[service] = at
     return at - now
--- a/arbutusbridge/forwarding/notices.py
+++ b/arbutusbridge/forwarding/notices.py
@@ -9,7 +9,6 @@
 
 from __future__ import annotations
 
-import zlib
 from typing import TYPE_CHECKING
 
 from arbutusbridge.core.messages import Decision
@@ -25,6 +24,7 @@
     QuarantineReport,
     ResultReport,
 )
+from arbutusbridge.forwarding.ranking import rank_peers
 
 if TYPE_CHECKING:
     from arbutusbridge.forwarding.exchange import Exchange
@@ -159,9 +159,7 @@
     peers = list(shared.gather.peer_table.peers.values())
     if own is None or len(peers) <= MAX_CONTACTS:
         return peers
-    own_name = own.name
-    peers.sort(key=lambda peer: zlib.crc32(f"{own_name} {peer.name}".encode()))
-    return peers[:MAX_CONTACTS]
+    return rank_peers(own.name, peers)[:MAX_CONTACTS]
 
 
 def exchange(shared: SharedState, now: float, out: list[object]) -> None:
--- /dev/null
+++ b/arbutusbridge/forwarding/ranking.py
@@ -0,0 +1,68 @@
+"""Choice of the one instance that decides something for all others."""
+
+from __future__ import annotations
+
+import math
+import zlib
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from arbutusbridge.forwarding.gather import Peer
+
+
+def rank_of(key: str, peer: Peer) -> int:
+    """Returns a pseudo-random number of an instance, equal everywhere."""
+    return zlib.crc32(f"{key} {peer.name}".encode())
+
+
+def rank_peers(key: str, peers: Iterable[Peer]) -> list[Peer]:
+    """Returns instances in a fixed pseudo-random order that depends on a key.
+
+    The order of two instances is the same everywhere, also where others are not
+    known.
+    """
+    return sorted(peers, key=lambda peer: rank_of(key, peer))
+
+
+@dataclass(slots=True)
+class PeerSilence:
+    """Peers that do not answer.
+
+    Attributes:
+      since: Time of the first message that a peer has not answered.
+      excluded_until: Time until which a silent peer is not asked.
+      unconfirmed: Peers that have been excluded and not been heard of since.
+    """
+
+    since: dict[str, float] = field(default_factory=dict)
+    excluded_until: dict[str, float] = field(default_factory=dict)
+    unconfirmed: set[str] = field(default_factory=set)
+
+    def is_excluded(self, name: str, now: float) -> bool:
+        """Returns whether a peer is not asked at present."""
+        return self.excluded_until.get(name, -math.inf) > now
+
+    def silent_s(self, name: str, now: float) -> float:
+        """Returns for how long a peer has not answered, 0 if it has."""
+        return now - self.since.get(name, now)
+
+    def sent(self, name: str, now: float) -> float:
+        """Records a message and returns for how long the peer has been silent.
+
+        The result is 0 for the first message since its last answer.
+        """
+        return now - self.since.setdefault(name, now)
+
+    def exclude(self, name: str, until: float) -> None:
+        """Excludes a silent peer."""
+        self.excluded_until[name] = until
+        self.since.pop(name, None)
+        self.unconfirmed.add(name)
+
+    def heard(self, name: str) -> None:
+        """Records an answer of a peer."""
+        self.since.pop(name, None)
+        self.unconfirmed.discard(name)
--- a/arbutusbridge/forwarding/ratelimit.py
+++ b/arbutusbridge/forwarding/ratelimit.py
@@ -28,6 +28,20 @@
 """Time over which demand is averaged."""
 
 
+def spread_return(last: float, earliest: float, rate: float) -> float:
+    """Returns when a refused request should come back.
+
+    Each one gets a later time than the one before, at the rate that a limit
+    allows, so that they do not come back at once.
+
+    Args:
+      last: Time that the one before got.
+      earliest: Time before which the limit allows none.
+      rate: Requests per second that the limit allows, 0 if unknown.
+    """
+    return max(earliest, last + 1.0 / rate) if rate > 0.0 else earliest
+
+
 @dataclass(slots=True)
 class RateMeter:
     """Exponentially decaying average of the rate of events.
@@ -35,20 +49,22 @@
     Attributes:
       weight: Sum of the weights of all events so far, at the latest update.
       updated_at: Time of the latest update.
+      time_s: Time over which the rate is averaged.
     """
 
     weight: float = 0.0
     updated_at: float = 0.0
+    time_s: float = METER_TIME_S
 
-    def add(self, now: float) -> None:
-        """Counts an event."""
-        self.weight = self.rate(now) * METER_TIME_S + 1.0
+    def add(self, now: float, events: float = 1.0) -> None:
+        """Counts events."""
+        self.weight = self.rate(now) * self.time_s + events
         self.updated_at = now
 
     def rate(self, now: float) -> float:
         """Returns the average rate, in events per second."""
         elapsed_s = max(0.0, now - self.updated_at)
-        return self.weight * math.exp(-elapsed_s / METER_TIME_S) / METER_TIME_S
+        return self.weight * math.exp(-elapsed_s / self.time_s) / self.time_s
 
 
 @dataclass(slots=True)
--- a/arbutusbridge/forwarding/shared.py
+++ b/arbutusbridge/forwarding/shared.py
@@ -23,6 +23,7 @@
 from arbutusbridge.forwarding.gather import Peer, PeerTable
 from arbutusbridge.forwarding.isolationstate import IsolationState
 from arbutusbridge.forwarding.limitbook import LimitBook
+from arbutusbridge.forwarding.quotabook import QuotaBook
 from arbutusbridge.forwarding.upstreams import ReplyTimes, UpstreamDirectory
 
 if TYPE_CHECKING:
@@ -75,6 +76,11 @@
         default_factory=lambda: secrets.randbits(GATHER_ID_BITS)
     )
 
+    @property
+    def own_name(self) -> str:
+        """Name of this instance, empty if it accepts no messages."""
+        return self.own_peer.name if self.own_peer is not None else ""
+
 
 class SharedState:
     """State of one instance that all its requests read and change.
@@ -102,6 +108,7 @@
       notices: What was sent to peers about these requests.
       newly_quarantined: Fingerprints whose open requests are to be ended.
       limits: Rate limits of upstreams.
+      quotas: Quotas of client accounts.
       isolation: Whether this instance is cut off from all upstreams.
       seed_addresses: Addresses of possible peers while none is known.
     """
@@ -137,6 +144,7 @@
         self.notices = NoticeState(refilled_at=started_at)
         self.newly_quarantined: list[str] = []
         self.limits = LimitBook()
+        self.quotas = QuotaBook()
         self.isolation = IsolationState(started_at)
         self.seed_addresses: list[tuple[str, int]] = []
 
--- a/tests/test_forwarding/messagesamples.py
+++ b/tests/test_forwarding/messagesamples.py
@@ -24,6 +24,13 @@
     QuarantineReport,
     ResultReport,
 )
+from arbutusbridge.forwarding.quotamessages import (
+    MeteredNotice,
+    QuotaAck,
+    QuotaAsk,
+    QuotaBatch,
+    QuotaGrant,
+)
 
 ADDRESS = ("10.0.0.1", 7380)
 TERMS = TermsReport("i-1", 5, 0.25, None)
@@ -75,3 +82,16 @@
     "release": GatherRelease(7, ADDRESS),
 }
 """Messages by name. An entry stays as it is; a new field gets a new entry."""
+
+QUOTA_SAMPLES = {
+    "batch": QuotaBatch(
+        "north-1", ADDRESS, 2**61, 5, ["acme", "bolt"], [3, -1]
+    ),
+    "batch_ack": QuotaAck("north-2", 5, ["acme"]),
+    "open_ack": QuotaAck("north-2", 6),
+    "ask": QuotaAsk("north-1", ADDRESS, 2**61, 7, "acme", 4),
+    "grant": QuotaGrant("north-2", 7, "acme", 3, 0.25),
+    "denial": QuotaGrant("north-2", 8, "acme", retry_s=1.5),
+    "metered": MeteredNotice("north-2", ["acme"], ["bolt"]),
+}
+"""Messages of protocol 0x17 about quotas, by name."""
--- a/tests/test_forwarding/test_gatherwire.py
+++ b/tests/test_forwarding/test_gatherwire.py
@@ -25,11 +25,13 @@
     encode_instance_record,
     encode_message,
 )
-from tests.test_forwarding.messagesamples import SAMPLES
+from arbutusbridge.forwarding.quotamessages import QuotaAck, QuotaGrant
+from tests.test_forwarding.messagesamples import QUOTA_SAMPLES, SAMPLES
 
 FOLDER = Path(__file__).parent
 OLDEST_ENCODINGS = json.loads((FOLDER / "messages_15.json").read_text())
 CURRENT_ENCODINGS = json.loads((FOLDER / "messages_16.json").read_text())
+QUOTA_ENCODINGS = json.loads((FOLDER / "messages_quota_17.json").read_text())
 
 
 class MessageTest(testtools.TestCase):
@@ -38,10 +40,12 @@
     def test_every_message_type_round_trips(self) -> None:
         for message in (
             *SAMPLES.values(),
+            *QUOTA_SAMPLES.values(),
             GatherReply(7, {"s1": "a.1"}, b"x" * 32, is_final=False),
         ):
             self.assertEqual(message, decode_message(encode_message(message)))
-        kinds = {type(message) for message in SAMPLES.values()}
+        samples = [*SAMPLES.values(), *QUOTA_SAMPLES.values()]
+        kinds = {type(message) for message in samples}
         self.assertEqual(set(MESSAGE_TYPES), kinds)
 
     @given(st.binary(max_size=64))
@@ -85,6 +89,25 @@
                     encoded = encode_message(message, protocol).hex()
                     self.assertEqual(encodings[name], encoded)
 
+    # Guards against a change of a quota message that a released build of
+    # protocol 0x17 misreads, and against one that an earlier build is sent.
+    def test_quota_messages_are_those_of_their_protocol(self) -> None:
+        self.assertEqual(QUOTA_ENCODINGS.keys(), QUOTA_SAMPLES.keys())
+        for name, message in QUOTA_SAMPLES.items():
+            encoding = QUOTA_ENCODINGS[name]
+            self.assertEqual(encoding, encode_message(message).hex())
+            self.assertEqual(message, decode_message(bytes.fromhex(encoding)))
+            if isinstance(message, QuotaAck | QuotaGrant):
+                # The sender of what it replies to understands it.
+                self.assertEqual(encoding, encode_message(message, 0).hex())
+            else:
+                self.assertRaises(
+                    UnknownMessageError,
+                    encode_message,
+                    message,
+                    OLDEST_PROTOCOL,
+                )
+
     def test_added_fields_have_defaults(self) -> None:
         for kind, count in OLDEST_FIELD_COUNTS.items():
             for field in FIELDS[kind][count:]:
