Admit, delay and refuse callers' requests by quota

A caller's request of an account with a rate is admitted, waits for a token, or is refused with over_quota and a Retry-After, after all cheap rejections. A request of a peer is not counted. A waiting request is checked again when it continues, is rejected at its timeout, and is dropped when its caller leaves. A refusal which states that the request has not run returns its token.

--- a/arbutusbridge/daemon/forwarding.py
+++ b/arbutusbridge/daemon/forwarding.py
@@ -46,6 +46,7 @@
     from arbutusbridge.forwarding.gather import GatherMessage
     from arbutusbridge.forwarding.limitmessages import DemandNotice, ShareNotice
     from arbutusbridge.forwarding.quarantinemessages import QuarantineNotice
+    from arbutusbridge.forwarding.quotamessages import QuotaMessage
     from arbutusbridge.forwarding.wireformat import WireFormat
 
 logger = get_logger(__name__)
@@ -140,7 +141,11 @@
     @handler("peer_message")
     def on_peer_message(
         self,
-        message: GatherMessage | QuarantineNotice | DemandNotice | ShareNotice,
+        message: GatherMessage
+        | QuarantineNotice
+        | DemandNotice
+        | ShareNotice
+        | QuotaMessage,
     ) -> None:
         """Handles a message from another instance."""
         self.carry_out(
--- a/arbutusbridge/daemon/forwardinstance.py
+++ b/arbutusbridge/daemon/forwardinstance.py
@@ -52,6 +52,7 @@
 )
 from arbutusbridge.forwarding.quarantinemessages import QuarantineNotice
 from arbutusbridge.forwarding.quarantinerecord import QUARANTINE_PREFIX
+from arbutusbridge.forwarding.quotamessages import QuotaMessage
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -79,6 +80,7 @@
     QuarantineNotice: ForwardingDriver.channel,
     DemandNotice: ForwardingDriver.channel,
     ShareNotice: ForwardingDriver.channel,
+    **dict.fromkeys(get_args(QuotaMessage), ForwardingDriver.channel),
     FollowRequest: StoreFollower.channel,
     StoreUpdate: StoreFollower.channel,
 }
--- a/arbutusbridge/forwarding/conclusion.py
+++ b/arbutusbridge/forwarding/conclusion.py
@@ -13,10 +13,12 @@
     notices,
     pauses,
     peerreplies,
+    quotas,
 )
 from arbutusbridge.forwarding.attempts import drop_open_attempts
 from arbutusbridge.forwarding.merge import merge_greatest
 from arbutusbridge.forwarding.messages import (
+    UNCERTAIN_REFUSALS,
     MergedAnswer,
     Refusal,
     RefusedAnswer,
@@ -268,6 +270,8 @@
         refusal, retry = Refusal.TIMED_OUT, FAILED_RETRY_AFTER_S
     else:
         refusal, retry = Refusal.LOST, FAILED_RETRY_AFTER_S
+    if refusal not in UNCERTAIN_REFUSALS:
+        quotas.give_back(exchange, shared, now)
     missing = describe_missing(exchange, shared)
     if exchange.peer_request is not None and not exchange.route.shards:
         peerreplies.send_response(exchange, None, retry, out)
--- a/arbutusbridge/forwarding/forwarder.py
+++ b/arbutusbridge/forwarding/forwarder.py
@@ -26,6 +26,7 @@
     pauses,
     peermessages,
     preconnect,
+    quotas,
     relay,
 )
 from arbutusbridge.forwarding.exchange import Exchange, Part
@@ -46,6 +47,13 @@
     UpstreamReply,
 )
 from arbutusbridge.forwarding.quarantinemessages import QuarantineNotice
+from arbutusbridge.forwarding.quotamessages import (
+    MeteredNotice,
+    QuotaAck,
+    QuotaAsk,
+    QuotaBatch,
+    QuotaGrant,
+)
 from arbutusbridge.forwarding.routes import RouteTable
 from arbutusbridge.forwarding.shared import SharedState
 from arbutusbridge.forwarding.upstreams import is_restart
@@ -60,6 +68,7 @@
         RoutingConfiguration,
     )
     from arbutusbridge.forwarding.quarantinemessages import QuarantineReport
+    from arbutusbridge.forwarding.quotamessages import QuotaMessage
     from arbutusbridge.forwarding.upstreams import OpenAttempt
 
 LAG_WEIGHT = 0.1
@@ -152,20 +161,7 @@
                 return out
             account = found
             request.account = account.name if account is not None else ""
-        if now + route.target_s > self.final_answers_at:
-            retry_s = STOPPING_RETRY_AFTER_S
-            self.refuse(request, Refusal.STOPPING, retry_s, out)
-            return out
-        state = self.suspicion(request, now)
-        if state is FingerprintState.QUARANTINED:
-            left_s = self.quarantine_left_s(request, now)
-            self.refuse(request, Refusal.QUARANTINED, left_s, out, now)
-            return out
-        if state is FingerprintState.SUSPECT and (
-            self.verdict_due_at(request) is not None or self.is_open(request)
-        ):
-            retry_s = SUSPECT_RETRY_AFTER_S
-            self.refuse(request, Refusal.SUSPECT, retry_s, out, now)
+        if self.refuse_unwanted(request, route, now, out):
             return out
         services = route.shards or (table.next_service(route),)
         version = table.configuration.version
@@ -178,9 +174,88 @@
             exchange.canary_count = self.quarantine.canary_count(
                 request.fingerprint, request.host, now
             )
+        if account is not None and account.rate > 0.0:
+            decision = quotas.admit(exchange, account, self, now, out)
+            if decision is quotas.Admission.WAITING:
+                return out
+            if not isinstance(decision, quotas.Admission):
+                self.refuse_over_quota(exchange, decision, "", now, out)
+                return out
         dispatch.start_exchange(exchange, self, now, out)
+        self.settle_quotas(now, out)
         return out
 
+    def refuse_unwanted(
+        self,
+        request: CallerRequest,
+        route: Route,
+        now: float,
+        out: list[object],
+    ) -> bool:
+        """Refuses a request that is not to be sent to any upstream.
+
+        Returns:
+          Whether it is refused.
+        """
+        if now + route.target_s > self.final_answers_at:
+            retry_s = STOPPING_RETRY_AFTER_S
+            self.refuse(request, Refusal.STOPPING, retry_s, out)
+            return True
+        state = self.suspicion(request, now)
+        if state is FingerprintState.QUARANTINED:
+            left_s = self.quarantine_left_s(request, now)
+            self.refuse(request, Refusal.QUARANTINED, left_s, out, now)
+            return True
+        if state is FingerprintState.SUSPECT and (
+            self.verdict_due_at(request) is not None or self.is_open(request)
+        ):
+            retry_s = SUSPECT_RETRY_AFTER_S
+            self.refuse(request, Refusal.SUSPECT, retry_s, out, now)
+            return True
+        return False
+
+    def settle_quotas(self, now: float, out: list[object]) -> None:
+        """Continues the requests that have got a token; rejects others."""
+        book = self.quotas
+        while book.granted or book.rejected:
+            rejected, book.rejected = book.rejected, []
+            for exchange, retry_s, ledger in rejected:
+                self.refuse_over_quota(exchange, retry_s, ledger, now, out)
+            granted, book.granted = book.granted, []
+            for exchange in granted:
+                request, route = exchange.request, exchange.route
+                if self.refuse_unwanted(request, route, now, out):
+                    quotas.give_back(exchange, self, now)
+                else:
+                    dispatch.start_exchange(exchange, self, now, out)
+
+    def refuse_over_quota(
+        self,
+        exchange: Exchange,
+        retry_s: float,
+        ledger: str,
+        now: float,
+        out: list[object],
+    ) -> None:
+        """Refuses a request over the quota of its account."""
+        assert exchange.account is not None
+        name = exchange.account.name
+        self.quotas.record_refused(name)
+        detail: dict[str, object] = {
+            "account": name,
+            "ledger": ledger or quotas.name_of_ledger(name, self, now),
+            "retry_s": round(retry_s, 2),
+            "waited_ms": round((now - exchange.request.arrived) * 1000, 1),
+        }
+        self.refuse(
+            exchange.request,
+            Refusal.OVER_QUOTA,
+            retry_s,
+            out,
+            now,
+            detail,
+        )
+
     def is_open(self, request: CallerRequest) -> bool:
         """Returns whether a request with the same content is open here."""
         return any(
@@ -194,6 +269,7 @@
         retry_after_s: float | None,
         out: list[object],
         now: float = 0.0,
+        reason: dict[str, object] | None = None,
     ) -> None:
         """Refuses a request of which nothing is sent."""
         version = self.table.configuration.version if self.table else 0
@@ -202,6 +278,7 @@
             "host": request.host,
             "target": request.target[:80],
             "version": version,
+            **(reason or {}),
         }
         if refusal in (Refusal.QUARANTINED, Refusal.SUSPECT):
             entry = self.quarantine.entries[request.fingerprint]
@@ -242,6 +319,7 @@
             conclusion.conclude_or_set_timer(exchange, self, now, out)
         self.check_links(now, out)
         self.end_quarantined(now, out)
+        self.settle_quotas(now, out)
         return out
 
     def check_links(self, now: float, out: list[object]) -> None:
@@ -326,11 +404,13 @@
         return out
 
     def maintain(self, now: float) -> list[object]:
-        """Exchanges demand and shares of limits, and probes lost links."""
+        """Exchanges what limits and quotas need, and probes lost links."""
         out: list[object] = []
         allocation.exchange(self, now, out)
+        quotas.exchange(self, now, out)
         isolation.probe(self, now, out)
         self.check_links(now, out)
+        self.settle_quotas(now, out)
         return out
 
     def adopt_quarantine(
@@ -425,6 +505,9 @@
         out: list[object] = []
         self.settle_verdicts(now, out)
         exchange = self.exchanges.get(request)
+        if exchange is None and request in self.quotas.waiting:
+            quotas.on_timer(request, self, now, out)
+            self.settle_quotas(now, out)
         if exchange is None or now < exchange.timer_at:
             return out
         lag = min(now - exchange.timer_at, MAX_LAG_S)
@@ -437,10 +520,15 @@
         exchange.timer_at = float("inf")
         conclusion.conclude_or_set_timer(exchange, self, now, out)
         self.check_links(now, out)
+        self.settle_quotas(now, out)
         return out
 
     def abandon(self, request: CallerRequest, now: float) -> list[object]:
         """Drops the request of a caller that closed its connection."""
+        waiting = quotas.drop(request, self)
+        if waiting is not None:
+            detail = {"account": waiting.account, "waited": True}
+            return [Decision(request.request_id, "caller_left", detail)]
         return conclusion.abandon(request, self, now)
 
     def find_likely_peers(self, now: float) -> list[Peer]:
@@ -485,7 +573,11 @@
 
     def handle_peer_message(
         self,
-        message: GatherMessage | QuarantineNotice | DemandNotice | ShareNotice,
+        message: GatherMessage
+        | QuarantineNotice
+        | DemandNotice
+        | ShareNotice
+        | QuotaMessage,
         now: float,
     ) -> list[object]:
         """Processes a message of a peer and returns the next actions."""
@@ -510,12 +602,25 @@
                 allocation.on_demand(message, self, now, out)
             case ShareNotice():
                 allocation.on_shares(message, self, now, out)
+            case (
+                QuotaBatch()
+                | QuotaAck()
+                | QuotaAsk()
+                | QuotaGrant()
+                | MeteredNotice()
+            ):
+                quotas.on_message(message, self, now, out)
         self.end_quarantined(now, out)
+        self.settle_quotas(now, out)
         return out
 
     def finish_all(self, now: float) -> list[object]:
         """Sends the final answer of all open requests before a planned stop."""
         out: list[object] = []
+        for request in list(self.quotas.waiting):
+            quotas.drop(request, self)
+            retry_s = STOPPING_RETRY_AFTER_S
+            self.refuse(request, Refusal.STOPPING, retry_s, out)
         for exchange in list(self.exchanges.values()):
             exchange.partial_answer_at = exchange.give_up_at = now
             conclusion.conclude(exchange, self, now, out)
--- a/arbutusbridge/forwarding/messages.py
+++ b/arbutusbridge/forwarding/messages.py
@@ -189,6 +189,12 @@
     TIMED_OUT = "timed_out"
 
 
+UNCERTAIN_REFUSALS = frozenset(
+    {Refusal.CRASHED, Refusal.LOST, Refusal.TIMED_OUT}
+)
+"""Refusals that do not state whether the request ran."""
+
+
 @dataclass(slots=True)
 class RelayedAnswer:
     """Action: answer a caller with the response of an upstream."""
--- a/tests/test_forwarding/fleet.py
+++ b/tests/test_forwarding/fleet.py
@@ -117,6 +117,11 @@
       answers: Answers by request id, each with its time.
       sent: Requests by id.
       is_cut: Returns whether messages between two instances are lost.
+      copies: Returns the further delay of each copy of a message between two
+        instances that arrives, in seconds; empty if it is lost.
+      credentials: Headers with a key that requests carry.
+      maintenance_phase: Returns the time from the start of an instance to its
+        first regular work, in seconds.
       entered: Instance that each request was sent to, by request id.
       cut_off: Instances that have lost their links to all upstreams, each with
         what becomes of its attempts: they ``hang``, or connections are reset
@@ -163,6 +168,9 @@
         self.answers: dict[str, tuple[float, Any]] = {}
         self.sent: dict[str, CallerRequest] = {}
         self.is_cut: Callable[[str, str], bool] = lambda _name, _peer: False
+        self.copies: Callable[[str, str], list[float]] = lambda *_: [0.0]
+        self.credentials: list[bytes] = []
+        self.maintenance_phase: Callable[[], float] = lambda: 0.0
         self.entered: dict[str, str] = {}
         self.cut_off: dict[str, str] = {}
         self.unreachable: set[tuple[str, str]] = set()
@@ -180,12 +188,19 @@
         ]
         for name, place in names:
             self.places[name] = place
+        self.addresses = {
+            name: ("10.8.0.1", 1000 + number)
+            for number, name in enumerate(self.places)
+        }
+        self.names_by_address = {
+            address: name for name, address in self.addresses.items()
+        }
         for name in self.places:
             self.start(name)
 
     def address_of(self, name: str) -> tuple[str, int]:
         """Returns the address at which an instance accepts messages."""
-        return ("10.8.0.1", 1000 + list(self.places).index(name))
+        return self.addresses[name]
 
     def start(self, name: str) -> None:
         """Starts an instance with an empty memory."""
@@ -213,7 +228,35 @@
         forwarder.update_instance_count(len(self.places))
         self.instances[name] = forwarder
         self.exchange_notices(name, forwarder)
-        self.maintain(name, forwarder)
+        phase_s = self.maintenance_phase()
+        if phase_s:
+            self.after(phase_s, lambda: self.maintain(name, forwarder))
+        else:
+            self.maintain(name, forwarder)
+
+    def configure(self, configuration: RoutingConfiguration) -> None:
+        """Applies a configuration at all instances at once."""
+        self.configuration = configuration
+        for forwarder in self.instances.values():
+            forwarder.configure(configuration)
+
+    def update_peers(self, name: str) -> None:
+        """Tells an instance which others run."""
+        forwarder = self.instances[name]
+        forwarder.gather.peer_table.update(
+            [
+                Peer(
+                    other,
+                    self.places[other],
+                    self.address_of(other),
+                    self.capacity,
+                    protocol=self.protocols.get(other, CURRENT_PROTOCOL),
+                )
+                for other in self.instances
+                if other != name
+            ]
+        )
+        forwarder.update_instance_count(len(self.instances))
 
     def stop(self, name: str) -> None:
         """Ends an instance without notice; callers reach the others."""
@@ -275,6 +318,7 @@
             body,
             self.now + 2.0,
             self.now,
+            credentials=list(self.credentials),
         )
         self.sent[request_id] = request
         self.entered[request_id] = name
@@ -388,9 +432,7 @@
 
     def send_message(self, name: str, action: SendGatherMessage) -> None:
         """Delivers a message to a peer through its encoding."""
-        (peer,) = [
-            p for p in self.places if self.address_of(p) == action.address
-        ]
+        peer = self.names_by_address[action.address]
         protocol = self.instances[name].gather.peer_table.protocol_of(
             action.address
         )
@@ -407,7 +449,9 @@
                 peer, forwarder.handle_peer_message(message, self.now)
             )
 
-        self.after(self.delay(self.places[name], self.places[peer]), arrive)
+        way_s = self.delay(self.places[name], self.places[peer])
+        for further_s in self.copies(name, peer):
+            self.after(way_s + further_s, arrive)
 
     def send_attempt(
         self, name: str, forwarder: Forwarder, action: SendAttempt
