Admit open accounts only while their ledger is heard of

Each instance of a region that was cut off admitted its first requests by itself, and so did a fresh one before it knew any account. Substitutes of three regions together granted more than was left of the slack.

Ledgers send their notice every second at 83 instances, also if no account is metered, and an instance asks for tokens if it has not heard of the ledger for 2.5 of these intervals. The fraction of a substitute counts all regions. A slow ledger that was excluded has to answer before its notices count.

--- a/arbutusbridge/forwarding/allocation.py
+++ b/arbutusbridge/forwarding/allocation.py
@@ -286,7 +286,7 @@
     notice: ShareNotice, shared: SharedState, now: float, out: list[object]
 ) -> None:
     """Adopts the shares that an allocator grants."""
-    shared.limits.silence.heard(notice.sender)
+    shared.limits.silence.heard(notice.sender, now)
     for report, share in zip(notice.terms, notice.shares, strict=False):
         upstream = limits.learn_report(report, notice.sender, shared, now, out)
         if upstream is not None and share >= 0.0:
--- a/arbutusbridge/forwarding/quotabatches.py
+++ b/arbutusbridge/forwarding/quotabatches.py
@@ -123,7 +123,7 @@
     if sent is None or sent.batch.number != message.number:
         return
     del book.batches[message.sender]
-    book.silence.heard(message.sender)
+    book.silence.heard(message.sender, now)
     for name in message.metered:
         if name in book.uses:
             book.uses[name].metered_until = now + NOTICE_TTL_S
--- a/arbutusbridge/forwarding/quotaledger.py
+++ b/arbutusbridge/forwarding/quotaledger.py
@@ -46,8 +46,13 @@
 NOTICE_DELAY_S = 0.03
 """Time that a batch and the notice after it take between two regions."""
 
-NOTICE_REPEAT_S = 2.5
-"""Interval of the notices of all metered accounts."""
+REPEAT_BATCHES = 4.0
+"""Intervals of the batches after which a ledger repeats the notice of all
+metered accounts. The notice is sent also without any, since instances admit
+requests by themselves only if they have heard of the ledger lately."""
+
+MAX_REPEAT_S = 2.5
+"""Maximum interval of these notices."""
 
 NOTICE_SPACING = 0.4
 """Shortest time between two notices of changes, as a fraction of the interval
@@ -66,6 +71,11 @@
     return min(MAX_BATCH_INTERVAL_S, max(MIN_BATCH_INTERVAL_S, interval_s))
 
 
+def repeat_interval_s(shared: SharedState) -> float:
+    """Returns the interval of the regular notices."""
+    return min(MAX_REPEAT_S, REPEAT_BATCHES * batch_interval_s(shared))
+
+
 def find_bucket(account: Account, shared: SharedState, now: float) -> Bucket:
     """Returns the bucket of an account, refilled to now."""
     standing = find_standing(account, shared)
@@ -223,19 +233,19 @@
         return
     book.noticed_at = now
     names, book.changed = book.changed, set()
-    send_notices(names, shared, now, out)
+    send_notices(names, shared, out)
 
 
 def send_notices(
-    names: Iterable[str], shared: SharedState, now: float, out: list[object]
+    names: Iterable[str], shared: SharedState, out: list[object]
 ) -> None:
     """Sends all instances the state of accounts that are led here."""
     book = shared.quotas
+    if not book.led_since or not book.has_rates:
+        return
     known = [one for one in names if one in book.buckets]
     led = sorted(one for one in known if group_of(one) in book.led_since)
-    if not led or shared.gather.own_peer is None:
-        return
-    for start in range(0, len(led), MAX_NOTICE_ACCOUNTS):
+    for start in range(0, max(1, len(led)), MAX_NOTICE_ACCOUNTS):
         part = led[start : start + MAX_NOTICE_ACCOUNTS]
         metered = [one for one in part if book.buckets[one].metered]
         opened = [one for one in part if not book.buckets[one].metered]
@@ -248,7 +258,6 @@
 def maintain(shared: SharedState, now: float, out: list[object]) -> None:
     """Opens accounts that have recovered, and repeats notices."""
     book = shared.quotas
-    repeats = now - book.repeated_at >= NOTICE_REPEAT_S
     metered = []
     for name, bucket in list(book.buckets.items()):
         account = find_account(name, shared)
@@ -259,7 +268,11 @@
                 account, find_bucket(account, shared, now), shared, now, out
             )
             metered.append(name)
-    if repeats and metered:
-        book.repeated_at = now
-        book.changed.update(metered)
-    notify_changes(shared, now, out, at_once=True)
+    # The timer that calls this may be a little early.
+    due_at = now - repeat_interval_s(shared) + 0.1 * MIN_BATCH_INTERVAL_S
+    if book.repeated_at > due_at:
+        notify_changes(shared, now, out, at_once=True)
+        return
+    book.repeated_at = now
+    names, book.changed = book.changed | set(metered), set()
+    send_notices(names, shared, out)
--- a/arbutusbridge/forwarding/quotaranking.py
+++ b/arbutusbridge/forwarding/quotaranking.py
@@ -152,7 +152,7 @@
       regions: Number of regions, each of which may have a substitute.
       excess: Requests per second that all substitutes may grant together.
     """
-    fraction = excess / (account.rate * max(1, regions - 1))
+    fraction = excess / (account.rate * regions)
     return min(1.0 / regions, fraction)
 
 
@@ -175,5 +175,5 @@
     regions = len({region_of(peer, shared) for peer in known_instances(shared)})
     excess = SUBSTITUTE_SHARE * excess + limits.slack / 4
     fraction = substitute_fraction(account, regions, excess / limits.window_s)
-    depth = max(1.0, limits.slack / 4 / max(1, regions - 1))
+    depth = max(1.0, limits.slack / 4 / regions)
     return Standing(False, account.rate * fraction, depth, depth)
--- a/arbutusbridge/forwarding/quotas.py
+++ b/arbutusbridge/forwarding/quotas.py
@@ -52,6 +52,11 @@
 ASK_TIMEOUT_S = 0.15
 """Time for which a ledger may reply to a token request."""
 
+FRESH_REPEATS = 2.5
+"""Intervals of a ledger's regular notices without any of them after which each
+request asks for a token. Otherwise every instance of a region that is cut off
+would admit its first requests."""
+
 DOUBT_S = 0.1
 """Time without an answer of a ledger after which each request asks for a token;
 what is admitted until a dead ledger is excluded is counted nowhere."""
@@ -141,10 +146,11 @@
     ledger may be unreachable.
     """
     silence = shared.quotas.silence
+    fresh_s = FRESH_REPEATS * quotaledger.repeat_interval_s(shared)
     return (
         use.metered_until > now
         or ledger is not rank_ledgers(name, shared)[0]
-        or ledger.name in silence.unconfirmed
+        or not silence.was_heard(ledger.name, now - fresh_s)
         or silence.silent_s(ledger.name, now) > DOUBT_S
     )
 
@@ -400,7 +406,7 @@
     use = book.uses.get(message.account)
     if use is None or use.ask is None or use.ask.ask_id != message.ask_id:
         return
-    book.silence.heard(message.sender)
+    book.silence.heard(message.sender, now)
     tokens = use.ask.tokens
     use.ask = None
     use_grant(message, tokens, use, shared, now, out)
@@ -409,6 +415,9 @@
 def on_notice(message: MeteredNotice, shared: SharedState, now: float) -> None:
     """Handles which accounts are metered; only their own ledgers count."""
     book = shared.quotas
+    if shared.gather.own_peer is None:
+        return
+    book.silence.noticed(message.sender, now)
     for names, until in (
         (message.metered, now + NOTICE_TTL_S),
         (message.opened, -math.inf),
@@ -416,6 +425,6 @@
         for name in names:
             if find_account(name, shared) is None:
                 continue
-            if name_of_ledger(name, shared, now) == message.sender:
+            if rank_ledgers(name, shared)[0].name == message.sender:
                 use = book.uses.setdefault(name, AccountUse())
                 use.metered_until = until
--- a/arbutusbridge/forwarding/ranking.py
+++ b/arbutusbridge/forwarding/ranking.py
@@ -34,12 +34,12 @@
     Attributes:
       since: Time of the first message that a peer has not answered.
       excluded_until: Time until which a silent peer is not asked.
-      unconfirmed: Peers that have been excluded and not been heard of since.
+      heard_at: Time of the latest message of a peer that is not excluded.
     """
 
     since: dict[str, float] = field(default_factory=dict)
     excluded_until: dict[str, float] = field(default_factory=dict)
-    unconfirmed: set[str] = field(default_factory=set)
+    heard_at: dict[str, float] = field(default_factory=dict)
 
     def is_excluded(self, name: str, now: float) -> bool:
         """Returns whether a peer is not asked at present."""
@@ -60,9 +60,24 @@
         """Excludes a silent peer."""
         self.excluded_until[name] = until
         self.since.pop(name, None)
-        self.unconfirmed.add(name)
+        self.heard_at.pop(name, None)
 
-    def heard(self, name: str) -> None:
-        """Records an answer of a peer."""
+    def heard(self, name: str, now: float) -> None:
+        """Records an answer of a peer, after which other messages count too."""
         self.since.pop(name, None)
-        self.unconfirmed.discard(name)
+        if not self.is_excluded(name, now):
+            self.excluded_until.pop(name, None)
+            self.heard_at[name] = now
+
+    def noticed(self, name: str, now: float) -> None:
+        """Records a message that answers nothing.
+
+        A peer that was excluded has to answer first: one that is slow sends
+        notices, too.
+        """
+        if name not in self.excluded_until:
+            self.heard_at[name] = now
+
+    def was_heard(self, name: str, since: float) -> bool:
+        """Returns whether a peer has sent a message lately."""
+        return self.heard_at.get(name, -math.inf) >= since
