Read the bounds of quotas from the settings; count what quotas do

tests/test_settings, tests/test_daemon/test_forwardinstance.py and tests/test_daemon/test_operators.py pass.

--- a/arbutusbridge/daemon/forwardinstance.py
+++ b/arbutusbridge/daemon/forwardinstance.py
@@ -30,7 +30,7 @@
 from arbutusbridge.daemon.relaypools import RelayPools
 from arbutusbridge.daemon.storefeed import StoreFeed
 from arbutusbridge.daemon.timers import TimerService
-from arbutusbridge.forwarding import Locality, RetryBudgetLimits
+from arbutusbridge.forwarding import Locality, RetryBudgetLimits, quotaledger
 from arbutusbridge.forwarding.following import (
     MIN_CHANGE_DELAY_LIMIT_S,
     FollowRequest,
@@ -52,6 +52,7 @@
 )
 from arbutusbridge.forwarding.quarantinemessages import QuarantineNotice
 from arbutusbridge.forwarding.quarantinerecord import QUARANTINE_PREFIX
+from arbutusbridge.forwarding.quotabook import QuotaLimits
 from arbutusbridge.forwarding.quotamessages import QuotaMessage
 
 if TYPE_CHECKING:
@@ -162,6 +163,7 @@
                 settings.capacity,
                 protocol=CURRENT_PROTOCOL,
             )
+        self.forwarding.forwarder.quotas.limits = build_quota_limits(settings)
         self.forwarding.attach(self.ingress, self.pools, self.peers)
         self.store = PlatformClient(
             self.hub,
@@ -327,6 +329,7 @@
         self.forwarding.forwarder.set_budget_limits(
             build_retry_budget_limits(settings)
         )
+        self.forwarding.forwarder.quotas.limits = build_quota_limits(settings)
         logger.notice("settings reloaded", extra={"instance": settings.name})
 
     def status(self) -> dict[str, Any]:
@@ -380,6 +383,9 @@
             metrics.sync_total(metrics.callers_refused.labels(reason), count)
         for what, count in forwarder.decision_counts.items():
             metrics.sync_decision_count(what, count)
+        for account, count in forwarder.quotas.refused.items():
+            metrics.sync_total(metrics.over_quota.labels(account), count)
+        metrics.metered.set(quotaledger.count_metered(forwarder))
         for state, number in forwarder.quarantine.count_states().items():
             metrics.fingerprints.labels(state).set(number)
         metrics.upstreams.set(len(forwarder.directory.by_name))
@@ -409,6 +415,12 @@
     return RetryBudgetLimits(extras.ratio, extras.slack, extras.window_s)
 
 
+def build_quota_limits(settings: ForwardSettings) -> QuotaLimits:
+    """Returns the bound on the requests of an account from the settings."""
+    quotas = settings.quotas
+    return QuotaLimits(quotas.window_s, quotas.overage, quotas.slack)
+
+
 def build_instance_record(settings: ForwardSettings) -> InstanceRecord | None:
     """Returns the record that other instances read, with address and capacity.
 
--- a/arbutusbridge/daemon/forwardmetrics.py
+++ b/arbutusbridge/daemon/forwardmetrics.py
@@ -48,6 +48,23 @@
             "Parts that rate limits kept from the best upstream, or from all.",
             ["what"],
         )
+        self.over_quota = self.counter(
+            "forward_over_quota",
+            "Requests over the quota of their account, by account; those of "
+            "further accounts are counted together.",
+            ["account"],
+        )
+        self.quota_messages = self.counter(
+            "forward_quota_events",
+            "Batches, token requests, grants and the like of quotas.",
+            ["what"],
+        )
+        self.metered = Gauge(
+            "arbutusbridge_forward_metered_accounts",
+            "Accounts that this instance is the ledger of and that need a "
+            "token for each request.",
+            registry=self.registry,
+        )
         self.relays = self.counter(
             "forward_relays",
             "Requests handed to peers while cut off, and what became of them.",
@@ -134,6 +151,7 @@
         """Sets the total of the decisions that are not logged one by one."""
         for prefix, counter in (
             ("limit_", self.held_back),
+            ("quota_", self.quota_messages),
             ("relay_", self.relays),
             ("declined_", self.declined),
         ):
--- a/arbutusbridge/forwarding/quotaledger.py
+++ b/arbutusbridge/forwarding/quotaledger.py
@@ -276,3 +276,12 @@
     book.repeated_at = now
     names, book.changed = book.changed | set(metered), set()
     send_notices(names, shared, out)
+
+
+def count_metered(shared: SharedState) -> int:
+    """Returns the number of accounts that are led here and metered."""
+    book = shared.quotas
+    return sum(
+        bucket.metered and group_of(name) in book.led_since
+        for name, bucket in book.buckets.items()
+    )
--- a/arbutusbridge/settings/forwarding.py
+++ b/arbutusbridge/settings/forwarding.py
@@ -51,6 +51,20 @@
     window_s: float = Field(default=10.0, gt=0, le=600)
 
 
+class QuotaSettings(StrictModel):
+    """Bound that the requests of a client account stay within.
+
+    Attributes:
+      window_s: Length of the sliding window in which requests are counted.
+      overage: Fraction above rate and burst that may run in a window.
+      slack: Requests that may run in addition, over all instances.
+    """
+
+    window_s: float = Field(default=5.0, gt=0, le=600)
+    overage: float = Field(default=0.1, ge=0, le=10)
+    slack: float = Field(default=20.0, ge=4)
+
+
 class ProcessorSettings(StrictModel):
     """Processor time that an instance may use.
 
@@ -86,6 +100,7 @@
       balancer_lag_seconds: Time for which the load balancer may still send
         requests after the instance has stopped being ready.
       extras: Bounds on retries and hedges.
+      quotas: Bounds on the requests of client accounts.
       processor: Processor time that it may use. Peers divide requests to many
         shards among each other in proportion to it.
       log_level: Lowest level that is logged.
@@ -105,6 +120,7 @@
     stop_seconds: float = Field(default=6.0, gt=0, le=600)
     balancer_lag_seconds: float = Field(default=2.5, ge=0, le=60)
     extras: RetryBudgetSettings = RetryBudgetSettings()
+    quotas: QuotaSettings = QuotaSettings()
     processor: ProcessorSettings = ProcessorSettings()
     log_level: Literal["debug", "info", "notice", "warning", "error"] = "info"
 
