Let most instances agree on a successor of a ledger that is gone

Below its quota, an account whose ledger died had two thirds of its requests refused until the key of the ledger was removed from the store.

An instance that has not heard of the ledger for 5 s, but hears of most ledgers, turns to the first ledger in order that it hears of, which grants the whole rate. A ledger that hears of less than half of the others grants the fraction of a substitute by then. Token requests move to quotatokens.py.

--- a/arbutusbridge/forwarding/forwarder.py
+++ b/arbutusbridge/forwarding/forwarder.py
@@ -27,6 +27,7 @@
     peermessages,
     preconnect,
     quotas,
+    quotatokens,
     relay,
 )
 from arbutusbridge.forwarding.exchange import Exchange, Part
@@ -243,7 +244,7 @@
         self.quotas.record_refused(name)
         detail: dict[str, object] = {
             "account": name,
-            "ledger": ledger or quotas.name_of_ledger(name, self, now),
+            "ledger": ledger or quotatokens.name_of_ledger(name, self, now),
             "retry_s": round(retry_s, 2),
             "waited_ms": round((now - exchange.request.arrived) * 1000, 1),
         }
@@ -506,7 +507,7 @@
         self.settle_verdicts(now, out)
         exchange = self.exchanges.get(request)
         if exchange is None and request in self.quotas.waiting:
-            quotas.on_timer(request, self, now, out)
+            quotatokens.on_timer(request, self, now, out)
             self.settle_quotas(now, out)
         if exchange is None or now < exchange.timer_at:
             return out
@@ -525,7 +526,7 @@
 
     def abandon(self, request: CallerRequest, now: float) -> list[object]:
         """Drops the request of a caller that closed its connection."""
-        waiting = quotas.drop(request, self)
+        waiting = quotatokens.drop(request, self)
         if waiting is not None:
             detail = {"account": waiting.account, "waited": True}
             return [Decision(request.request_id, "caller_left", detail)]
@@ -618,7 +619,7 @@
         """Sends the final answer of all open requests before a planned stop."""
         out: list[object] = []
         for request in list(self.quotas.waiting):
-            quotas.drop(request, self)
+            quotatokens.drop(request, self)
             retry_s = STOPPING_RETRY_AFTER_S
             self.refuse(request, Refusal.STOPPING, retry_s, out)
         for exchange in list(self.exchanges.values()):
--- a/arbutusbridge/forwarding/quotabatches.py
+++ b/arbutusbridge/forwarding/quotabatches.py
@@ -13,7 +13,12 @@
 from arbutusbridge.forwarding.gather import SendGatherMessage
 from arbutusbridge.forwarding.quotabook import AccountUse, SentBatch
 from arbutusbridge.forwarding.quotamessages import QuotaBatch
-from arbutusbridge.forwarding.quotaranking import choose_ledger, find_account
+from arbutusbridge.forwarding.quotaranking import (
+    MIN_BATCH_INTERVAL_S,
+    batch_interval_s,
+    choose_ledger,
+    find_account,
+)
 
 if TYPE_CHECKING:
     from arbutusbridge.forwarding.gather import Peer
@@ -40,7 +45,7 @@
 
     It is above the usual number of this instance in an interval.
     """
-    usual = account.rate * quotaledger.batch_interval_s(shared)
+    usual = account.rate * batch_interval_s(shared)
     return max(MIN_EARLY_BATCH, 1 + int(usual / max(1, shared.instances)))
 
 
@@ -50,7 +55,7 @@
     for name, sent in list(book.batches.items()):
         if exclude_if_silent(name, shared, now, out):
             continue
-        if now - sent.sent_at >= 0.9 * quotaledger.MIN_BATCH_INTERVAL_S:
+        if now - sent.sent_at >= 0.9 * MIN_BATCH_INTERVAL_S:
             sent.sent_at = now
             out.append(SendGatherMessage(sent.address, sent.batch))
 
--- a/arbutusbridge/forwarding/quotabook.py
+++ b/arbutusbridge/forwarding/quotabook.py
@@ -174,6 +174,10 @@
       version: Version of the configuration whose accounts are known.
       has_rates: Whether any account of that version has a rate.
       ranked_for: Peers for which the orders below hold, None before the first.
+      ranked_at: Time at which they were ranked.
+      ledgers: Names of the instances that are the first of a group.
+      has_majority: Whether this instance hears of more than half of them.
+      is_minority: Whether it hears of less than half of them.
       orders: Instances in order, by group.
       led_since: Since when this instance is the first of a group, by group.
       uses: Accounts whose requests were received here, by name.
@@ -198,6 +202,10 @@
     version: int = 0
     has_rates: bool = False
     ranked_for: dict[str, Peer] | None = None
+    ranked_at: float = -math.inf
+    ledgers: set[str] = field(default_factory=set)
+    has_majority: bool = False
+    is_minority: bool = False
     orders: dict[int, list[Peer]] = field(default_factory=dict)
     led_since: dict[int, float] = field(default_factory=dict)
     uses: dict[str, AccountUse] = field(default_factory=dict)
--- a/arbutusbridge/forwarding/quotaledger.py
+++ b/arbutusbridge/forwarding/quotaledger.py
@@ -18,11 +18,15 @@
     QuotaGrant,
 )
 from arbutusbridge.forwarding.quotaranking import (
+    MIN_BATCH_INTERVAL_S,
+    batch_interval_s,
     find_account,
     find_standing,
     group_of,
     known_instances,
     refresh_orders,
+    repeat_interval_s,
+    update_majority,
 )
 from arbutusbridge.forwarding.ratelimit import spread_return
 
@@ -33,27 +37,9 @@
     from arbutusbridge.forwarding.quotamessages import QuotaAsk, QuotaBatch
     from arbutusbridge.forwarding.shared import SharedState
 
-MIN_BATCH_INTERVAL_S = 0.25
-"""Interval of the batches in a small deployment."""
-
-MAX_BATCH_INTERVAL_S = 1.0
-"""Maximum interval of the batches."""
-
-LARGE_DEPLOYMENT = 512
-"""Number of instances with the maximum interval; it is proportional to their
-number below."""
-
 NOTICE_DELAY_S = 0.03
 """Time that a batch and the notice after it take between two regions."""
 
-REPEAT_BATCHES = 4.0
-"""Intervals of the batches after which a ledger repeats the notice of all
-metered accounts. The notice is sent also without any, since instances admit
-requests by themselves only if they have heard of the ledger lately."""
-
-MAX_REPEAT_S = 2.5
-"""Maximum interval of these notices."""
-
 NOTICE_SPACING = 0.4
 """Shortest time between two notices of changes, as a fraction of the interval
 of the batches."""
@@ -65,20 +51,9 @@
 """Fraction of the depth of its bucket at which an account becomes open."""
 
 
-def batch_interval_s(shared: SharedState) -> float:
-    """Returns the interval of the batches."""
-    interval_s = MAX_BATCH_INTERVAL_S * shared.instances / LARGE_DEPLOYMENT
-    return min(MAX_BATCH_INTERVAL_S, max(MIN_BATCH_INTERVAL_S, interval_s))
-
-
-def repeat_interval_s(shared: SharedState) -> float:
-    """Returns the interval of the regular notices."""
-    return min(MAX_REPEAT_S, REPEAT_BATCHES * batch_interval_s(shared))
-
-
 def find_bucket(account: Account, shared: SharedState, now: float) -> Bucket:
     """Returns the bucket of an account, refilled to now."""
-    standing = find_standing(account, shared)
+    standing = find_standing(account, shared, now)
     bucket = shared.quotas.buckets.get(account.name)
     if bucket is None:
         since = now if standing.since is None else standing.since
@@ -258,6 +233,7 @@
 def maintain(shared: SharedState, now: float, out: list[object]) -> None:
     """Opens accounts that have recovered, and repeats notices."""
     book = shared.quotas
+    update_majority(shared, now)
     metered = []
     for name, bucket in list(book.buckets.items()):
         account = find_account(name, shared)
--- a/arbutusbridge/forwarding/quotaranking.py
+++ b/arbutusbridge/forwarding/quotaranking.py
@@ -22,6 +22,29 @@
 LEDGER_GROUPS = 32
 """Groups of accounts with a ledger each."""
 
+MIN_BATCH_INTERVAL_S = 0.25
+"""Interval of the batches in a small deployment."""
+
+MAX_BATCH_INTERVAL_S = 1.0
+"""Maximum interval of the batches."""
+
+LARGE_DEPLOYMENT = 512
+"""Number of instances with the maximum interval; it is proportional to their
+number below."""
+
+REPEAT_BATCHES = 4.0
+"""Intervals of the batches after which a ledger repeats the notice of all
+metered accounts. The notice is sent also without any, since instances admit
+requests by themselves only if they have heard of the ledger lately."""
+
+MAX_REPEAT_S = 2.5
+"""Maximum interval of these notices."""
+
+FRESH_REPEATS = 2.5
+"""Intervals of a ledger's regular notices without any of them after which each
+request asks for a token. Otherwise every instance of a region that is cut off
+would admit its first requests."""
+
 DEPTH_SHARE = 0.25
 """Share of the overage in the depth of a bucket. Requests are reported some at
 a time, so that the bucket of an account with a high rate runs empty below its
@@ -64,6 +87,17 @@
     return account if account is not None and account.rate > 0.0 else None
 
 
+def batch_interval_s(shared: SharedState) -> float:
+    """Returns the interval of the batches."""
+    interval_s = MAX_BATCH_INTERVAL_S * shared.instances / LARGE_DEPLOYMENT
+    return min(MAX_BATCH_INTERVAL_S, max(MIN_BATCH_INTERVAL_S, interval_s))
+
+
+def repeat_interval_s(shared: SharedState) -> float:
+    """Returns the interval of the regular notices."""
+    return min(MAX_REPEAT_S, REPEAT_BATCHES * batch_interval_s(shared))
+
+
 def known_instances(shared: SharedState) -> list[Peer]:
     """Returns the instances that may be ledgers, this one first."""
     own = shared.gather.own_peer
@@ -87,11 +121,13 @@
     book.ranked_for = peers
     book.orders.clear()
     found = known_instances(shared)
-    led = {
-        group
+    firsts = [
+        min(found, key=lambda peer: rank_of(str(group), peer))
         for group in range(LEDGER_GROUPS)
-        if min(found, key=lambda peer: rank_of(str(group), peer)) is own
-    }
+    ]
+    book.ranked_at = now
+    book.ledgers = {peer.name for peer in firsts}
+    led = {group for group, peer in enumerate(firsts) if peer is own}
     gained, lost = led - book.led_since.keys(), book.led_since.keys() - led
     for group in lost:
         del book.led_since[group]
@@ -115,6 +151,52 @@
     return order
 
 
+def is_heard(
+    name: str, within_s: float, shared: SharedState, now: float
+) -> bool:
+    """Returns whether a ledger was heard of, or has just become known."""
+    book = shared.quotas
+    last_at = book.silence.last_at.get(name, book.ranked_at)
+    return (
+        name == shared.gather.own_name
+        or now - max(last_at, book.ranked_at) <= within_s
+    )
+
+
+def update_majority(shared: SharedState, now: float) -> None:
+    """Finds out whether this instance hears of most of the ledgers."""
+    book = shared.quotas
+    fresh_s = FRESH_REPEATS * repeat_interval_s(shared)
+    heard = sum(is_heard(one, fresh_s, shared, now) for one in book.ledgers)
+    book.has_majority = 2 * heard > len(book.ledgers)
+    book.is_minority = 2 * heard < len(book.ledgers)
+
+
+def find_successor(
+    account: str, shared: SharedState, now: float
+) -> Peer | None:
+    """Returns the ledger that replaces a first one that is gone, if any.
+
+    An instance that hears of most ledgers knows that the first one hears of few
+    if it is alive, and grants the fraction of a substitute by then. Every such
+    instance chooses the first of the ledgers that it still hears of.
+    """
+    book = shared.quotas
+    first = rank_ledgers(account, shared)[0]
+    takeover_s = 2 * FRESH_REPEATS * repeat_interval_s(shared)
+    if not book.has_majority or is_heard(first.name, takeover_s, shared, now):
+        return None
+    return next(
+        (
+            peer
+            for peer in rank_ledgers(account, shared)
+            if peer.name in book.ledgers
+            and is_heard(peer.name, takeover_s, shared, now)
+        ),
+        None,
+    )
+
+
 def choose_ledger(
     account: str, shared: SharedState, now: float, skipped: str = ""
 ) -> Peer | None:
@@ -131,13 +213,15 @@
     """
     silence = shared.quotas.silence
     order = rank_ledgers(account, shared)
-    first = order[0]
+    first = find_successor(account, shared, now) or order[0]
     if first.name != skipped and not silence.is_excluded(first.name, now):
         return first
     others = [
         peer
-        for peer in order[1:]
-        if peer.name != skipped and not silence.is_excluded(peer.name, now)
+        for peer in order
+        if peer is not first
+        and peer.name != skipped
+        and not silence.is_excluded(peer.name, now)
     ]
     own = shared.place.is_in_own_region
     near = (peer for peer in others if own(peer.data_centre))
@@ -156,7 +240,9 @@
     return min(1.0 / regions, fraction)
 
 
-def find_standing(account: Account, shared: SharedState) -> Standing:
+def find_standing(
+    account: Account, shared: SharedState, now: float
+) -> Standing:
     """Returns what this instance may grant of an account as its ledger."""
     book = shared.quotas
     limits = book.limits
@@ -169,9 +255,12 @@
         return Standing(
             True, account.rate * share, max(1.0, depth * share), initial * share
         )
-    if rank_ledgers(account.name, shared)[0] is own:
+    is_first = rank_ledgers(account.name, shared)[0] is own
+    if is_first and not book.is_minority:
         since = book.led_since.get(group_of(account.name))
         return Standing(True, account.rate, depth, initial, since)
+    if find_successor(account.name, shared, now) is own:
+        return Standing(False, account.rate, depth, initial)
     regions = len({region_of(peer, shared) for peer in known_instances(shared)})
     excess = SUBSTITUTE_SHARE * excess + limits.slack / 4
     fraction = substitute_fraction(account, regions, excess / limits.window_s)
--- a/arbutusbridge/forwarding/ranking.py
+++ b/arbutusbridge/forwarding/ranking.py
@@ -35,11 +35,13 @@
       since: Time of the first message that a peer has not answered.
       excluded_until: Time until which a silent peer is not asked.
       heard_at: Time of the latest message of a peer that is not excluded.
+      last_at: Time of the latest message of a peer.
     """
 
     since: dict[str, float] = field(default_factory=dict)
     excluded_until: dict[str, float] = field(default_factory=dict)
     heard_at: dict[str, float] = field(default_factory=dict)
+    last_at: dict[str, float] = field(default_factory=dict)
 
     def is_excluded(self, name: str, now: float) -> bool:
         """Returns whether a peer is not asked at present."""
@@ -65,6 +67,7 @@
     def heard(self, name: str, now: float) -> None:
         """Records an answer of a peer, after which other messages count too."""
         self.since.pop(name, None)
+        self.last_at[name] = now
         if not self.is_excluded(name, now):
             self.excluded_until.pop(name, None)
             self.heard_at[name] = now
@@ -75,6 +78,7 @@
         A peer that was excluded has to answer first: one that is slow sends
         notices, too.
         """
+        self.last_at[name] = now
         if name not in self.excluded_until:
             self.heard_at[name] = now
 
