--- a/arbutusbridge/forwarding/quotabook.py
+++ b/arbutusbridge/forwarding/quotabook.py
@@ -182,6 +182,7 @@
       led_since: Since when this instance is the first of a group, by group.
       uses: Accounts whose requests were received here, by name.
       unreported: Names of those with requests that are in no batch yet.
+      with_spares: Names of those with returned tokens.
       batches: Batches that are not acknowledged, by name of the ledger.
       batched_at: Time of the last regular batches.
       silence: Ledgers that do not answer.
@@ -210,6 +211,7 @@
     led_since: dict[int, float] = field(default_factory=dict)
     uses: dict[str, AccountUse] = field(default_factory=dict)
     unreported: set[str] = field(default_factory=set)
+    with_spares: set[str] = field(default_factory=set)
     batches: dict[str, SentBatch] = field(default_factory=dict)
     batched_at: float = -math.inf
     silence: PeerSilence = field(default_factory=PeerSilence)
--- a/arbutusbridge/forwarding/quotas.py
+++ b/arbutusbridge/forwarding/quotas.py
@@ -135,10 +135,9 @@
 
 def use_spare(use: AccountUse, now: float) -> bool:
     """Uses a returned token, if there is one."""
-    while use.spares:
-        if use.spares.popleft() > now:
-            return True
-        use.unreported -= 1
+    if use.spares and use.spares[-1] > now:
+        use.spares.pop()
+        return True
     return False
 
 
@@ -164,6 +163,7 @@
             continue_first(use, shared)
         else:
             use.spares.append(now + SPARE_TTL_S)
+            shared.quotas.with_spares.add(name)
     else:
         use.unreported -= 1
         shared.quotas.unreported.add(name)
@@ -214,11 +214,14 @@
 def return_spares(shared: SharedState, now: float) -> None:
     """Returns tokens that have served no request in time."""
     book = shared.quotas
-    for name, use in book.uses.items():
-        while use.spares and use.spares[0] <= now:
+    for name in list(book.with_spares):
+        use = book.uses.get(name)
+        while use is not None and use.spares and use.spares[0] <= now:
             use.spares.popleft()
             use.unreported -= 1
             book.unreported.add(name)
+        if use is None or not use.spares:
+            book.with_spares.discard(name)
 
 
 def on_message(
--- a/arbutusbridge/forwarding/quotatokens.py
+++ b/arbutusbridge/forwarding/quotatokens.py
@@ -128,6 +128,7 @@
             continue_first(use, shared)
         else:
             use.spares.append(now + SPARE_TTL_S)
+            book.with_spares.add(grant.account)
     if grant.granted >= tokens:
         ask(grant.account, use, shared, now, out)
         return
--- a/tests/test_forwarding/test_quotas.py
+++ b/tests/test_forwarding/test_quotas.py
@@ -4,6 +4,7 @@
 
 import bisect
 import dataclasses
+import itertools
 import math
 from collections.abc import Callable
 
@@ -17,6 +18,10 @@
 from arbutusbridge.forwarding.gatherwire import OLDEST_PROTOCOL
 from arbutusbridge.forwarding.messages import Refusal
 from arbutusbridge.forwarding.model import Account
+from arbutusbridge.forwarding.quotabook import (
+    MAX_COUNTED_ACCOUNTS,
+    QuotaBook,
+)
 from arbutusbridge.forwarding.quotaranking import rank_ledgers
 from tests.test_forwarding.fixtures import plain, sharded
 from tests.test_forwarding.fleet import Fleet
@@ -444,8 +449,8 @@
             ]
             self.assertLess(len(over), 0.05 * len(fleet.sent))
 
-    # Guards against shards, helpers and retries that are counted each.
-    def test_divided_request_counts_once(self) -> None:
+    # Guards against shards, helpers, hedges and retries that are counted each.
+    def test_divided_and_hedged_requests_count_once(self) -> None:
         places = {"north": 3, "central": 3, "south": 3}
         shards = 12
         upstreams = [
@@ -466,8 +471,17 @@
         give(fleet, ACCOUNT)
         for name in fleet.places:
             fleet.start(name)
+        # Some shards take longer than usual, and are asked a second time.
+        fleet.work_range_s = (0.003, 0.09)
         load(fleet, BELOW, 30.0, target="/search/x")
         fleet.run_until(132.0)
+        hedges = [
+            arrival
+            for arrival, later in itertools.combinations(fleet.arrivals, 2)
+            if arrival.request.request_id == later.request.request_id
+            and arrival.upstream.split("-")[0] == later.upstream.split("-")[0]
+        ]
+        self.assertGreater(len(hedges), 10)
         self.check(fleet)
         self.assertEqual([], refused(fleet))
         (bucket,) = [
@@ -493,6 +507,16 @@
         fleet.run_until(122.0)
         self.check(fleet)
 
+    # Guards against one label of a metric for each of many accounts.
+    def test_refused_requests_are_counted_under_few_names(self) -> None:
+        book = QuotaBook()
+        for number in range(1000):
+            book.record_refused(f"a{number}")
+            book.record_refused("a0")
+        self.assertEqual(MAX_COUNTED_ACCOUNTS + 1, len(book.refused))
+        self.assertEqual(2000, book.refused.total())
+        self.assertEqual(1001, book.refused["a0"])
+
     # Guards against waiting requests without an answer, and against a token
     # that is lost with its request.
     def test_waiting_request_is_dropped_or_answered_at_a_stop(self) -> None:
