--- a/arbutusbridge/daemon/forwardinstance.py
+++ b/arbutusbridge/daemon/forwardinstance.py
@@ -31,7 +31,7 @@
 from arbutusbridge.daemon.relaypools import RelayPools
 from arbutusbridge.daemon.storefeed import StoreFeed
 from arbutusbridge.daemon.timers import TimerService
-from arbutusbridge.forwarding import Locality, RetryBudgetLimits
+from arbutusbridge.forwarding import Locality, RetryBudgetLimits, quotaledger
 from arbutusbridge.forwarding.following import (
     MIN_CHANGE_DELAY_LIMIT_S,
     FollowRequest,
@@ -53,6 +53,8 @@
 )
 from arbutusbridge.forwarding.quarantinemessages import QuarantineNotice
 from arbutusbridge.forwarding.quarantinerecord import QUARANTINE_PREFIX
+from arbutusbridge.forwarding.quotabook import QuotaLimits
+from arbutusbridge.forwarding.quotamessages import QuotaMessage
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -80,6 +82,7 @@
     QuarantineNotice: ForwardingDriver.channel,
     DemandNotice: ForwardingDriver.channel,
     ShareNotice: ForwardingDriver.channel,
+    **dict.fromkeys(get_args(QuotaMessage), ForwardingDriver.channel),
     FollowRequest: StoreFollower.channel,
     StoreUpdate: StoreFollower.channel,
 }
@@ -164,6 +167,7 @@
                 settings.capacity,
                 protocol=CURRENT_PROTOCOL,
             )
+        self.forwarding.forwarder.quotas.limits = build_quota_limits(settings)
         self.forwarding.attach(self.ingress, self.pools, self.peers)
         self.store = PlatformClient(
             self.hub,
@@ -335,6 +339,7 @@
         self.forwarding.forwarder.overflow.configure(
             settings.overflow.max_fraction
         )
+        self.forwarding.forwarder.quotas.limits = build_quota_limits(settings)
         logger.notice("settings reloaded", extra={"instance": settings.name})
 
     def status(self) -> dict[str, Any]:
@@ -390,6 +395,9 @@
             metrics.sync_total(metrics.callers_refused.labels(reason), count)
         for what, count in forwarder.decision_counts.items():
             metrics.sync_decision_count(what, count)
+        for account, count in forwarder.quotas.refused.items():
+            metrics.sync_total(metrics.over_quota.labels(account), count)
+        metrics.metered.set(quotaledger.count_metered(forwarder))
         for state, number in forwarder.quarantine.count_states().items():
             metrics.fingerprints.labels(state).set(number)
         metrics.upstreams.set(len(forwarder.directory.by_name))
@@ -421,6 +429,12 @@
     return RetryBudgetLimits(extras.ratio, extras.slack, extras.window_s)
 
 
+def build_quota_limits(settings: ForwardSettings) -> QuotaLimits:
+    """Returns the bound on the requests of an account from the settings."""
+    quotas = settings.quotas
+    return QuotaLimits(quotas.window_s, quotas.overage, quotas.slack)
+
+
 def build_instance_record(settings: ForwardSettings) -> InstanceRecord | None:
     """Returns the record that other instances read, with address and capacity.
 
--- a/arbutusbridge/forwarding/exchange.py
+++ b/arbutusbridge/forwarding/exchange.py
@@ -131,6 +131,7 @@
       homes: Regions that may run the request, None for all.
       destinations: Data centre that its work was sent to, by the one that it
         goes to without overflow.
+      has_token: Whether it counts towards the quota of its account.
     """
 
     request: CallerRequest
@@ -161,6 +162,7 @@
     account: Account | None = None
     homes: frozenset[str] | None = None
     destinations: dict[str, str] = field(default_factory=dict)
+    has_token: bool = False
 
     @property
     def urgency(self) -> int:
--- a/tests/test_settings/test_template.py
+++ b/tests/test_settings/test_template.py
@@ -1,59 +1,76 @@
-"""Tests of the template of the settings of a forwarding instance."""
+"""Tests of the template that a deployment fills in."""
 
 from __future__ import annotations
 
 import json
 import re
 from pathlib import Path
+from typing import Any
 
 import testtools
 
-from arbutusbridge.settings.forwarding import ForwardSettings
+from arbutusbridge.settings import parse_model
+from arbutusbridge.settings.forwarding import ForwardSettings, QuotaSettings
+
+TEMPLATE = Path(__file__).parents[2] / "deploy" / "settings.json.tmpl"
 
-TEMPLATE = Path(__file__).parents[2] / "deploy/settings.json.tmpl"
-SECTION = re.compile(r"\{\{#([\w.]+)\}\}(.*?)\{\{/\1\}\}", re.DOTALL)
 VALUES = {
-    "node": "n-0",
+    "node": "north-0",
     "zone": "north",
     "zones": {"north": "n"},
-    "listen.front": "10.0.0.1:80",
-    "listen.ready": "10.0.0.1:81",
     "ip": "10.0.0.1",
-    "internal_ports.0": 82,
-    "platform.addr": "10.0.0.2:83",
-    "limits.cpu_share": 1.0,
+    "internal_ports.0": 7380,
+    "listen.front": "10.0.0.1:7000",
+    "listen.ready": "10.0.0.1:7001",
+    "platform.addr": "10.0.0.9:2379",
+    "limits.cpu_share": 0.5,
     "limits.cores": 1.0,
     "bounds.config_apply_ms": 5000,
-    "bounds.grace_s": 6,
+    "bounds.grace_s": 6.0,
     "bounds.retry_budget_ratio": 0.2,
-    "bounds.budget_slack": 50,
-    "bounds.budget_window_s": 10,
+    "bounds.budget_slack": 50.0,
+    "bounds.budget_window_s": 10.0,
 }
+"""What every deployment gives."""
+
+SECTION = re.compile(r"\{\{#([\w.]+)\}\}((?:(?!\{\{#).)*?)\{\{/\1\}\}", re.S)
+"""Innermost section, which is rendered if its value is there."""
 
 
-def render(values: dict[str, object]) -> str:
-    """Renders the template as the platform does; there are no seeds."""
-    text = SECTION.sub(
-        lambda found: found[2] if found[1] in values else "",
-        TEMPLATE.read_text(),
+def render(values: dict[str, Any]) -> ForwardSettings:
+    """Returns the settings of a deployment that gives these values."""
+    text = TEMPLATE.read_text()
+    while SECTION.search(text):
+        text = SECTION.sub(lambda m: m[2] if m[1] in values else "", text)
+    text = re.sub(
+        r"\{\{([\w.]+)(\|json)?\}\}",
+        lambda m: json.dumps(values[m[1]]) if m[2] else str(values[m[1]]),
+        text,
     )
+    return parse_model(text, ForwardSettings, "settings.json")
 
-    def fill(found: re.Match[str]) -> str:
-        value = values[found[1]]
-        return json.dumps(value) if found[2] else str(value)
 
-    return re.sub(r"\{\{([\w.]+)(\|json)?\}\}", fill, text)
+class TemplateTest(testtools.TestCase):
+    """Bounds of quotas, which older deployments do not have."""
 
+    # Guards against settings that are no JSON where the bounds are missing.
+    def test_without_bounds_of_quotas_the_defaults_hold(self) -> None:
+        quotas = render(VALUES).quotas
+        self.assertEqual(QuotaSettings(), quotas)
+        self.assertEqual((5.0, 0.1, 20.0), tuple(quotas.model_dump().values()))
 
-class TemplateTest(testtools.TestCase):
-    """Settings with and without the value that switches overflow on."""
+    # Guards against a bound that is not filled in, and a comma too many.
+    def test_given_bounds_are_filled_in(self) -> None:
+        bounds = {"window_s": 4.0, "overage": 0.2, "slack": 30.0}
+        for names in (("window_s",), ("window_s", "slack"), tuple(bounds)):
+            given = {f"bounds.quota_{name}": bounds[name] for name in names}
+            found = render(VALUES | given).quotas.model_dump()
+            expected = QuotaSettings().model_dump()
+            expected |= {name: bounds[name] for name in names}
+            self.assertEqual(expected, found)
 
-    # Guards against a file that does not validate, with which no instance
-    # starts, and against overflow in deployments that have not asked for it.
+    # Guards against overflow in deployments that have not asked for it.
     def test_overflow_is_on_only_with_a_bound_on_evacuations(self) -> None:
-        for values, fraction in (
-            (VALUES, 0.0),
-            ({**VALUES, "bounds.evacuate_ms": 5000}, 0.5),
-        ):
-            settings = ForwardSettings.model_validate_json(render(values))
+        for given, fraction in (({}, 0.0), ({"bounds.evacuate_ms": 5000}, 0.5)):
+            settings = render(VALUES | given)
             self.assertEqual(fraction, settings.overflow.max_fraction)
