--- a/tests/test_forwarding/test_quotas.py
+++ b/tests/test_forwarding/test_quotas.py
@@ -23,7 +23,13 @@
     QuotaBook,
 )
 from arbutusbridge.forwarding.quotaranking import rank_ledgers
-from tests.test_forwarding.fixtures import plain, sharded
+from tests.test_forwarding.fixtures import (
+    make_forwarder,
+    plain,
+    request,
+    sends_of,
+    sharded,
+)
 from tests.test_forwarding.fleet import Fleet
 
 WINDOW_S = 5.0
@@ -507,6 +513,28 @@
         fleet.run_until(122.0)
         self.check(fleet)
 
+    # Guards against an instance without peers that grants the whole rate, as
+    # the others do that it does not know.
+    def test_instance_without_peers_grants_its_share(self) -> None:
+        upstream = Announcement(
+            "records-0", "records", ("10.9.0.1", 2000), "north", 64
+        )
+        forwarder = make_forwarder([plain()], [upstream])
+        forwarder.configure(
+            RoutingConfiguration(2, (plain(),), accounts=(ACCOUNT,))
+        )
+        forwarder.update_instance_count(10)
+        sends = 0
+        for number in range(500):
+            now = 100.0 + number / 10
+            one = request(number, "/fetch/x", now)
+            one.credentials = [b"Token k"]
+            actions = forwarder.handle_request(one, now)
+            actions += forwarder.maintain(now)
+            sends += len(sends_of(actions))
+        self.assertGreater(sends, 44)
+        self.assertLess(sends, 48)
+
     # Guards against one label of a metric for each of many accounts.
     def test_refused_requests_are_counted_under_few_names(self) -> None:
         book = QuotaBook()
