Separate choices about a request from carrying them out

Cause: an explanation of where a request would go needs the same decisions as a request, without starting one.

Change: Forwarder.handle_request uses find_refusal and begin_exchange; expected_cost sums the parts of cost_parts in the order of before; placement.accepts uses find_peer_obstacle, which names the reason.

--- a/arbutusbridge/forwarding/choice.py
+++ b/arbutusbridge/forwarding/choice.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
     from collections.abc import Collection
@@ -70,6 +70,53 @@
         return OTHER_REGION_COST_S
 
 
+class CostParts(NamedTuple):
+    """Parts of the expected cost of an upstream, in seconds.
+
+    Attributes:
+      reply_s: Reply time, with the slowness and the queue of the upstream.
+      failure_s: Delay by failed attempts.
+      transfer_s: Cost of the traffic to its data centre.
+      overdue_s: Delay at an upstream with an overdue reply.
+      unreachable_s: Cost of one that refused a connection recently.
+    """
+
+    reply_s: float
+    failure_s: float
+    transfer_s: float
+    overdue_s: float
+    unreachable_s: float
+
+
+def slowdown(upstream: Upstream, now: float) -> float:
+    """Returns the factor by which an upstream is slower than a typical one."""
+    factor = max(upstream.slowness, upstream.reported_slowdown(now))
+    if upstream.warmed_up_at > now:
+        factor = max(factor, 1.0 + WARM_UP_EXTRA_FRACTION)
+    return factor
+
+
+def cost_parts(
+    upstream: Upstream,
+    route: Route,
+    times: ReplyTimes,
+    place: Locality,
+    now: float,
+) -> CostParts:
+    """Returns the parts of the expected cost of an upstream."""
+    data_centre = upstream.announcement.data_centre
+    typical_s = times.typical(route, data_centre)
+    upstream.decay(now)
+    factor = slowdown(upstream, now)
+    return CostParts(
+        typical_s * (factor + upstream.queue_per_slot(now)),
+        upstream.failure_rate * FAILURE_COST_S,
+        place.transfer_cost(data_centre),
+        OVERDUE_COST_S if upstream.has_overdue_reply(now) else 0.0,
+        UNREACHABLE_COST_S if upstream.unreachable_until > now else 0.0,
+    )
+
+
 def expected_cost(
     upstream: Upstream,
     route: Route,
@@ -81,20 +128,10 @@
 
     The result is in seconds.
     """
-    data_centre = upstream.announcement.data_centre
-    typical_s = times.typical(route, data_centre)
-    upstream.decay(now)
-    factor = max(upstream.slowness, upstream.reported_slowdown(now))
-    if upstream.warmed_up_at > now:
-        factor = max(factor, 1.0 + WARM_UP_EXTRA_FRACTION)
-    cost = typical_s * (factor + upstream.queue_per_slot(now))
-    cost += upstream.failure_rate * FAILURE_COST_S
-    cost += place.transfer_cost(data_centre)
-    if upstream.has_overdue_reply(now):
-        cost += OVERDUE_COST_S
-    if upstream.unreachable_until > now:
-        cost += UNREACHABLE_COST_S
-    return cost
+    reply_s, failure_s, transfer_s, overdue_s, unreachable_s = cost_parts(
+        upstream, route, times, place, now
+    )
+    return reply_s + failure_s + transfer_s + overdue_s + unreachable_s
 
 
 def reply_rank(upstream: Upstream, place: Locality, now: float) -> float:
--- a/arbutusbridge/forwarding/forwarder.py
+++ b/arbutusbridge/forwarding/forwarder.py
@@ -61,8 +61,10 @@
     from arbutusbridge.forwarding.choice import Locality
     from arbutusbridge.forwarding.gather import GatherMessage, Peer
     from arbutusbridge.forwarding.model import (
+        Account,
         Announcement,
         CallerRequest,
+        Route,
         RoutingConfiguration,
     )
     from arbutusbridge.forwarding.quarantinemessages import QuarantineReport
@@ -200,21 +202,48 @@
                 return out
             account = found
             request.account = account.name if account is not None else ""
-        if now + route.target_s > self.final_answers_at:
-            retry_s = STOPPING_RETRY_AFTER_S
-            self.refuse(request, Refusal.STOPPING, retry_s, out)
+        found_refusal = self.find_refusal(request, route, now)
+        if found_refusal is not None:
+            refusal, retry_s = found_refusal
+            self.refuse(request, refusal, retry_s, out, now)
             return out
+        exchange = self.begin_exchange(request, route, account, now)
+        dispatch.start_exchange(exchange, self, now, out)
+        return out
+
+    def find_refusal(
+        self, request: CallerRequest, route: Route, now: float
+    ) -> tuple[Refusal, float] | None:
+        """Returns why a request is refused before any upstream is looked at.
+
+        Returns:
+          The refusal and its retry-after delay in seconds, None if the request
+          is accepted.
+        """
+        if now + route.target_s > self.final_answers_at:
+            return Refusal.STOPPING, STOPPING_RETRY_AFTER_S
         state = self.suspicion(request, now)
         if state is FingerprintState.QUARANTINED:
-            left_s = self.quarantine_left_s(request, now)
-            self.refuse(request, Refusal.QUARANTINED, left_s, out, now)
-            return out
+            return Refusal.QUARANTINED, self.quarantine_left_s(request, now)
         if state is FingerprintState.SUSPECT and (
             self.verdict_due_at(request) is not None or self.is_open(request)
         ):
-            retry_s = SUSPECT_RETRY_AFTER_S
-            self.refuse(request, Refusal.SUSPECT, retry_s, out, now)
-            return out
+            return Refusal.SUSPECT, SUSPECT_RETRY_AFTER_S
+        return None
+
+    def begin_exchange(
+        self,
+        request: CallerRequest,
+        route: Route,
+        account: Account | None,
+        now: float,
+    ) -> Exchange:
+        """Returns the state of a request that is accepted.
+
+        The next service of a weighted route is chosen.
+        """
+        table = self.table
+        assert table is not None
         services = route.shards or (table.next_service(route),)
         version = table.configuration.version
         exchange = Exchange.begin(
@@ -226,8 +255,7 @@
             exchange.canary_count = self.quarantine.canary_count(
                 request.fingerprint, request.host, now
             )
-        dispatch.start_exchange(exchange, self, now, out)
-        return out
+        return exchange
 
     def is_open(self, request: CallerRequest) -> bool:
         """Returns whether a request with the same content is open here."""
--- a/arbutusbridge/forwarding/placement.py
+++ b/arbutusbridge/forwarding/placement.py
@@ -24,6 +24,9 @@
 EVACUATED = "evacuated"
 """Why a part has no upstream: all in its homes are being evacuated."""
 
+EARLIER_PROTOCOL = "earlier_protocol"
+"""Why a peer is sent no request: it does not know accounts and homes."""
+
 
 def eligible(
     exchange: Exchange, service: str, shared: SharedState, now: float
@@ -119,13 +122,23 @@
 
 
 def accepts(exchange: Exchange, peer: Peer, shared: SharedState) -> bool:
-    """Returns whether a peer may be sent a request.
+    """Returns whether a peer may be sent a request."""
+    return find_peer_obstacle(exchange, peer, shared) is None
+
+
+def find_peer_obstacle(
+    exchange: Exchange, peer: Peer, shared: SharedState
+) -> str | None:
+    """Returns why a peer may not be sent a request, None if it may.
 
     A peer of an earlier build would ignore its account and homes.
     """
     if exchange.account is None and exchange.homes is None:
-        return True
-    return peer.knows_accounts and is_home(exchange, peer.data_centre, shared)
+        return None
+    if not peer.knows_accounts:
+        return EARLIER_PROTOCOL
+    at_home = is_home(exchange, peer.data_centre, shared)
+    return None if at_home else OUTSIDE_HOMES
 
 
 def find_obstacle(
