Share open requests with the copy that explanations use

Cause: open requests were copied so that their fingerprints are not stored by an explanation; dispatch.start_exchange stores them at the start already.

Change: the copies are gone, and so is the test for them, which passed without them too.

Result: tests/test_forwarding/test_explain.py passes.

--- a/arbutusbridge/forwarding/dryrun.py
+++ b/arbutusbridge/forwarding/dryrun.py
@@ -75,12 +75,6 @@
     state.budgets = {}
     state.attempts = {}
     state.exchanges = dict(forwarder.exchanges)
-    if forwarder.quarantine.entries:
-        # A search for requests with the same content stores fingerprints.
-        state.exchanges = {
-            copy.copy(one): exchange
-            for one, exchange in forwarder.exchanges.items()
-        }
     state.gather = copy_gather(forwarder.gather)
     state.decision_counts = Counter(forwarder.decision_counts)
     state.limits = dataclasses.replace(
