Serve explanations at /explain

Cause: explanations need the state of a running instance.

Change: the operators' server of a forwarding instance responds to /explain with the parameters host, target, account and method. The guard passes the query on for this server only, and refuses queries that circuits.web would cut at a fragment. normalise_host is shared with the decoding of callers' requests.

--- a/arbutusbridge/daemon/forwardinstance.py
+++ b/arbutusbridge/daemon/forwardinstance.py
@@ -32,6 +32,7 @@
 from arbutusbridge.daemon.storefeed import StoreFeed
 from arbutusbridge.daemon.timers import TimerService
 from arbutusbridge.forwarding import Locality, RetryBudgetLimits
+from arbutusbridge.forwarding.explain import DescribedRequest, explain
 from arbutusbridge.forwarding.following import (
     MIN_CHANGE_DELAY_LIMIT_S,
     FollowRequest,
@@ -221,6 +222,7 @@
                 self.status,
                 self.collect_metrics,
                 channel,
+                self.explain,
             ).register(self)
         logger.notice(
             "started",
@@ -370,6 +372,17 @@
             },
         }
 
+    def explain(self, described: DescribedRequest) -> dict[str, Any]:
+        """Returns where a described request would go now, for operators."""
+        now = self.timers.clock()
+        found = explain(self.forwarding.forwarder, described, now)
+        found["instance"] |= {
+            "name": self.settings.name,
+            "ready": self.forwarding.ready and not self.lifecycle.plan.stopping,
+            "phase": self.lifecycle.plan.phase.value,
+        }
+        return found
+
     def collect_metrics(self) -> None:
         """Copies counts that components keep into the metrics."""
         metrics = self.metrics
--- a/arbutusbridge/daemon/guard.py
+++ b/arbutusbridge/daemon/guard.py
@@ -51,8 +51,10 @@
       buffered_bytes: Body bytes buffered by the parser, as last counted.
     """
 
-    def __init__(self, limits: CallerLimits, now: float) -> None:
-        self.parser = RequestParser(limits)
+    def __init__(
+        self, limits: CallerLimits, now: float, keeps_query: bool = False
+    ) -> None:
+        self.parser = RequestParser(limits, keeps_query)
         self.responding = False
         self.closing = False
         self.request_started_at: float | None = None
@@ -78,14 +80,20 @@
       buffered_bytes: Body bytes buffered for all connections.
       draining: Whether every answer closes its connection.
       refused: Number of refused connections by reason.
+      keeps_query: Whether the server gets the queries of requests.
     """
 
     def __init__(
-        self, server: Server, limits: CallerLimits, timers: TimerService
+        self,
+        server: Server,
+        limits: CallerLimits,
+        timers: TimerService,
+        keeps_query: bool = False,
     ) -> None:
         super().__init__(channel=server.channel)
         self.server = server
         self.limits = limits
+        self.keeps_query = keeps_query
         self.timers = timers
         self.connections: dict[socket.socket, CallerConnection] = {}
         self.buffered_bytes = 0
@@ -100,7 +108,9 @@
             self.send_refusal(sock, TOO_MANY_CONNECTIONS)
             return
         now = self.timers.clock()
-        self.connections[sock] = CallerConnection(self.limits, now)
+        self.connections[sock] = CallerConnection(
+            self.limits, now, self.keeps_query
+        )
 
     @handler("disconnect", priority=100)
     def on_disconnect(self, sock: socket.socket) -> None:
--- a/arbutusbridge/daemon/requestparser.py
+++ b/arbutusbridge/daemon/requestparser.py
@@ -28,6 +28,9 @@
 PLAIN_PATH_PATTERN = re.compile(r"/[A-Za-z0-9/_.-]*")
 """Paths that circuits.web neither redirects nor decodes."""
 
+PLAIN_QUERY_PATTERN = re.compile(r"[!-\"$-~]*")
+"""Queries that circuits.web does not cut: visible ASCII without a fragment."""
+
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -75,7 +78,11 @@
 
 @dataclass(slots=True)
 class ParsedRequest:
-    """Complete request of a caller."""
+    """Complete request of a caller.
+
+    Attributes:
+      path: Path, followed by the query if the parser keeps it.
+    """
 
     method: str
     path: str
@@ -108,10 +115,12 @@
       refusal: Reason to close the connection, None if there is none.
       wants_continue: Whether the caller waits for ``100 Continue`` before it
         sends the body.
+      keeps_query: Whether requests keep their query; otherwise it is dropped.
     """
 
-    def __init__(self, limits: CallerLimits) -> None:
+    def __init__(self, limits: CallerLimits, keeps_query: bool = False) -> None:
         self.limits = limits
+        self.keeps_query = keeps_query
         self.parser = httptools.HttpRequestParser(self)
         self.queue: deque[ParsedRequest] = deque()
         self.unfinished = False
@@ -216,9 +225,11 @@
 
     def check_path(self) -> None:
         """Refuses paths that circuits.web would redirect or decode."""
-        path = self.url.split(b"?")[0].decode("latin-1")
+        path, _, query = self.url.decode("latin-1").partition("?")
         if PLAIN_PATH_PATTERN.fullmatch(path) is None:
             self.refuse(NO_SUCH_PATH)
+        elif self.keeps_query and PLAIN_QUERY_PATTERN.fullmatch(query) is None:
+            self.refuse(MALFORMED)
 
     def check_length(self) -> None:
         """Checks the headers that determine the body length."""
@@ -264,9 +275,10 @@
 
     def build_request(self, method: str, persistent: bool) -> ParsedRequest:
         """Builds the request that was just completed."""
+        url = self.url.decode("latin-1")
         return ParsedRequest(
             method,
-            self.url.split(b"?")[0].decode("latin-1"),
+            url if self.keeps_query else url.partition("?")[0],
             self.headers,
             b"".join(self.body),
             persistent,
--- a/arbutusbridge/forwarding/routes.py
+++ b/arbutusbridge/forwarding/routes.py
@@ -10,6 +10,11 @@
     from arbutusbridge.forwarding.model import Route, RoutingConfiguration
 
 
+def normalise_host(host: str) -> str:
+    """Returns the host that a caller names, in lower case and without port."""
+    return host.partition(":")[0].lower()
+
+
 class RouteTable:
     """Routes of one configuration by host and path.
 
--- a/arbutusbridge/platform/http.py
+++ b/arbutusbridge/platform/http.py
@@ -20,6 +20,7 @@
     UpstreamReply,
 )
 from arbutusbridge.forwarding.model import CallerRequest
+from arbutusbridge.forwarding.routes import normalise_host
 from arbutusbridge.forwarding.terms import NO_TERMS, UpstreamTerms
 from arbutusbridge.forwarding.wireformat import ResponseIdentity
 
@@ -148,7 +149,7 @@
             request_id,
             method,
             target,
-            host.partition(":")[0].lower(),
+            normalise_host(host),
             forwarded,
             body,
             deadline,
--- a/tests/test_daemon/test_requestparser.py
+++ b/tests/test_daemon/test_requestparser.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from urllib.parse import urlsplit
+
 import testtools
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -58,6 +60,20 @@
             )
             self.assertEqual(1, len(again))
 
+    @settings(derandomize=True, max_examples=400, deadline=None)
+    @given(st.text('a=%&?#/+" \r\n\x00\xe9', max_size=12))
+    def test_kept_query_stays_in_one_request(self, query: str) -> None:
+        """Guards against a query that circuits.web cuts or takes for more."""
+        parser = RequestParser(LIMITS, keeps_query=True)
+        line = f"GET /explain?{query} HTTP/1.1\r\nHost: a\r\n\r\n"
+        parser.feed(line.encode("latin-1"))
+        for request in parser.queue:
+            self.assertTrue(request.path.isascii())
+            self.assertEqual("/explain", urlsplit(request.path).path)
+            self.assertEqual("", urlsplit(request.path).fragment)
+            (again,), _ = parse([request.encode()])
+            self.assertEqual("/explain", again.path)
+
     @settings(derandomize=True, max_examples=400, deadline=None)
     @given(st.binary(max_size=40) | st.text(max_size=40).map(str.encode))
     def test_any_body_is_accepted_or_explained(self, body: bytes) -> None:
