--- a/arbutusbridge/cmd/main.py
+++ b/arbutusbridge/cmd/main.py
@@ -1,9 +1,9 @@
 """Entry point of the ``arbutusbridge`` command.
 
-Exit codes: 0 for success; 1 if a check failed or an instance has not confirmed
-a configuration version in time; 2 for wrong usage or a file that is not valid;
-3 if the platform or an instance can't be reached; 4 if another publish came
-first.
+Exit codes: 0 for success; 1 if a check failed, an instance has not confirmed
+a configuration version in time or has no route for a request to explain; 2 for
+wrong usage or a file that is not valid; 3 if the platform or an instance can't
+be reached; 4 if another publish came first.
 """
 
 from __future__ import annotations
@@ -37,7 +37,8 @@
 EXIT_CONFLICT = 4
 
 EXIT_CODES_HELP = (
-    "Exit codes: 0 success; 1 a check failed or a version is not confirmed; "
+    "Exit codes: 0 success; 1 a check failed, a version is not confirmed or no "
+    "route matches; "
     "2 wrong usage or a file that is not valid; 3 the platform or instance "
     "can't be reached; 4 another publish came first."
 )
