--- a/arbutusbridge/forwarding/forwarder.py
+++ b/arbutusbridge/forwarding/forwarder.py
@@ -72,6 +72,7 @@
     from arbutusbridge.forwarding.choice import Locality
     from arbutusbridge.forwarding.gather import GatherMessage, Peer
     from arbutusbridge.forwarding.model import (
+        Account,
         Announcement,
         CallerRequest,
         Route,
@@ -215,6 +216,51 @@
             request.account = account.name if account is not None else ""
         if self.refuse_unwanted(request, route, now, out):
             return out
+        exchange = self.begin_exchange(request, route, account, now)
+        if account is not None and account.rate > 0.0:
+            decision = quotas.admit(exchange, account, self, now, out)
+            if decision is quotas.Admission.WAITING:
+                return out
+            if not isinstance(decision, quotas.Admission):
+                self.refuse_over_quota(exchange, decision, "", now, out)
+                return out
+        dispatch.start_exchange(exchange, self, now, out)
+        self.settle_quotas(now, out)
+        return out
+
+    def find_refusal(
+        self, request: CallerRequest, route: Route, now: float
+    ) -> tuple[Refusal, float] | None:
+        """Returns why a request is refused before any upstream is looked at.
+
+        Returns:
+          The refusal and its retry-after delay in seconds, None if the request
+          is accepted.
+        """
+        if now + route.target_s > self.final_answers_at:
+            return Refusal.STOPPING, STOPPING_RETRY_AFTER_S
+        state = self.suspicion(request, now)
+        if state is FingerprintState.QUARANTINED:
+            return Refusal.QUARANTINED, self.quarantine_left_s(request, now)
+        if state is FingerprintState.SUSPECT and (
+            self.verdict_due_at(request) is not None or self.is_open(request)
+        ):
+            return Refusal.SUSPECT, SUSPECT_RETRY_AFTER_S
+        return None
+
+    def begin_exchange(
+        self,
+        request: CallerRequest,
+        route: Route,
+        account: Account | None,
+        now: float,
+    ) -> Exchange:
+        """Returns the state of a request that is accepted.
+
+        The next service of a weighted route is chosen.
+        """
+        table = self.table
+        assert table is not None
         services = route.shards or (table.next_service(route),)
         version = table.configuration.version
         exchange = Exchange.begin(
@@ -226,16 +272,7 @@
             exchange.canary_count = self.quarantine.canary_count(
                 request.fingerprint, request.host, now
             )
-        if account is not None and account.rate > 0.0:
-            decision = quotas.admit(exchange, account, self, now, out)
-            if decision is quotas.Admission.WAITING:
-                return out
-            if not isinstance(decision, quotas.Admission):
-                self.refuse_over_quota(exchange, decision, "", now, out)
-                return out
-        dispatch.start_exchange(exchange, self, now, out)
-        self.settle_quotas(now, out)
-        return out
+        return exchange
 
     def refuse_unwanted(
         self,
@@ -249,22 +286,12 @@
         Returns:
           Whether it is refused.
         """
-        if now + route.target_s > self.final_answers_at:
-            retry_s = STOPPING_RETRY_AFTER_S
-            self.refuse(request, Refusal.STOPPING, retry_s, out)
-            return True
-        state = self.suspicion(request, now)
-        if state is FingerprintState.QUARANTINED:
-            left_s = self.quarantine_left_s(request, now)
-            self.refuse(request, Refusal.QUARANTINED, left_s, out, now)
-            return True
-        if state is FingerprintState.SUSPECT and (
-            self.verdict_due_at(request) is not None or self.is_open(request)
-        ):
-            retry_s = SUSPECT_RETRY_AFTER_S
-            self.refuse(request, Refusal.SUSPECT, retry_s, out, now)
-            return True
-        return False
+        found = self.find_refusal(request, route, now)
+        if found is None:
+            return False
+        refusal, retry_s = found
+        self.refuse(request, refusal, retry_s, out, now)
+        return True
 
     def settle_quotas(self, now: float, out: list[object]) -> None:
         """Continues the requests that have got a token; rejects others."""
