Give intake and the timing of hedges modules of their own

Change: refusals, quotas and the start of callers' requests are functions in intake.py, the times of hedges in hedgetiming.py. No behaviour changes.

--- a/arbutusbridge/forwarding/attempts.py
+++ b/arbutusbridge/forwarding/attempts.py
@@ -7,6 +7,7 @@
 
 from arbutusbridge.core.messages import Decision
 from arbutusbridge.forwarding import (
+    hedgetiming,
     isolation,
     limits,
     overflowrouting,
@@ -53,21 +54,10 @@
 STRAGGLER_LIMIT_RATIO = 0.4
 """The same limit as a fraction of the parts; the greater of the two applies."""
 
-MIN_REPLY_TIME_RATIO = 0.7
-"""Fraction of the typical reply time below which no reply is expected."""
-
 BACKUP_CONNECTION_INTERVAL_S = 2.0
 """Minimum interval between two preparations of a connection to the backup
 upstream; upstreams close idle connections after a few seconds."""
 
-EARLY_HEDGE_FACTOR = 1.25
-"""Multiple of the typical reply time before which no hedge is sent; by then
-about three replies in four have arrived."""
-
-BACKUP_REPLY_FACTOR = 1.2
-"""Multiple of the typical reply time of another data centre that a hedge needs
-to be answered in time. The work per request varies by about a third."""
-
 MAX_HEDGE_SLOWNESS = 3.0
 """Slowness, as a multiple of the typical reply time, from which on an upstream
 gets no hedges."""
@@ -224,7 +214,7 @@
     shared.attempts[attempt_id] = attempt
     upstream.open_attempts[attempt_id] = attempt
     part.open_attempts.append(attempt)
-    part.check_at = hedge_check_at(exchange, attempt, shared, now)
+    part.check_at = hedgetiming.hedge_check_at(exchange, attempt, shared, now)
     part.sends += 1
     if upstream not in part.asked:
         part.asked.append(upstream)
@@ -243,42 +233,6 @@
     )
 
 
-def hedge_check_at(
-    exchange: Exchange, attempt: OpenAttempt, shared: SharedState, now: float
-) -> float:
-    """Returns when to check whether an attempt needs a hedge.
-
-    This is when its reply becomes overdue. If a hedge of a shard that is sent
-    then would be answered too late, it is earlier, as late as still helps, but
-    not before most replies have arrived.
-    """
-    if not exchange.route.shards or now >= exchange.partial_answer_at:
-        return attempt.overdue_at
-    earliest = now + EARLY_HEDGE_FACTOR * attempt.typical_s
-    backup_s = backup_reply_time(exchange, attempt, shared)
-    latest = exchange.partial_answer_at - BACKUP_REPLY_FACTOR * backup_s
-    return min(attempt.overdue_at, max(earliest, latest))
-
-
-def backup_reply_time(
-    exchange: Exchange, attempt: OpenAttempt, shared: SharedState
-) -> float:
-    """Returns the typical reply time of the upstreams for a hedge, in seconds.
-
-    It is that of the nearest other data centre of the shard; all shards of a
-    request are mostly held by the same ones, so that it is looked up once.
-    """
-    if exchange.backup_reply_s is None:
-        place = attempt.upstream.announcement.data_centre
-        service = attempt.upstream.announcement.service
-        others = shared.directory.data_centres(service) - {place}
-        exchange.backup_reply_s = min(
-            (shared.reply_times.typical(exchange.route, one) for one in others),
-            default=attempt.typical_s,
-        )
-    return exchange.backup_reply_s
-
-
 def on_attempt_end(
     exchange: Exchange,
     part: Part,
@@ -376,7 +330,7 @@
         part.check_at = now + RECHECK_INTERVAL_S
         return
     extra = part.arrivals > 0
-    if extra and is_too_late(exchange, upstream, shared, now):
+    if extra and hedgetiming.is_too_late(exchange, upstream, shared, now):
         part.given_up = True
         return
     budget = shared.budget(part.service, now)
@@ -445,7 +399,7 @@
     if upstream.slowness >= MAX_HEDGE_SLOWNESS:
         # Duplicate work would slow two slow upstreams down further.
         return
-    if is_too_late(exchange, upstream, shared, now):
+    if hedgetiming.is_too_late(exchange, upstream, shared, now):
         part.check_at = math.inf
         return
     budget = shared.budget(part.service, now)
@@ -457,20 +411,6 @@
     out.append(build_decision("hedge", exchange, part, shared, now))
 
 
-def is_too_late(
-    exchange: Exchange, upstream: Upstream, shared: SharedState, now: float
-) -> bool:
-    """Returns whether the answer is due before an upstream can reply.
-
-    An answer that does not cover enough shards yet is not due.
-    """
-    if not exchange.is_sufficient(exchange.answered):
-        return False
-    data_centre = upstream.announcement.data_centre
-    typical_s = shared.reply_times.typical(exchange.route, data_centre)
-    return now + MIN_REPLY_TIME_RATIO * typical_s > exchange.partial_answer_at
-
-
 def check_parts(
     exchange: Exchange, shared: SharedState, now: float, out: list[object]
 ) -> None:
--- a/arbutusbridge/forwarding/dryrun.py
+++ b/arbutusbridge/forwarding/dryrun.py
@@ -15,7 +15,7 @@
 from typing import TYPE_CHECKING
 
 from arbutusbridge.core.requests.quarantine import canary_never
-from arbutusbridge.forwarding import dispatch
+from arbutusbridge.forwarding import dispatch, intake
 from arbutusbridge.forwarding.gather import PeerTable
 from arbutusbridge.forwarding.messages import RefusedAnswer
 from arbutusbridge.forwarding.model import CallerRequest
@@ -179,13 +179,15 @@
       canaries: Whether canaries are sent first as usual; otherwise all shards
         are queried as after the result of a canary.
     """
-    refused = state.find_refusal(request, route, now)
+    refused = intake.find_refusal(request, route, state, now)
     if refused is not None:
         return Trial(state, None, refused[0].value, refused[1])
     if not canaries:
         state.quarantine.canary = canary_never
     request.account = account.name if account is not None else ""
-    return Trial(state, state.begin_exchange(request, route, account, now))
+    return Trial(
+        state, intake.begin_exchange(request, route, account, state, now)
+    )
 
 
 def start(trial: Trial, now: float) -> None:
--- a/arbutusbridge/forwarding/explain.py
+++ b/arbutusbridge/forwarding/explain.py
@@ -24,7 +24,7 @@
     describe_upstreams,
     to_ms,
 )
-from arbutusbridge.forwarding.forwarder import NOT_READY_RETRY_AFTER_S
+from arbutusbridge.forwarding.intake import NOT_READY_RETRY_AFTER_S
 from arbutusbridge.forwarding.messages import Refusal
 
 if TYPE_CHECKING:
--- a/arbutusbridge/forwarding/forwarder.py
+++ b/arbutusbridge/forwarding/forwarder.py
@@ -5,19 +5,17 @@
 
 from __future__ import annotations
 
-import math
 from collections import Counter
 from typing import TYPE_CHECKING
 
 from arbutusbridge.core.messages import Decision
-from arbutusbridge.core.requests.quarantine import FingerprintState
 from arbutusbridge.forwarding import (
     allocation,
     attempts,
     conclusion,
     delegation,
-    dispatch,
     division,
+    intake,
     isolation,
     leaving,
     limits,
@@ -34,7 +32,6 @@
     relay,
     warmup,
 )
-from arbutusbridge.forwarding.accounts import explain_refusal, find_homes
 from arbutusbridge.forwarding.exchange import Exchange, Part
 from arbutusbridge.forwarding.gather import (
     GatherAck,
@@ -50,7 +47,6 @@
     UNSENT_ENDS,
     AttemptEnd,
     Refusal,
-    RefusedAnswer,
     UpstreamReply,
 )
 from arbutusbridge.forwarding.quarantinemessages import QuarantineNotice
@@ -72,10 +68,8 @@
     from arbutusbridge.forwarding.choice import Locality
     from arbutusbridge.forwarding.gather import GatherMessage, Peer
     from arbutusbridge.forwarding.model import (
-        Account,
         Announcement,
         CallerRequest,
-        Route,
         RoutingConfiguration,
     )
     from arbutusbridge.forwarding.quarantinemessages import QuarantineReport
@@ -92,32 +86,14 @@
 MAX_LAG_S = 0.1
 """Maximum lag that is counted; a longer one is a pause of the process."""
 
-LAGS_PER_REQUEST = 2.0
-"""Number of times that the lag delays a request: when it is read and when it is
-answered."""
-
-SUSPECT_RETRY_AFTER_S = 0.3
-"""Retry-after delay of a suspect while one with the same content is open here;
-whether it crashes its upstream is known by then."""
-
-NOT_READY_RETRY_AFTER_S = 0.5
-"""Retry-after delay while the instance has no configuration yet."""
-
-STOPPING_RETRY_AFTER_S = 0.1
-"""Retry-after delay of an instance that is about to end; others are ready."""
-
 
 class Forwarder(SharedState):
     """Handles the events of one instance and returns the actions.
 
     Attributes:
-      final_answers_at: Time at which a planned stop answers all open requests;
-        one that is due later is rejected.
       cold_actions: Actions that announcements of cold upstreams have caused.
     """
 
-    final_answers_at: float = math.inf
-
     def __init__(
         self,
         place: Locality,
@@ -194,181 +170,9 @@
         """Starts a caller's request and returns the first actions."""
         out: list[object] = []
         self.settle_verdicts(now, out)
-        table = self.table
-        if table is None:
-            self.refuse(
-                request, Refusal.NOT_READY, NOT_READY_RETRY_AFTER_S, out
-            )
-            return out
-        route = table.find(request.host, request.target)
-        if route is None:
-            self.refuse(request, Refusal.NO_ROUTE, None, out)
-            return out
-        account = None
-        if table.accounts is None:
-            request.headers += request.identity_headers
-        else:
-            found = table.accounts.authenticate(route, request.credentials)
-            if isinstance(found, Refusal):
-                self.refuse(request, found, None, out)
-                return out
-            account = found
-            request.account = account.name if account is not None else ""
-        if self.refuse_unwanted(request, route, now, out):
-            return out
-        exchange = self.begin_exchange(request, route, account, now)
-        if account is not None and account.rate > 0.0:
-            decision = quotas.admit(exchange, account, self, now, out)
-            if decision is quotas.Admission.WAITING:
-                return out
-            if not isinstance(decision, quotas.Admission):
-                self.refuse_over_quota(exchange, decision, "", now, out)
-                return out
-        dispatch.start_exchange(exchange, self, now, out)
-        self.settle_quotas(now, out)
+        intake.start_request(request, self, now, out)
         return out
 
-    def find_refusal(
-        self, request: CallerRequest, route: Route, now: float
-    ) -> tuple[Refusal, float] | None:
-        """Returns why a request is refused before any upstream is looked at.
-
-        Returns:
-          The refusal and its retry-after delay in seconds, None if the request
-          is accepted.
-        """
-        if now + route.target_s > self.final_answers_at:
-            return Refusal.STOPPING, STOPPING_RETRY_AFTER_S
-        state = self.suspicion(request, now)
-        if state is FingerprintState.QUARANTINED:
-            return Refusal.QUARANTINED, self.quarantine_left_s(request, now)
-        if state is FingerprintState.SUSPECT and (
-            self.verdict_due_at(request) is not None or self.is_open(request)
-        ):
-            return Refusal.SUSPECT, SUSPECT_RETRY_AFTER_S
-        return None
-
-    def begin_exchange(
-        self,
-        request: CallerRequest,
-        route: Route,
-        account: Account | None,
-        now: float,
-    ) -> Exchange:
-        """Returns the state of a request that is accepted.
-
-        The next service of a weighted route is chosen.
-        """
-        table = self.table
-        assert table is not None
-        services = route.shards or (table.next_service(route),)
-        version = table.configuration.version
-        exchange = Exchange.begin(
-            request, route, version, services, LAGS_PER_REQUEST * self.lag_s
-        )
-        exchange.account = account
-        exchange.homes = find_homes(route, account)
-        if route.shards:
-            exchange.canary_count = self.quarantine.canary_count(
-                request.fingerprint, request.host, now
-            )
-        return exchange
-
-    def refuse_unwanted(
-        self,
-        request: CallerRequest,
-        route: Route,
-        now: float,
-        out: list[object],
-    ) -> bool:
-        """Refuses a request that is not to be sent to any upstream.
-
-        Returns:
-          Whether it is refused.
-        """
-        found = self.find_refusal(request, route, now)
-        if found is None:
-            return False
-        refusal, retry_s = found
-        self.refuse(request, refusal, retry_s, out, now)
-        return True
-
-    def settle_quotas(self, now: float, out: list[object]) -> None:
-        """Continues the requests that have got a token; rejects others."""
-        book = self.quotas
-        while book.granted or book.rejected:
-            rejected, book.rejected = book.rejected, []
-            for exchange, retry_s, ledger in rejected:
-                self.refuse_over_quota(exchange, retry_s, ledger, now, out)
-            granted, book.granted = book.granted, []
-            for exchange in granted:
-                request, route = exchange.request, exchange.route
-                if self.refuse_unwanted(request, route, now, out):
-                    quotas.give_back(exchange, self, now)
-                else:
-                    dispatch.start_exchange(exchange, self, now, out)
-
-    def refuse_over_quota(
-        self,
-        exchange: Exchange,
-        retry_s: float,
-        ledger: str,
-        now: float,
-        out: list[object],
-    ) -> None:
-        """Refuses a request over the quota of its account."""
-        assert exchange.account is not None
-        name = exchange.account.name
-        self.quotas.record_refused(name)
-        detail: dict[str, object] = {
-            "account": name,
-            "ledger": ledger or quotatokens.name_of_ledger(name, self, now),
-            "retry_s": round(retry_s, 2),
-            "waited_ms": round((now - exchange.request.arrived) * 1000, 1),
-        }
-        self.refuse(
-            exchange.request,
-            Refusal.OVER_QUOTA,
-            retry_s,
-            out,
-            now,
-            detail,
-        )
-
-    def is_open(self, request: CallerRequest) -> bool:
-        """Returns whether a request with the same content is open here."""
-        return any(
-            other.fingerprint == request.fingerprint for other in self.exchanges
-        )
-
-    def refuse(
-        self,
-        request: CallerRequest,
-        refusal: Refusal,
-        retry_after_s: float | None,
-        out: list[object],
-        now: float = 0.0,
-        reason: dict[str, object] | None = None,
-    ) -> None:
-        """Refuses a request of which nothing is sent."""
-        version = self.table.configuration.version if self.table else 0
-        detail: dict[str, object] = {
-            "outcome": refusal.value,
-            "host": request.host,
-            "target": request.target[:80],
-            "version": version,
-            **(reason or {}),
-        }
-        if refusal is Refusal.UNAUTHORIZED:
-            detail["why"] = explain_refusal(request.credentials)
-        if refusal in (Refusal.QUARANTINED, Refusal.SUSPECT):
-            entry = self.quarantine.entries[request.fingerprint]
-            detail["fingerprint"] = request.fingerprint
-            detail["evidence"] = entry.describe(now)
-            detail["by"] = entry.quarantined_by or "this instance"
-        out.append(Decision(request.request_id, "answer", detail))
-        out.append(RefusedAnswer(request, refusal, retry_after_s))
-
     def replies(self, batch: list[UpstreamReply], now: float) -> list[object]:
         """Processes the outcomes of attempts and returns the next actions."""
         out: list[object] = []
@@ -400,7 +204,7 @@
             conclusion.conclude_or_set_timer(exchange, self, now, out)
         self.check_links(now, out)
         self.end_quarantined(now, out)
-        self.settle_quotas(now, out)
+        intake.settle_quotas(self, now, out)
         return out
 
     def check_links(self, now: float, out: list[object]) -> None:
@@ -496,7 +300,7 @@
         isolation.probe(self, now, out)
         overflow.update(self, now, out)
         self.check_links(now, out)
-        self.settle_quotas(now, out)
+        intake.settle_quotas(self, now, out)
         return out
 
     def adopt_quarantine(
@@ -596,7 +400,7 @@
         exchange = self.exchanges.get(request)
         if exchange is None and request in self.quotas.waiting:
             quotatokens.on_timer(request, self, now, out)
-            self.settle_quotas(now, out)
+            intake.settle_quotas(self, now, out)
         if exchange is None or now < exchange.timer_at:
             return out
         lag = min(now - exchange.timer_at, MAX_LAG_S)
@@ -610,7 +414,7 @@
         exchange.timer_at = float("inf")
         conclusion.conclude_or_set_timer(exchange, self, now, out)
         self.check_links(now, out)
-        self.settle_quotas(now, out)
+        intake.settle_quotas(self, now, out)
         return out
 
     def abandon(self, request: CallerRequest, now: float) -> list[object]:
@@ -703,7 +507,7 @@
             ):
                 quotas.on_message(message, self, now, out)
         self.end_quarantined(now, out)
-        self.settle_quotas(now, out)
+        intake.settle_quotas(self, now, out)
         return out
 
     def finish_all(self, now: float) -> list[object]:
@@ -711,8 +515,14 @@
         out: list[object] = []
         for request in list(self.quotas.waiting):
             quotatokens.drop(request, self)
-            retry_s = STOPPING_RETRY_AFTER_S
-            self.refuse(request, Refusal.STOPPING, retry_s, out)
+            intake.refuse(
+                request,
+                Refusal.STOPPING,
+                intake.STOPPING_RETRY_AFTER_S,
+                self,
+                now,
+                out,
+            )
         for exchange in list(self.exchanges.values()):
             exchange.partial_answer_at = exchange.give_up_at = now
             conclusion.conclude(exchange, self, now, out)
--- a/arbutusbridge/forwarding/shared.py
+++ b/arbutusbridge/forwarding/shared.py
@@ -112,6 +112,8 @@
       evacuated: Data centres to whose upstreams nothing is sent.
       overflow: Delays at the data centres, and what is sent away from them.
       seed_addresses: Addresses of possible peers while none is known.
+      final_answers_at: Time at which a planned stop answers all open requests;
+        one that is due later is rejected.
     """
 
     def __init__(
@@ -150,6 +152,7 @@
         self.evacuated: set[str] = set()
         self.overflow = OverflowState()
         self.seed_addresses: list[tuple[str, int]] = []
+        self.final_answers_at = math.inf
 
     def count(self, what: str) -> None:
         """Counts a decision that is not logged on its own."""
--- a/tests/test_forwarding/test_early_hedges.py
+++ b/tests/test_forwarding/test_early_hedges.py
@@ -9,7 +9,7 @@
 
 import testtools
 
-from arbutusbridge.forwarding.attempts import EARLY_HEDGE_FACTOR
+from arbutusbridge.forwarding.hedgetiming import EARLY_HEDGE_FACTOR
 from tests.test_forwarding.fixtures import (
     make_forwarder,
     plain,
