--- a/arbutusbridge/cmd/explaintext.py
+++ b/arbutusbridge/cmd/explaintext.py
@@ -168,8 +168,11 @@
     text = (
         f"{one['upstream']} in {one['data_centre']}: {one['cost_ms']} = "
         f"{parts}; typical {one['typical_ms']} x (slowdown {one['slowdown']} "
-        f"+ queue {one['queue_per_slot']}), observed "
-        f"{one['observed_age_ms']} ms ago"
+        f"+ queue {one['queue_per_slot']}), "
+    )
+    age_ms = one["outcome_age_ms"]
+    text += (
+        "no outcome yet" if age_ms is None else f"last outcome {age_ms} ms ago"
     )
     if one["cold_ms"]:
         text += f", cold for {one['cold_ms']} ms"
--- a/arbutusbridge/forwarding/explaindetails.py
+++ b/arbutusbridge/forwarding/explaindetails.py
@@ -47,7 +47,6 @@
     now: float,
 ) -> Section:
     """Describes the expected cost of an upstream, and what excludes it."""
-    observed_age_ms = to_ms(now - upstream.observed_at)
     route, times = exchange.route, shared.reply_times
     data_centre = upstream.announcement.data_centre
     parts = choice.cost_parts(upstream, route, times, shared.place, now)
@@ -83,7 +82,7 @@
         "max_rate": None if limit is None else limit.max_rate,
         "rate_here": round(limits.current_rate(upstream, now), 3),
         "ready_in_ms": to_ms(ready_at - now),
-        "observed_age_ms": observed_age_ms,
+        "outcome_age_ms": to_ms(now - upstream.outcome_at),
         "load_age_ms": to_ms(now - upstream.load_reported_at),
     }
 
--- a/arbutusbridge/forwarding/upstreams.py
+++ b/arbutusbridge/forwarding/upstreams.py
@@ -111,7 +111,9 @@
       pace: Smoothed ratio of its reply time to the typical one, also where that
         is normal.
       failure_rate: Smoothed fraction of failed attempts.
-      observed_at: When slowness and failure rate were last updated.
+      observed_at: When slowness and failure rate were last updated, also by
+        their decay.
+      outcome_at: When an outcome last changed them, minus infinity without one.
       unreachable_until: Time before which it gets no attempts.
       load: Last reported load.
       load_reported_at: When that load was reported.
@@ -137,6 +139,7 @@
     pace: float = 1.0
     failure_rate: float = 0.0
     observed_at: float = 0.0
+    outcome_at: float = -math.inf
     unreachable_until: float = 0.0
     load: Load | None = None
     load_reported_at: float = -math.inf
@@ -181,6 +184,7 @@
         ):
             return
         self.decay(now)
+        self.outcome_at = now
         if end is AttemptEnd.RESULT:
             factor = (now - attempt.sent_at) / max(attempt.typical_s, 1e-4)
             pace = min(factor, MAX_SLOWNESS)
