Show quota and overflow in explanations

Cause: the command explain had places for them and nothing there.

Change: it names the ledger of an account, when that was last heard of, whether a request would ask for a token or be refused, and the fractions that are sent to other data centres. The dry run copies the state of both.

--- a/arbutusbridge/cmd/explaintext.py
+++ b/arbutusbridge/cmd/explaintext.py
@@ -27,9 +27,34 @@
         lines += describe_upstreams(found["service"], found["upstreams"])
     if "peers" in found:
         lines += describe_peers(found["peers"])
+    if "quota" in found:
+        lines.append(line("quota", describe_quota(found["quota"])))
+    lines += [
+        line(
+            "overflow",
+            f"{one['fraction']} of {one['data_centre']} is sent elsewhere "
+            f"(delay {one['delay_ms']} ms, {one['age_ms']} ms ago)",
+        )
+        for one in found.get("overflow", [])
+    ]
     return lines
 
 
+def describe_quota(quota: Section) -> str:
+    """Describes the quota of an account and who decides on it."""
+    state = "metered" if quota["metered"] else "open"
+    text = (
+        f"{quota['rate']} per second and a burst of {quota['burst']}, "
+        f"{state}, ledger {quota['ledger']}"
+    )
+    if "tokens" in quota:
+        return f"{text} (this instance), tokens {quota['tokens']}"
+    text += f", heard of {quota['heard_ms']} ms ago"
+    if quota["refused_for_ms"]:
+        return f"{text}; refused for {quota['refused_for_ms']} ms"
+    return f"{text}; asks for a token" if quota["asks_for_token"] else text
+
+
 def line(label: str, text: str) -> str:
     """Returns one line with a label."""
     return f"{label:<{LABEL_WIDTH}}{text}"
--- a/arbutusbridge/forwarding/dryrun.py
+++ b/arbutusbridge/forwarding/dryrun.py
@@ -80,6 +80,10 @@
     state.limits = dataclasses.replace(
         forwarder.limits, return_times=dict(forwarder.limits.return_times)
     )
+    state.quotas = dataclasses.replace(
+        forwarder.quotas, orders=dict(forwarder.quotas.orders)
+    )
+    state.overflow = copy.deepcopy(forwarder.overflow)
     state.isolation = dataclasses.replace(
         forwarder.isolation,
         failed=set(forwarder.isolation.failed),
--- a/arbutusbridge/forwarding/explain.py
+++ b/arbutusbridge/forwarding/explain.py
@@ -18,7 +18,9 @@
 from arbutusbridge.forwarding.explaindetails import (
     MAX_LISTED,
     count_places,
+    describe_overflow,
     describe_peers,
+    describe_quota,
     describe_sent,
     describe_shards,
     describe_upstreams,
@@ -98,11 +100,13 @@
     account: Account | None,
     now: float,
 ) -> Section:
-    """Returns sections of parts that decide on requests besides the above.
-
-    Quotas of accounts and overflow to another data centre add theirs here.
-    """
-    return {}
+    """Returns the sections on the quota and on overflow, where they apply."""
+    sections: Section = {}
+    if account is not None and account.rate > 0.0:
+        sections["quota"] = describe_quota(account, forwarder, now)
+    if forwarder.overflow.is_on:
+        sections["overflow"] = describe_overflow(route, forwarder, now)
+    return sections
 
 
 def find_account(
--- a/arbutusbridge/forwarding/explaindetails.py
+++ b/arbutusbridge/forwarding/explaindetails.py
@@ -2,16 +2,28 @@
 
 from __future__ import annotations
 
+import copy
+import dataclasses
 import math
 from collections import Counter
 from typing import TYPE_CHECKING, Any
 
-from arbutusbridge.forwarding import choice, limits, placement
+from arbutusbridge.forwarding import (
+    choice,
+    limits,
+    overflow,
+    placement,
+    quotaranking,
+    quotas,
+)
 from arbutusbridge.forwarding.conclusion import describe_missing
+from arbutusbridge.forwarding.quotabook import AccountUse
 
 if TYPE_CHECKING:
     from arbutusbridge.forwarding.exchange import Exchange
+    from arbutusbridge.forwarding.forwarder import Forwarder
     from arbutusbridge.forwarding.gather import Peer
+    from arbutusbridge.forwarding.model import Account, Route
     from arbutusbridge.forwarding.shared import SharedState
     from arbutusbridge.forwarding.upstreams import Upstream
 
@@ -210,3 +222,54 @@
 def to_ms(seconds: float) -> float | None:
     """Returns a time in milliseconds, None for one that is infinite."""
     return round(seconds * 1000, 1) if math.isfinite(seconds) else None
+
+
+def describe_quota(
+    account: Account, forwarder: Forwarder, now: float
+) -> Section:
+    """Returns who decides on the quota of an account, and how it stands.
+
+    The tokens are known at the ledger only.
+    """
+    state = copy.copy(forwarder)
+    state.quotas = dataclasses.replace(
+        forwarder.quotas, orders=dict(forwarder.quotas.orders)
+    )
+    section: Section = {"rate": account.rate, "burst": account.burst}
+    ledger = None
+    if state.gather.own_peer is not None:
+        ledger = quotaranking.choose_ledger(account.name, state, now)
+    bucket = state.quotas.buckets.get(account.name)
+    if ledger is None or ledger is state.gather.own_peer:
+        own = state.gather.own_peer
+        section["ledger"] = own.name if own is not None else None
+        section["tokens"] = None if bucket is None else round(bucket.tokens, 1)
+        section["metered"] = bucket is not None and bucket.metered
+        return section
+    use = state.quotas.uses.get(account.name) or AccountUse()
+    last_at = state.quotas.silence.last_at.get(ledger.name)
+    section["ledger"] = ledger.name
+    section["heard_ms"] = None if last_at is None else to_ms(now - last_at)
+    section["metered"] = use.metered_until > now
+    section["asks_for_token"] = quotas.needs_token(
+        use, account.name, ledger, state, now
+    )
+    section["refused_for_ms"] = to_ms(max(0.0, use.refused_until - now))
+    return section
+
+
+def describe_overflow(
+    route: Route, forwarder: Forwarder, now: float
+) -> list[Section]:
+    """Returns the fractions of a route's requests that are sent away."""
+    state = forwarder.overflow
+    return [
+        {
+            "data_centre": data_centre,
+            "fraction": round(outflow.fraction, 3),
+            "delay_ms": overflow.in_ms(state.delay(data_centre, now)),
+            "age_ms": overflow.in_ms(state.age(data_centre, now)),
+        }
+        for (data_centre, name), outflow in sorted(state.outflows.items())
+        if name == route.name
+    ][:MAX_LISTED]
--- a/tests/test_forwarding/test_explain.py
+++ b/tests/test_forwarding/test_explain.py
@@ -10,6 +10,7 @@
 import orjson
 import testtools
 
+from arbutusbridge.cmd import explaintext
 from arbutusbridge.core.requests.quarantine import CrashReport, canary_always
 from arbutusbridge.forwarding import RefusedAnswer, RoutingConfiguration
 from arbutusbridge.forwarding.explain import DescribedRequest, explain
@@ -19,10 +20,13 @@
     Peer,
     SendGatherMessage,
 )
+from arbutusbridge.forwarding.gatherwire import CURRENT_PROTOCOL
 from arbutusbridge.forwarding.limits import learn_terms
 from arbutusbridge.forwarding.messages import Load
 from arbutusbridge.forwarding.model import Account, WarmUp, WeightedService
+from arbutusbridge.forwarding.overflowstate import Outflow
 from arbutusbridge.forwarding.pauses import learn_pause
+from arbutusbridge.forwarding.quotabook import AccountUse
 from arbutusbridge.forwarding.terms import UpstreamTerms
 from tests.test_forwarding.fixtures import (
     HOST,
@@ -305,3 +309,38 @@
             found = explain(forwarder, described, 100.0)
             self.assertEqual(why, found["refusal"]["why"])
             self.assertNotIn(b"key-", orjson.dumps(found))
+
+    # Guards against an explanation that takes tokens, or that leaves out why a
+    # request of the account would wait or be sent elsewhere.
+    def test_quota_and_overflow_are_shown_and_not_changed(self) -> None:
+        now = 100.0
+        account = Account("acme", ("key",), rate=9.0, burst=3.0)
+        route = plain()
+        forwarder = make_forwarder([], [upstream("u1", "records")])
+        forwarder.configure(
+            RoutingConfiguration(2, (route,), accounts=(account,))
+        )
+        forwarder.gather.own_peer = Peer("north-0", "north", ("10.0.0.1", 1))
+        peers = [
+            Peer(f"p{n}", "north", ("10.0.0.2", n), protocol=CURRENT_PROTOCOL)
+            for n in range(5)
+        ]
+        forwarder.gather.peer_table.update(peers)
+        forwarder.overflow.configure(0.5)
+        forwarder.overflow.outflows["north", route.name] = Outflow("north", 0.2)
+        forwarder.quotas.uses["acme"] = AccountUse(metered_until=now + 1.0)
+        before = pickle.dumps(forwarder.quotas)
+        found = explain(
+            forwarder, DescribedRequest(HOST, "/fetch/x", "acme"), now
+        )
+        quota = found["quota"]
+        self.assertEqual((9.0, 3.0), (quota["rate"], quota["burst"]))
+        self.assertIn(quota["ledger"], {"north-0", *(p.name for p in peers)})
+        if quota["ledger"] != "north-0":
+            self.assertTrue(quota["metered"] and quota["asks_for_token"])
+        (sent_away,) = found["overflow"]
+        self.assertEqual(0.0, sent_away["fraction"])
+        self.assertEqual(before, pickle.dumps(forwarder.quotas))
+        orjson.dumps(found)
+        labels = {one.split()[0] for one in explaintext.describe(found)}
+        self.assertLessEqual({"quota", "overflow"}, labels)
