Leave the objects of the start out of garbage collections

Cause: a full collection after the imports takes 17 to 19 ms of a core, 50 ms on a third of one; none runs during the imports, so that the first one came with the first requests.

Change: the objects that exist when an instance begins to run are frozen.

--- a/arbutusbridge/cmd/forward.py
+++ b/arbutusbridge/cmd/forward.py
@@ -11,6 +11,7 @@
     # Imported first, as the imports below take most of the start.
     from arbutusbridge.cmd import hangup  # noqa: F401
 
+import gc
 import os
 import signal
 import sys
@@ -71,6 +72,9 @@
         read_settings_mtime,
     )
     signal.signal(signal.SIGHUP, instance._signal_handler)
+    # What exists now lives as long as the process. A full collection of it
+    # would come with the first requests, and takes 50 ms of a third of a core.
+    gc.freeze()
     instance.run()
     handler.close()
     return 0
