Give the plans of faults all their random numbers in a test

Change: the fake has them, and a second test requires that an evacuation leaves the other faults of a seed as they are.

--- a/tests/test_soak/test_faults.py
+++ b/tests/test_soak/test_faults.py
@@ -16,7 +16,16 @@
 
 def make_environment(seed: int, invalid_statuses: bool):
     """Returns what a plan needs of an environment."""
-    names = ("rng", "crash", "crash_time", "contract", "platform", "status")
+    names = (
+        "rng",
+        "crash",
+        "crash_time",
+        "contract",
+        "platform",
+        "status",
+        "account",
+        "evacuation",
+    )
     streams = {
         "rng" if name == "rng" else f"{name}_rng": random.Random(
             f"{name} {seed}"
@@ -32,7 +41,7 @@
 
 
 class PlanTest(testtools.TestCase):
-    """Invalid statuses among the faults of a plan."""
+    """Faults of a plan that are switched on by an option."""
 
     # Guards against seeds that failed once and then play other faults.
     def test_other_faults_of_a_seed_stay(self) -> None:
@@ -47,6 +56,16 @@
                 without, [line for line in plan if line not in added]
             )
 
+    # The same for the evacuation of a data centre.
+    def test_other_faults_stay_with_an_evacuation(self) -> None:
+        for seed in range(20):
+            without, plan = (
+                faults.plan(make_environment(seed, False), 10, 12.0, is_on)
+                for is_on in (False, True)
+            )
+            (added,) = [line for line in plan if " evacuate " in line]
+            self.assertEqual(without, [line for line in plan if line != added])
+
 
 class InvalidResponseTest(testtools.TestCase):
     """Responses of the upstreams' stand-in with an invalid status."""
