--- a/tests/test_settings/test_template.py
+++ b/tests/test_settings/test_template.py
@@ -69,8 +69,9 @@
             expected |= {name: bounds[name] for name in names}
             self.assertEqual(expected, found)
 
-    # Guards against overflow in deployments that have not asked for it.
-    def test_overflow_is_on_only_with_a_bound_on_evacuations(self) -> None:
-        for given, fraction in (({}, 0.0), ({"bounds.evacuate_ms": 5000}, 0.5)):
+    # Guards against overflow in a deployment: it cost callers in each of four
+    # plays with it (docs/design/overflow.md).
+    def test_overflow_is_off(self) -> None:
+        for given in ({}, {"bounds.evacuate_ms": 5000}):
             settings = render(VALUES | given)
-            self.assertEqual(fraction, settings.overflow.max_fraction)
+            self.assertEqual(0.0, settings.overflow.max_fraction)
