review/10: a stale holder of a quota grants it beside its successor

Cause: an instance takes itself for the holder of a tenant's tokens by its own list of instances, however old that is, and its successor has full standing at once.

Done: a script in which the holder is cut off from the store for 5.5 s while a machine is added that comes before it in the order.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,7 +3,7 @@
 # built, and their sources are only checked.
 set -euo pipefail
 cd "$(dirname "$0")"
-python3 - fleet2.py quota2.py [6-9]/case.py <<'END'
+python3 - fleet2.py quota2.py [6-9]/case.py 10/case.py <<'END'
 import pathlib
 import sys
 
--- a/review/fleet2.py
+++ b/review/fleet2.py
@@ -699,7 +699,7 @@
         for _ in range(50):
             net = f"127.{rng.randrange(20, 250)}.{rng.randrange(1, 250)}"
             try:
-                for last in (10, 11, 12, 30, 31, 32):
+                for last in (10, 11, 12, 13, 30, 31, 32, 33):
                     for port in (8102, 8104, 8108, 9180, 7380):
                         with socket.socket() as probe:
                             probe.bind((f"{net}.{last}", port))
@@ -725,7 +725,7 @@
         return replica
 
     def add_instance(self, zone: str) -> Instance:
-        """Adds an instance."""
+        """Adds an instance, which is started with the others or later."""
         instance = Instance(self, len(self.instances), zone)
         self.instances.append(instance)
         return instance
@@ -742,8 +742,12 @@
         self.store.put("op/config", json.dumps(document).encode())
         self.record.write("configured", version=version)
 
-    async def start(self) -> None:
-        """Starts everything and waits until all instances are ready."""
+    async def start(self, late: Instance | None = None) -> None:
+        """Starts everything and waits until all instances are ready.
+
+        Args:
+          late: Instance that the case starts itself.
+        """
         if not (ROOT / "target/deps").is_dir():
             raise CannotRun("the build of the deploy file has not run")
         await self.store.start()
@@ -751,10 +755,11 @@
             await self.store.listen(instance.door)
         for replica in self.replicas:
             await replica.start()
-        for instance in self.instances:
+        first = [one for one in self.instances if one is not late]
+        for instance in first:
             instance.start()
         until = now() + 30
-        for instance in self.instances:
+        for instance in first:
             while not await instance.is_ready():
                 if now() > until:
                     raise CannotRun(f"{instance.name} is not ready")
