State the terms of a route to the peer that queries its shards

Cause: a peer looked the route up in its own, older version and left out the records beyond the number of that route. By the same cause it could repeat a relayed request that must not be repeated, try more upstreams of a shard than the entry's route allows, and answer a request without shards as one with shards.

Change: the entry states the terms of its route; the peer applies them, or declines a route of another kind. A reply states to which number of records it was cut, and one that may lack records is not merged. Protocol 0x18; requests that must not be repeated are not relayed to peers of an earlier one. Three older tests build replies by hand; they now state the number, as every peer of this build does.

--- a/arbutusbridge/forwarding/delegation.py
+++ b/arbutusbridge/forwarding/delegation.py
@@ -280,7 +280,7 @@
         tried = max(tried, exchange.route.most_upstreams - upstreams_left)
     # An acknowledgement takes a round trip, so one way is half of it.
     way = peer.ack_s / 2 + REPLY_MARGIN_S
-    request = exchange.request
+    request, route = exchange.request, exchange.route
     out.append(
         SendGatherMessage(
             peer.address,
@@ -305,6 +305,9 @@
                 reports_first=reports_first,
                 account=request.account,
                 homes=sorted(exchange.homes or ()),
+                idempotent=route.idempotent,
+                most_upstreams=route.most_upstreams,
+                max_records=route.max_records if route.shards else None,
             ),
         )
     )
--- a/arbutusbridge/forwarding/gather.py
+++ b/arbutusbridge/forwarding/gather.py
@@ -36,6 +36,10 @@
 """Protocol from which on an instance respects client accounts and homes. One of
 an earlier protocol would ignore these fields of a request."""
 
+TERMS_PROTOCOL = 0x18
+"""Protocol from which on an instance respects the terms of a request's route
+where those of its own configuration differ."""
+
 MIN_GROUP_SHARDS = 3
 """Minimum number of shards in another region for which one message is cheaper
 than a subrequest each."""
@@ -114,6 +118,12 @@
         replied, because other shards wait for it.
       account: Name of the caller's account, empty for none.
       homes: Regions that may run the request, empty for all.
+      idempotent: Whether an upstream may run the request more than once; None
+        if the sender does not state the terms of its route.
+      most_upstreams: Maximum number of upstreams of each shard, or of the
+        request.
+      max_records: Maximum number of records in the answer, None for a request
+        without shards.
     """
 
     gather_id: int
@@ -135,13 +145,17 @@
     reports_first: bool = False
     account: str = ""
     homes: list[str] = field(default_factory=list)
+    idempotent: bool | None = None
+    most_upstreams: int | None = None
+    max_records: int | None = None
 
 
 class DeclineReason(enum.Enum):
     """Reason why an instance does not query shards for another one.
 
-    STOPPING, OUTDATED (its configuration does not contain the shards), ISOLATED
-    (it is cut off from the upstreams) or BUSY.
+    STOPPING, OUTDATED (its configuration does not contain the shards, or has a
+    route without shards for the request), ISOLATED (it is cut off from the
+    upstreams) or BUSY.
     """
 
     STOPPING = "stopping"
@@ -217,6 +231,8 @@
         seconds.
       is_final: Whether no further reply follows; the next one covers the shards
         of this one as well.
+      max_records: Number of records beyond which the others were left out; None
+        if the sender does not state it.
     """
 
     gather_id: int
@@ -229,6 +245,7 @@
     may_have_run: bool = False
     retry_after_s: float | None = None
     is_final: bool = True
+    max_records: int | None = None
 
 
 @dataclass(slots=True)
@@ -360,6 +377,11 @@
         """Whether it respects client accounts and homes."""
         return self.protocol >= ACCOUNTS_PROTOCOL
 
+    @property
+    def knows_terms(self) -> bool:
+        """Whether it respects the terms of a request's route."""
+        return self.protocol >= TERMS_PROTOCOL
+
     def is_available(self, now: float) -> bool:
         """Returns whether it may be sent a request."""
         return self.excluded_until <= now and self.isolated_until <= now
--- a/arbutusbridge/forwarding/gatherwire.py
+++ b/arbutusbridge/forwarding/gatherwire.py
@@ -51,7 +51,7 @@
 """First protocol with numbered fields. Its number begins the messages of all
 later ones, since peers skip the fields and types that they do not know."""
 
-CURRENT_PROTOCOL = 0x17
+CURRENT_PROTOCOL = 0x18
 """Protocol of this build, announced in the record of the instance."""
 
 MAX_MESSAGE_BYTES = 4_194_304
--- a/arbutusbridge/forwarding/peermessages.py
+++ b/arbutusbridge/forwarding/peermessages.py
@@ -17,6 +17,7 @@
     notices,
     overflowevidence,
     peerreplies,
+    routeterms,
 )
 from arbutusbridge.forwarding.accounts import find_homes, find_urgency
 from arbutusbridge.forwarding.conclusion import abandon, conclude_or_set_timer
@@ -152,6 +153,8 @@
         return
     has_run = message.asked or message.stamps or not message.is_final
     group.not_run = not has_run
+    if routeterms.is_truncated(message, exchange.route):
+        message = routeterms.discard_truncated(message, group, shared, out)
     exchange.peer_bodies[group.gather_id] = message.body
     for part in group.parts:
         stamp = message.stamps.get(part.service)
@@ -294,6 +297,7 @@
         shared.count(f"declined_{taken.declined.value}")
         return
     assert route is not None and table is not None
+    route = routeterms.apply_terms(message, route)
     give_up_at = now + message.give_up_in_s
     request = CallerRequest(
         message.request_id,
@@ -376,6 +380,8 @@
     known = {*route.shards, *(one.name for one in route.services)}
     if not set(message.services) <= known:
         return DeclineReason.OUTDATED
+    if not routeterms.is_of_same_kind(message, route):
+        return DeclineReason.OUTDATED
     if not is_account_valid(message, route, shared):
         return DeclineReason.OUTDATED
     if shared.isolation.isolated:
--- a/arbutusbridge/forwarding/peerreplies.py
+++ b/arbutusbridge/forwarding/peerreplies.py
@@ -108,5 +108,6 @@
         unsent,
         held_back,
         is_final=is_final,
+        max_records=exchange.route.max_records,
     )
     out.append(SendGatherMessage(gather_request.reply_to, message))
--- a/arbutusbridge/forwarding/placement.py
+++ b/arbutusbridge/forwarding/placement.py
@@ -25,7 +25,8 @@
 """Why a part has no upstream: all in its homes are being evacuated."""
 
 EARLIER_PROTOCOL = "earlier_protocol"
-"""Why a peer is sent no request: it does not know accounts and homes."""
+"""Why a peer is sent no request: it does not know accounts, homes, or that the
+request must not be repeated."""
 
 
 def eligible(
@@ -131,8 +132,11 @@
 ) -> str | None:
     """Returns why a peer may not be sent a request, None if it may.
 
-    A peer of an earlier build would ignore its account and homes.
+    A peer of an earlier build would ignore its account and homes. It may repeat
+    a request that is not idempotent, if its configuration has another route.
     """
+    if not exchange.route.idempotent and not peer.knows_terms:
+        return EARLIER_PROTOCOL
     if exchange.account is None and exchange.homes is None:
         return None
     if not peer.knows_accounts:
--- a/tests/test_forwarding/messagesamples.py
+++ b/tests/test_forwarding/messagesamples.py
@@ -101,6 +101,17 @@
 """Messages with the fields and of the types that protocol 0x17 added, by
 name."""
 
+TERMS_SAMPLES = {
+    "search": dataclasses.replace(
+        SAMPLES["request"], idempotent=True, most_upstreams=2, max_records=50
+    ),
+    "record": dataclasses.replace(
+        SAMPLES["request"], idempotent=False, most_upstreams=1
+    ),
+    "reply": dataclasses.replace(SAMPLES["reply"], max_records=50),
+}
+"""Messages with the fields that protocol 0x18 added, by name."""
+
 QUOTA_SAMPLES = {
     "batch": QuotaBatch(
         "north-1", ADDRESS, 2**61, 5, ["acme", "bolt"], [3, -1]
--- a/tests/test_forwarding/test_delegation.py
+++ b/tests/test_forwarding/test_delegation.py
@@ -218,7 +218,10 @@
         self.pair.far.replies([result(sends[0], 99)], NOW + 0.1)
         stamps = {f"s{number}": f"by-peer-{number}" for number in range(3)}
         reply = GatherReply(
-            gather_request.gather_id, stamps, result(sends[0], 5).body
+            gather_request.gather_id,
+            stamps,
+            result(sends[0], 5).body,
+            max_records=exchange.route.max_records,
         )
         self.pair.far.handle_peer_message(reply, NOW + 0.11)
         last = [send for send in sends if send.upstream.service == "s3"]
--- a/tests/test_forwarding/test_gatherwire.py
+++ b/tests/test_forwarding/test_gatherwire.py
@@ -36,12 +36,14 @@
     LATER_SAMPLES,
     QUOTA_SAMPLES,
     SAMPLES,
+    TERMS_SAMPLES,
 )
 
 FOLDER = Path(__file__).parent
 OLDEST_ENCODINGS = json.loads((FOLDER / "messages_15.json").read_text())
 CURRENT_ENCODINGS = json.loads((FOLDER / "messages_16.json").read_text())
 LATER_ENCODINGS = json.loads((FOLDER / "messages_17.json").read_text())
+TERMS_ENCODINGS = json.loads((FOLDER / "messages_18.json").read_text())
 QUOTA_ENCODINGS = json.loads((FOLDER / "messages_quota_17.json").read_text())
 
 
@@ -53,6 +55,7 @@
             *SAMPLES.values(),
             *LATER_SAMPLES.values(),
             *QUOTA_SAMPLES.values(),
+            *TERMS_SAMPLES.values(),
             GatherReply(7, {"s1": "a.1"}, b"x" * 32, is_final=False),
         ):
             self.assertEqual(message, decode_message(encode_message(message)))
@@ -139,6 +142,18 @@
                 encoded = encode_message(message, protocol).hex()
                 self.assertEqual(encoding, encoded)
 
+    # Guards against a change of what builds of protocol 0x18 rely on, and
+    # against a message that an earlier build takes for a damaged one.
+    def test_terms_are_those_of_their_protocol(self) -> None:
+        self.assertEqual(TERMS_ENCODINGS.keys(), TERMS_SAMPLES.keys())
+        for name, message in TERMS_SAMPLES.items():
+            encoding = TERMS_ENCODINGS[name]
+            self.assertEqual(encoding, encode_message(message).hex())
+            self.assertEqual(message, decode_message(bytes.fromhex(encoding)))
+            oldest = decode_message(encode_message(message, OLDEST_PROTOCOL))
+            plain = "reply" if name == "reply" else "request"
+            self.assertEqual(SAMPLES[plain], oldest)
+
     # Guards against a message that an earlier build takes for a damaged one.
     # What it may be sent is decided by placement.accepts.
     def test_account_and_homes_are_left_out_for_the_oldest_build(self) -> None:
--- a/tests/test_forwarding/test_isolation.py
+++ b/tests/test_forwarding/test_isolation.py
@@ -363,11 +363,22 @@
         for number, gather in enumerate(relays):
             names = [part.service for part in first.parts]
             stamps = {name: f"{name}.{number}" for name in names}
-            reply = GatherReply(gather.gather_id, stamps, bytes([number]) * 16)
+            reply = GatherReply(
+                gather.gather_id,
+                stamps,
+                bytes([number]) * 16,
+                max_records=exchange.route.max_records,
+            )
             out = forwarder.handle_peer_message(reply, now)
         stamps = {part.service: "kept" for part in kept.parts}
         out += forwarder.handle_peer_message(
-            GatherReply(99, stamps, bytes([9]) * 16), now
+            GatherReply(
+                99,
+                stamps,
+                bytes([9]) * 16,
+                max_records=exchange.route.max_records,
+            ),
+            now,
         )
         answer = only(out, MergedAnswer)
         self.assertEqual(bytes([9]) * 16 + bytes([1]) * 16, answer.body)
--- a/tests/test_forwarding/test_missed_target.py
+++ b/tests/test_forwarding/test_missed_target.py
@@ -184,7 +184,13 @@
         for count in (2, 1):
             stamps = {name: f"{name}.a" for name in names[:count]}
             body = bytes([count]) * 16
-            reply = GatherReply(group.gather_id, stamps, body, is_final=False)
+            reply = GatherReply(
+                group.gather_id,
+                stamps,
+                body,
+                is_final=False,
+                max_records=self.exchange.route.max_records,
+            )
             self.entry.handle_peer_message(reply, NOW + 0.05)
         self.assertEqual(
             bytes([2]) * 16, self.exchange.peer_bodies[group.gather_id]
