Carry a request on a connection only once

Cause: a retry was sent on the connection that had carried the first attempt. The copy of the rejection names the same request and has no signature, so that it was taken for the answer to the retry, and the request was sent once more. A copy of a failure with a signature was mistaken in the same way.

Change: a connection remembers the last 32 requests that it has carried, and carries none of them again; at the limit of connections an idle one is closed for the retry.

--- a/arbutusbridge/daemon/pool.py
+++ b/arbutusbridge/daemon/pool.py
@@ -97,6 +97,8 @@
       handle_connect: Called with an upstream and whether it accepted a new
         connection.
       connect: Opens a connection.
+      may_carry: Whether a connection may carry a job, given what it has carried
+        before.
       connects: Number of connection attempts since the start of the process.
       unsolicited: Number of connections closed because of bytes that belong to
         no request.
@@ -110,6 +112,9 @@
     handle_idle_close: Callable[[Any], None] = lambda _upstream: None
     handle_connect: Callable[[Any, bool], None] = lambda _upstream, _ok: None
     connect: Callable[..., Connection] = Connection
+    may_carry: Callable[[Connection, Job], bool] = lambda _connection, _job: (
+        True
+    )
     connects: int = 0
     unsolicited: int = 0
     invalid_statuses: int = 0
@@ -178,13 +183,14 @@
         if job.once and is_past_send_deadline(job, self.clock()):
             self.fail(job, ReplyKind.NOT_SENT)
             return
-        while self.idle:
-            connection = self.idle[-1]
+        for connection in reversed(self.idle.copy()):
+            if not job.fresh and not self.protocol.may_carry(connection, job):
+                continue
             # Closes a connection that the upstream has closed or sent data on.
             connection.read()
             if not connection.alive:
                 continue
-            self.idle.pop()
+            self.idle.remove(connection)
             if not job.fresh and connection.is_usable(self.clock()):
                 self.write_job(connection, job)
                 return
@@ -212,12 +218,17 @@
             self.connect()
 
     def connect_for_waiting(self) -> None:
-        """Opens a connection if the queue needs it and the limit allows."""
-        if (
-            len(self.connecting) < len(self.waiting)
-            and self.size < self.max_connections
-        ):
+        """Opens a connection if the queue needs it and the limit allows.
+
+        An idle one that may not carry what is queued makes room for it.
+        """
+        if len(self.connecting) >= len(self.waiting):
+            return
+        if self.size < self.max_connections:
             self.connect()
+        elif self.idle:
+            # Its end opens the other one.
+            self.idle.pop(0).close()
 
     def connect(self) -> None:
         """Opens a connection."""
@@ -258,17 +269,31 @@
         connection.idle_since = now
         if self.waiting:
             connection.read()
-        while self.waiting and connection.alive:
+        if not connection.alive:
+            return
+        job = self.take_waiting(connection, now)
+        if job is not None:
+            self.write_job(connection, job)
+        else:
+            self.idle.append(connection)
+            self.connect_for_waiting()
+
+    def take_waiting(self, connection: Connection, now: float) -> Job | None:
+        """Takes the first queued request that a connection may carry."""
+        kept: list[Job] = []
+        found = None
+        while self.waiting and found is None:
             job = self.waiting.popleft()
             if job.abandoned:
                 continue
             if is_past_send_deadline(job, now):
                 self.fail(job, ReplyKind.NOT_SENT)
-                continue
-            self.write_job(connection, job)
-            return
-        if connection.alive:
-            self.idle.append(connection)
+            elif self.protocol.may_carry(connection, job):
+                found = job
+            else:
+                kept.append(job)
+        self.waiting.extendleft(reversed(kept))
+        return found
 
     def on_response(
         self, connection: Connection, status: int, body: bytes
@@ -344,8 +369,11 @@
             self.waiting.appendleft(job)
 
     def fail_waiting_if_unconnected(self) -> None:
-        """Fails all queued requests if no established connection is left."""
-        if self.idle or self.busy:
+        """Fails all queued requests if no established connection is left.
+
+        Idle ones do not count, since they may not carry what is queued.
+        """
+        if self.busy:
             return
         while self.waiting:
             self.fail(self.waiting.popleft(), ReplyKind.NOT_SENT)
--- a/arbutusbridge/daemon/relayconnection.py
+++ b/arbutusbridge/daemon/relayconnection.py
@@ -37,6 +37,10 @@
 MAX_SIGNATURES = 8
 """Number of responses whose signatures a connection remembers."""
 
+MAX_CARRIED_REQUESTS = 32
+"""Number of requests that a connection remembers to have carried. A late copy
+of a response comes where the next one is expected, or a few later."""
+
 MIN_SUCCESS_STATUS = 200
 MIN_REDIRECT_STATUS = 300
 """Bounds of the statuses of successes, the upper one excluded."""
@@ -70,6 +74,9 @@
         do so as well.
       signatures: Signatures of the last responses, each with the id of its
         request; a response to another request has another one.
+      carried: Ids of the last requests, of which no further attempt may be sent
+        here: it has the same id, and so has a late copy of the response to the
+        earlier one.
       request_id: Id of the request in flight.
       expects_body: Whether the response to that request has a body.
       headers: Headers of the response, as received.
@@ -99,6 +106,7 @@
         self.read_identity = read_identity
         self.names_requests = False
         self.signatures: deque[tuple[str, str]] = deque(maxlen=MAX_SIGNATURES)
+        self.carried: deque[str] = deque(maxlen=MAX_CARRIED_REQUESTS)
         self.request_id = ""
         self.expects_body = True
         self.headers: Headers = []
@@ -123,6 +131,7 @@
     def expect(self, request_id: str, expects_body: bool) -> None:
         """Sets the request whose response is expected next."""
         self.request_id = request_id
+        self.carried.append(request_id)
         self.expects_body = expects_body
         self.matched = False
         self.unmatched = b""
--- a/arbutusbridge/daemon/relaypools.py
+++ b/arbutusbridge/daemon/relaypools.py
@@ -135,6 +135,7 @@
             handle_idle_close=self.handle_idle_close,
             handle_connect=self.handle_connect,
             connect=connect,
+            may_carry=self.may_carry,
         )
         hub.after_turn.append(self.flush)
         timers.after(SWEEP_INTERVAL_S, self.channel, SWEEP)
@@ -274,6 +275,15 @@
         else:
             pool.abandon(job)
 
+    def may_carry(self, connection: Connection, job: Job) -> bool:
+        """Returns whether a connection has not carried the same request yet.
+
+        A late copy of the response to an earlier attempt could not be told from
+        the response to this one.
+        """
+        assert isinstance(connection, RelayConnection)
+        return job.context.request.request_id not in connection.carried
+
     def encode(self, job: Job, connection: Connection, now: float) -> bytes:
         """Encodes an attempt as an HTTP request."""
         attempt = job.context
