Let the new ledger of an account claim it

Cause: an instance took itself for the ledger by its own list of instances. No message told it of one that the list does not have, and a new ledger granted the whole rate from its first moment.

Change: a new ledger claims the account at all other instances, with its address. The one that has kept the bucket learns of it by this and yields the tokens left; without one, the replies show that no other ledger is known. Until then a small part of the rate is granted, and token requests wait. Ledgers that others may not know from the store add their address to their notices. Protocol 0x18, as before.

It works because the whole rate passes from one instance to the next in one message, and a ledger that cannot be asked hears of too few others to go on.

--- a/arbutusbridge/forwarding/forwarder.py
+++ b/arbutusbridge/forwarding/forwarder.py
@@ -55,7 +55,9 @@
     QuotaAck,
     QuotaAsk,
     QuotaBatch,
+    QuotaClaim,
     QuotaGrant,
+    QuotaYield,
 )
 from arbutusbridge.forwarding.routes import RouteTable
 from arbutusbridge.forwarding.shared import SharedState
@@ -503,6 +505,8 @@
                 | QuotaAck()
                 | QuotaAsk()
                 | QuotaGrant()
+                | QuotaClaim()
+                | QuotaYield()
                 | MeteredNotice()
             ):
                 quotas.on_message(message, self, now, out)
--- a/arbutusbridge/forwarding/gather.py
+++ b/arbutusbridge/forwarding/gather.py
@@ -40,6 +40,9 @@
 """Protocol from which on an instance respects the terms of a request's route
 where those of its own configuration differ."""
 
+CLAIMS_PROTOCOL = 0x18
+"""Protocol from which on an instance hands the quotas of accounts over."""
+
 MIN_GROUP_SHARDS = 3
 """Minimum number of shards in another region for which one message is cheaper
 than a subrequest each."""
@@ -382,6 +385,11 @@
         """Whether it respects the terms of a request's route."""
         return self.protocol >= TERMS_PROTOCOL
 
+    @property
+    def knows_claims(self) -> bool:
+        """Whether it hands the quotas of accounts over."""
+        return self.protocol >= CLAIMS_PROTOCOL
+
     def is_available(self, now: float) -> bool:
         """Returns whether it may be sent a request."""
         return self.excluded_until <= now and self.isolated_until <= now
@@ -418,6 +426,9 @@
 
     Attributes:
       peers: All known peers by name.
+      introduced: Peers that are not known from the store but have sent a claim
+        to a quota, by name.
+      departed: Peers that the store has ceased to name, by name.
       protocols: Latest protocol of messages of each peer, by address.
       ack_times: Smoothed time to the acknowledgements of any peer, by data
         centre.
@@ -425,6 +436,8 @@
 
     def __init__(self) -> None:
         self.peers: dict[str, Peer] = {}
+        self.introduced: dict[str, Peer] = {}
+        self.departed: dict[str, Peer] = {}
         self.protocols: dict[tuple[str, int], int] = {}
         self.ack_times: dict[str, float] = {}
 
@@ -462,8 +475,33 @@
                 self.peers[peer.name] = previous
             else:
                 self.peers[peer.name] = peer
+        self.departed.update(
+            (name, peer)
+            for name, peer in previous_peers.items()
+            if name not in self.peers
+        )
+        for name in self.peers:
+            self.introduced.pop(name, None)
+            self.departed.pop(name, None)
+        self.update_protocols()
+
+    def introduce(self, peer: Peer) -> None:
+        """Adds a peer that the store here does not name yet."""
+        self.introduced[peer.name] = peer
+        self.update_protocols()
+
+    def forget(self, name: str) -> None:
+        """Removes a peer that is not known from the store."""
+        self.introduced.pop(name, None)
+        self.departed.pop(name, None)
+        self.update_protocols()
+
+    def update_protocols(self) -> None:
+        """Collects the protocols of all peers that may get messages."""
         self.protocols = {
-            peer.address: peer.protocol for peer in self.peers.values()
+            peer.address: peer.protocol
+            for peers in (self.departed, self.introduced, self.peers)
+            for peer in peers.values()
         }
 
     def protocol_of(self, address: tuple[str, int]) -> int:
--- a/arbutusbridge/forwarding/gatherwire.py
+++ b/arbutusbridge/forwarding/gatherwire.py
@@ -40,8 +40,10 @@
     QuotaAck,
     QuotaAsk,
     QuotaBatch,
+    QuotaClaim,
     QuotaGrant,
     QuotaMessage,
+    QuotaYield,
 )
 
 OLDEST_PROTOCOL = 0x15
@@ -86,6 +88,8 @@
     QuotaGrant,
     MeteredNotice,
     GatherConfirm,
+    QuotaClaim,
+    QuotaYield,
 )
 """Message types; the index of a type is its number on the wire. Those without
 an entry in OLDEST_FIELD_COUNTS are not sent to peers of the oldest protocol."""
@@ -151,7 +155,7 @@
     number = MESSAGE_TYPES.index(kind)
     fields: Any
     is_update = isinstance(message, GatherReply) and not message.is_final
-    if is_update or isinstance(message, QuotaAck | QuotaGrant):
+    if is_update or isinstance(message, QuotaAck | QuotaGrant | QuotaYield):
         # Its request could only be sent by a build that understands it, also
         # if the key of that instance is not known yet.
         protocol = NUMBERED_PROTOCOL
--- a/arbutusbridge/forwarding/quotabatches.py
+++ b/arbutusbridge/forwarding/quotabatches.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING
 
 from arbutusbridge.core.messages import Decision
-from arbutusbridge.forwarding import quotaledger
+from arbutusbridge.forwarding import quotahandover, quotaledger
 from arbutusbridge.forwarding.gather import SendGatherMessage
 from arbutusbridge.forwarding.quotabook import AccountUse, SentBatch
 from arbutusbridge.forwarding.quotamessages import QuotaBatch
@@ -21,6 +21,8 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Container
+
     from arbutusbridge.forwarding.gather import Peer
     from arbutusbridge.forwarding.model import Account
     from arbutusbridge.forwarding.quotamessages import QuotaAck
@@ -74,16 +76,24 @@
     book.silence.exclude(name, now + EXCLUSION_S)
     sent = book.batches.pop(name, None)
     if sent is not None:
-        batch = sent.batch
-        for account, count in zip(batch.accounts, batch.counts, strict=True):
-            use = book.uses.setdefault(account, AccountUse())
-            use.unreported += count
-            book.unreported.add(account)
+        report_again(sent.batch, sent.batch.accounts, shared)
     detail = {"peer": name, "silent_s": round(silent_s, 2)}
     out.append(Decision("", "quota_ledger_excluded", detail))
     return True
 
 
+def report_again(
+    batch: QuotaBatch, accounts: Container[str], shared: SharedState
+) -> None:
+    """Reports some accounts of a batch to their next ledgers."""
+    book = shared.quotas
+    for account, count in zip(batch.accounts, batch.counts, strict=True):
+        if account in accounts:
+            use = book.uses.setdefault(account, AccountUse())
+            use.unreported += count
+            book.unreported.add(account)
+
+
 def send_batch(
     ledger: Peer, shared: SharedState, now: float, out: list[object]
 ) -> None:
@@ -129,6 +139,9 @@
         return
     del book.batches[message.sender]
     book.silence.heard(message.sender, now)
+    for name in message.declined:
+        quotahandover.record_declined(message.sender, name, shared, now)
+    report_again(sent.batch, message.declined, shared)
     for name in message.metered:
         if name in book.uses:
             book.uses[name].metered_until = now + NOTICE_TTL_S
--- a/arbutusbridge/forwarding/quotabook.py
+++ b/arbutusbridge/forwarding/quotabook.py
@@ -15,7 +15,11 @@
     from arbutusbridge.forwarding.exchange import Exchange
     from arbutusbridge.forwarding.gather import Peer
     from arbutusbridge.forwarding.model import CallerRequest
-    from arbutusbridge.forwarding.quotamessages import QuotaBatch, QuotaGrant
+    from arbutusbridge.forwarding.quotamessages import (
+        QuotaAsk,
+        QuotaBatch,
+        QuotaGrant,
+    )
 
 EPOCH_BITS = 62
 """Bits of the random number of a start, below the greatest one on the wire."""
@@ -46,6 +50,28 @@
     slack: float = 20.0
 
 
+@dataclass(slots=True)
+class Claim:
+    """Claim of an instance to be the ledger of an account.
+
+    Attributes:
+      since: When it was made.
+      tokens: Tokens in the bucket at that time.
+      sent: Whether the other instances have been told.
+      replied: Names of those that have replied.
+      awaited: Names of those that may still be the ledger, each with the last
+        time at which that was known.
+      yielded: Tokens left at the ledger before, None without one.
+    """
+
+    since: float
+    tokens: float
+    sent: bool = False
+    replied: set[str] = field(default_factory=set)
+    awaited: dict[str, float] = field(default_factory=dict)
+    yielded: float | None = None
+
+
 @dataclass(slots=True)
 class Bucket:
     """Token bucket of an account at its ledger.
@@ -59,6 +85,12 @@
       metered: Whether the requests of the account need a token each.
       return_at: Latest time at which a refused request was told to come back.
       answers: Latest reply to each instance, with the epoch of the instance.
+      is_whole: Whether this instance is the ledger and grants the whole rate.
+      kept: Tokens that were left when it ceased to be, None if it never was.
+      kept_at: When it ceased to be.
+      yielded_to: Name of the instance that these were yielded to, which may
+        claim them again; empty for none.
+      claim: Claim to be the ledger, None without one.
     """
 
     rate: float
@@ -71,6 +103,11 @@
     metered: bool = False
     return_at: float = -math.inf
     answers: dict[str, tuple[int, QuotaGrant]] = field(default_factory=dict)
+    is_whole: bool = False
+    kept: float | None = None
+    kept_at: float = -math.inf
+    yielded_to: str = ""
+    claim: Claim | None = None
 
     def refill(self, rate: float, depth: float, now: float) -> None:
         """Adds the tokens of the time that has passed; adopts new limits."""
@@ -95,6 +132,10 @@
         self.count(taken, now)
         return taken
 
+    def awaits_claim(self, requests: int) -> bool:
+        """Returns whether a claim decides on tokens for some requests."""
+        return self.claim is not None and self.tokens < requests
+
 
 @dataclass(slots=True)
 class TokenRequest:
@@ -173,13 +214,20 @@
       last_number: Number of the last batch or token request.
       version: Version of the configuration whose accounts are known.
       has_rates: Whether any account of that version has a rate.
-      ranked_for: Peers for which the orders below hold, None before the first.
+      ranked_for: Peers for which the orders below hold, and whether this
+        instance accepted requests then; None if they have to be found again.
       ranked_at: Time at which they were ranked.
       ledgers: Names of the instances that are the first of a group.
       has_majority: Whether this instance hears of more than half of them.
       is_minority: Whether it hears of less than half of them.
       orders: Instances in order, by group.
       led_since: Since when this instance is the first of a group, by group.
+      firsts: Name of the first instance of each group.
+      former: The instance that was the first of a group before, by group.
+      declined: Time until which an instance is not the ledger of an account, as
+        it has said so, by the names of both.
+      claimed_at: Time of the last claim of an instance to an account, by the
+        names of both.
       uses: Accounts whose requests were received here, by name.
       unreported: Names of those with requests that are in no batch yet.
       with_spares: Names of those with returned tokens.
@@ -190,6 +238,9 @@
       granted: Requests that have got a token and are to continue.
       rejected: Requests that got none, each with its retry time and ledger.
       buckets: Buckets of the accounts that this instance is asked about.
+      deferred: Token requests of other instances that wait for a claim.
+      own_deferred: Accounts with requests here that wait for a claim.
+      taken_over: Decisions on claims that are not logged yet.
       seen: Epoch and number of the last batch of each instance.
       changed: Accounts that became metered or open since the last notice.
       noticed_at: Time of the last notice of changes.
@@ -202,13 +253,17 @@
     last_number: int = 0
     version: int = 0
     has_rates: bool = False
-    ranked_for: dict[str, Peer] | None = None
+    ranked_for: tuple[dict[str, Peer], bool] | None = None
     ranked_at: float = -math.inf
     ledgers: set[str] = field(default_factory=set)
     has_majority: bool = False
     is_minority: bool = False
     orders: dict[int, list[Peer]] = field(default_factory=dict)
     led_since: dict[int, float] = field(default_factory=dict)
+    firsts: dict[int, str] = field(default_factory=dict)
+    former: dict[int, str] = field(default_factory=dict)
+    declined: dict[tuple[str, str], float] = field(default_factory=dict)
+    claimed_at: dict[tuple[str, str], float] = field(default_factory=dict)
     uses: dict[str, AccountUse] = field(default_factory=dict)
     unreported: set[str] = field(default_factory=set)
     with_spares: set[str] = field(default_factory=set)
@@ -219,6 +274,9 @@
     granted: list[Exchange] = field(default_factory=list)
     rejected: list[tuple[Exchange, float, str]] = field(default_factory=list)
     buckets: dict[str, Bucket] = field(default_factory=dict)
+    deferred: list[QuotaAsk] = field(default_factory=list)
+    own_deferred: set[str] = field(default_factory=set)
+    taken_over: list[object] = field(default_factory=list)
     seen: dict[str, tuple[int, int]] = field(default_factory=dict)
     changed: set[str] = field(default_factory=set)
     noticed_at: float = -math.inf
--- a/arbutusbridge/forwarding/quotaledger.py
+++ b/arbutusbridge/forwarding/quotaledger.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING
 
 from arbutusbridge.core.messages import Decision
+from arbutusbridge.forwarding import quotahandover
 from arbutusbridge.forwarding.gather import SendGatherMessage
 from arbutusbridge.forwarding.limits import MAX_RETRY_AFTER_S
 from arbutusbridge.forwarding.quotabook import Bucket
@@ -23,7 +24,7 @@
     find_account,
     find_standing,
     group_of,
-    known_instances,
+    known_peers,
     refresh_orders,
     repeat_interval_s,
     update_majority,
@@ -53,18 +54,19 @@
 
 def find_bucket(account: Account, shared: SharedState, now: float) -> Bucket:
     """Returns the bucket of an account, refilled to now."""
-    standing = find_standing(account, shared, now)
     bucket = shared.quotas.buckets.get(account.name)
     if bucket is None:
-        since = now if standing.since is None else standing.since
-        tokens = standing.initial + (now - since) * standing.rate
+        standing = find_standing(account, False, shared, is_claiming=True)
         bucket = Bucket(
             standing.rate,
             standing.depth,
-            min(standing.depth, tokens),
+            min(standing.depth, standing.initial),
             now,
         )
         shared.quotas.buckets[account.name] = bucket
+    quotahandover.update_claim(account.name, shared, now)
+    is_claiming = bucket.claim is not None
+    standing = find_standing(account, bucket.is_whole, shared, is_claiming)
     bucket.refill(standing.rate, standing.depth, now)
     return bucket
 
@@ -79,8 +81,11 @@
     """Decides whether an account is metered or open.
 
     It is metered before its bucket is empty: until the notice arrives, as many
-    requests are admitted as its recent rate exceeds the refill.
+    requests are admitted as its recent rate exceeds the refill. A claim does
+    not show yet how many tokens are left.
     """
+    if bucket.claim is not None:
+        return
     delay_s = batch_interval_s(shared) + NOTICE_DELAY_S
     excess = max(0.0, bucket.meter.rate(now) - bucket.rate) * delay_s
     left = bucket.tokens - excess
@@ -122,6 +127,7 @@
         if bucket.metered:
             ack.metered.append(name)
     out.append(SendGatherMessage(message.reply_to, ack))
+    quotahandover.send_claims(shared, now, out)
     notify_changes(shared, now, out)
 
 
@@ -132,9 +138,14 @@
     refresh_orders(shared, now, out)
     account = find_account(message.account, shared)
     grant = QuotaGrant(
-        shared.gather.own_name, message.ask_id, message.account, message.tokens
+        shared.gather.own_name,
+        message.ask_id,
+        message.account,
+        granted=message.tokens,
     )
     if account is not None:
+        for name in message.declined:
+            quotahandover.record_declined(name, account.name, shared, now)
         bucket = find_bucket(account, shared, now)
         epoch, last = bucket.answers.get(message.sender, (0, None))
         if last is not None and epoch == message.epoch:
@@ -143,11 +154,20 @@
             if message.ask_id == last.ask_id:
                 out.append(SendGatherMessage(message.reply_to, last))
                 return
+        if quotahandover.is_misdirected(account.name, shared, now):
+            grant.declined = True
+            out.append(SendGatherMessage(message.reply_to, grant))
+            return
+        if bucket.awaits_claim(message.tokens):
+            shared.quotas.deferred.append(message)
+            quotahandover.send_claims(shared, now, out)
+            return
         grant.granted, grant.retry_s = grant_tokens(
             account, bucket, message.tokens, shared, now, out
         )
         bucket.answers[message.sender] = (message.epoch, grant)
     out.append(SendGatherMessage(message.reply_to, grant))
+    quotahandover.send_claims(shared, now, out)
     notify_changes(shared, now, out)
 
 
@@ -208,11 +228,11 @@
         return
     book.noticed_at = now
     names, book.changed = book.changed, set()
-    send_notices(names, shared, out)
+    send_notices(names, shared, now, out)
 
 
 def send_notices(
-    names: Iterable[str], shared: SharedState, out: list[object]
+    names: Iterable[str], shared: SharedState, now: float, out: list[object]
 ) -> None:
     """Sends all instances the state of accounts that are led here."""
     book = shared.quotas
@@ -225,7 +245,11 @@
         metered = [one for one in part if book.buckets[one].metered]
         opened = [one for one in part if not book.buckets[one].metered]
         notice = MeteredNotice(shared.gather.own_name, metered, opened)
-        for peer in known_instances(shared)[1:]:
+        own = shared.gather.own_peer
+        if own is not None and quotahandover.is_little_known(shared, now):
+            notice.reply_to = own.address
+            notice.data_centre = own.data_centre
+        for peer in known_peers(shared):
             out.append(SendGatherMessage(peer.address, notice))
             shared.count("quota_notices")
 
@@ -234,16 +258,20 @@
     """Opens accounts that have recovered, and repeats notices."""
     book = shared.quotas
     update_majority(shared, now)
+    quotahandover.forget_expired(shared, now)
     metered = []
     for name, bucket in list(book.buckets.items()):
         account = find_account(name, shared)
         if account is None:
             del book.buckets[name]
-        elif bucket.metered:
+            continue
+        quotahandover.update_claim(name, shared, now)
+        if bucket.metered:
             update_state(
                 account, find_bucket(account, shared, now), shared, now, out
             )
             metered.append(name)
+    quotahandover.send_claims(shared, now, out, repeat=True)
     # The timer that calls this may be a little early.
     due_at = now - repeat_interval_s(shared) + 0.1 * MIN_BATCH_INTERVAL_S
     if book.repeated_at > due_at:
@@ -251,7 +279,7 @@
         return
     book.repeated_at = now
     names, book.changed = book.changed | set(metered), set()
-    send_notices(names, shared, out)
+    send_notices(names, shared, now, out)
 
 
 def count_metered(shared: SharedState) -> int:
--- a/arbutusbridge/forwarding/quotaranking.py
+++ b/arbutusbridge/forwarding/quotaranking.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 import zlib
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
@@ -60,18 +61,14 @@
     """What an instance may grant of an account as its ledger.
 
     Attributes:
-      is_first: Whether it is the ledger, and not a substitute.
       rate: Tokens per second.
       depth: Depth of the bucket, in tokens.
-      initial: Tokens that a new ledger starts with.
-      since: When it became the ledger, None for just now.
+      initial: Tokens that it starts with.
     """
 
-    is_first: bool
     rate: float
     depth: float
     initial: float
-    since: float | None = None
 
 
 def group_of(account: str) -> int:
@@ -98,12 +95,18 @@
     return min(MAX_REPEAT_S, REPEAT_BATCHES * batch_interval_s(shared))
 
 
+def known_peers(shared: SharedState) -> list[Peer]:
+    """Returns the other instances that may be ledgers."""
+    table = shared.gather.peer_table
+    peers = [peer for peer in table.peers.values() if peer.knows_accounts]
+    return [*peers, *table.introduced.values()]
+
+
 def known_instances(shared: SharedState) -> list[Peer]:
     """Returns the instances that may be ledgers, this one first."""
     own = shared.gather.own_peer
     assert own is not None
-    peers = shared.gather.peer_table.peers.values()
-    return [own, *(peer for peer in peers if peer.knows_accounts)]
+    return [own, *known_peers(shared)]
 
 
 def region_of(peer: Peer, shared: SharedState) -> str:
@@ -116,9 +119,14 @@
     book = shared.quotas
     own = shared.gather.own_peer
     peers = shared.gather.peer_table.peers
-    if own is None or book.ranked_for is peers:
+    if own is None:
+        return
+    found_for = (peers, shared.gather.accepts_requests)
+    if book.ranked_for is not None and (
+        book.ranked_for[0] is peers and book.ranked_for[1] is found_for[1]
+    ):
         return
-    book.ranked_for = peers
+    book.ranked_for = found_for
     book.orders.clear()
     found = known_instances(shared)
     firsts = [
@@ -126,6 +134,11 @@
         for group in range(LEDGER_GROUPS)
     ]
     book.ranked_at = now
+    for group, peer in enumerate(firsts):
+        former = book.firsts.get(group, peer.name)
+        if former != peer.name:
+            book.former[group] = former
+        book.firsts[group] = peer.name
     book.ledgers = {peer.name for peer in firsts}
     led = {group for group, peer in enumerate(firsts) if peer is own}
     gained, lost = led - book.led_since.keys(), book.led_since.keys() - led
@@ -151,6 +164,19 @@
     return order
 
 
+def active_ledgers(account: str, shared: SharedState, now: float) -> list[Peer]:
+    """Returns those of the ranked instances that have not declined."""
+    order = rank_ledgers(account, shared)
+    declined = shared.quotas.declined
+    if not declined:
+        return order
+    return [
+        peer
+        for peer in order
+        if declined.get((peer.name, account), -math.inf) <= now
+    ]
+
+
 def is_heard(
     name: str, within_s: float, shared: SharedState, now: float
 ) -> bool:
@@ -172,6 +198,23 @@
     book.is_minority = 2 * heard < len(book.ledgers)
 
 
+def takeover_delay_s(shared: SharedState) -> float:
+    """Returns the time without a message after which a ledger is replaced."""
+    return 2 * FRESH_REPEATS * repeat_interval_s(shared)
+
+
+def is_entitled(account: str, shared: SharedState, now: float) -> bool:
+    """Returns whether this instance takes itself for the ledger of an account.
+
+    Others may do so, too; see quotahandover.
+    """
+    own = shared.gather.own_peer
+    order = active_ledgers(account, shared, now)
+    if order and order[0] is own:
+        return not shared.quotas.is_minority
+    return find_successor(account, shared, now) is own
+
+
 def find_successor(
     account: str, shared: SharedState, now: float
 ) -> Peer | None:
@@ -182,14 +225,18 @@
     instance chooses the first of the ledgers that it still hears of.
     """
     book = shared.quotas
-    first = rank_ledgers(account, shared)[0]
-    takeover_s = 2 * FRESH_REPEATS * repeat_interval_s(shared)
-    if not book.has_majority or is_heard(first.name, takeover_s, shared, now):
+    order = active_ledgers(account, shared, now)
+    takeover_s = takeover_delay_s(shared)
+    if (
+        not book.has_majority
+        or not order
+        or is_heard(order[0].name, takeover_s, shared, now)
+    ):
         return None
     return next(
         (
             peer
-            for peer in rank_ledgers(account, shared)
+            for peer in order
             if peer.name in book.ledgers
             and is_heard(peer.name, takeover_s, shared, now)
         ),
@@ -203,7 +250,8 @@
     """Returns the instance to ask about an account, None if there is none.
 
     Instances that do not reach the first one choose in their own region, so
-    that those of a region that is cut off agree at once.
+    that those of a region that is cut off agree at once. If all have declined,
+    this one is asked, as a substitute.
 
     Args:
       account: Name of the account.
@@ -212,7 +260,9 @@
       skipped: Name of an instance that has not replied just now.
     """
     silence = shared.quotas.silence
-    order = rank_ledgers(account, shared)
+    order = active_ledgers(account, shared, now)
+    if not order:
+        return shared.gather.own_peer
     first = find_successor(account, shared, now) or order[0]
     if first.name != skipped and not silence.is_excluded(first.name, now):
         return first
@@ -241,28 +291,32 @@
 
 
 def find_standing(
-    account: Account, shared: SharedState, now: float
+    account: Account,
+    is_whole: bool,
+    shared: SharedState,
+    is_claiming: bool = False,
 ) -> Standing:
-    """Returns what this instance may grant of an account as its ledger."""
-    book = shared.quotas
-    limits = book.limits
-    own = shared.gather.own_peer
+    """Returns what this instance may grant of an account.
+
+    Args:
+      account: The account.
+      is_whole: Whether it is the ledger and grants the whole rate.
+      shared: State of this instance.
+      is_claiming: Whether it is about to be.
+    """
+    limits = shared.quotas.limits
     excess = limits.overage * (limits.window_s * account.rate + account.burst)
     depth = account.burst + limits.slack / 2 + DEPTH_SHARE * excess
     initial = limits.slack / 4
-    if own is None or not shared.gather.peer_table.peers:
+    if shared.gather.own_peer is None or not shared.gather.peer_table.peers:
         share = 1.0 / max(1, shared.instances)
-        return Standing(
-            True, account.rate * share, max(1.0, depth * share), initial * share
-        )
-    is_first = rank_ledgers(account.name, shared)[0] is own
-    if is_first and not book.is_minority:
-        since = book.led_since.get(group_of(account.name))
-        return Standing(True, account.rate, depth, initial, since)
-    if find_successor(account.name, shared, now) is own:
-        return Standing(False, account.rate, depth, initial)
-    regions = len({region_of(peer, shared) for peer in known_instances(shared)})
+        depth = max(1.0, depth * share)
+        return Standing(account.rate * share, depth, initial * share)
+    if is_whole:
+        return Standing(account.rate, depth, initial)
+    places = [shared.gather.own_peer, *known_peers(shared)]
+    regions = len({region_of(peer, shared) for peer in places})
     excess = SUBSTITUTE_SHARE * excess + limits.slack / 4
     fraction = substitute_fraction(account, regions, excess / limits.window_s)
-    depth = max(1.0, limits.slack / 4 / regions)
-    return Standing(False, account.rate * fraction, depth, depth)
+    depth = max(1.0, initial if is_claiming else initial / regions)
+    return Standing(account.rate * fraction, depth, depth)
--- a/arbutusbridge/forwarding/quotas.py
+++ b/arbutusbridge/forwarding/quotas.py
@@ -10,7 +10,7 @@
 import math
 from typing import TYPE_CHECKING
 
-from arbutusbridge.forwarding import quotaledger
+from arbutusbridge.forwarding import quotahandover, quotaledger
 from arbutusbridge.forwarding.quotabatches import (
     NOTICE_TTL_S,
     early_batch,
@@ -26,8 +26,10 @@
     QuotaAck,
     QuotaAsk,
     QuotaBatch,
+    QuotaClaim,
     QuotaGrant,
     QuotaMessage,
+    QuotaYield,
 )
 from arbutusbridge.forwarding.quotaranking import (
     FRESH_REPEATS,
@@ -40,6 +42,7 @@
 )
 from arbutusbridge.forwarding.quotatokens import (
     SPARE_TTL_S,
+    ask,
     continue_first,
     enqueue,
     on_grant,
@@ -78,15 +81,16 @@
       rejected, in seconds.
     """
     book = shared.quotas
+    refresh_accounts(shared, now)
     refresh_orders(shared, now, out)
     name = account.name
     use = book.uses.setdefault(name, AccountUse())
     exchange.has_token = True
     if shared.gather.own_peer is None:
-        return admit_here(account, shared, now, out)
+        return admit_here(exchange, account, use, shared, now, out)
     ledger = choose_ledger(name, shared, now)
     if ledger is shared.gather.own_peer:
-        return admit_here(account, shared, now, out)
+        return admit_here(exchange, account, use, shared, now, out)
     if ledger is not None and not needs_token(use, name, ledger, shared, now):
         use.unreported += 1
         book.unreported.add(name)
@@ -104,13 +108,23 @@
 
 
 def admit_here(
-    account: Account, shared: SharedState, now: float, out: list[object]
+    exchange: Exchange,
+    account: Account,
+    use: AccountUse,
+    shared: SharedState,
+    now: float,
+    out: list[object],
 ) -> Admission | float:
     """Decides on a request at the ledger of its account itself."""
     bucket = quotaledger.find_bucket(account, shared, now)
+    if bucket.awaits_claim(1):
+        exchange.has_token = False
+        enqueue(exchange, use, shared, now, out)
+        return Admission.WAITING
     granted, retry_s = quotaledger.grant_tokens(
         account, bucket, 1, shared, now, out
     )
+    quotahandover.send_claims(shared, now, out)
     quotaledger.notify_changes(shared, now, out)
     return Admission.ADMITTED if granted else retry_s
 
@@ -175,15 +189,12 @@
     table = shared.table
     if table is None:
         return
-    if book.version != table.configuration.version:
-        book.version = table.configuration.version
-        accounts = table.configuration.accounts or ()
-        book.has_rates = any(account.rate > 0.0 for account in accounts)
-        forget_removed(shared)
+    refresh_accounts(shared, now)
     if not (book.has_rates or book.uses or book.buckets):
         return
     refresh_orders(shared, now, out)
     quotaledger.maintain(shared, now, out)
+    continue_deferred(shared, now, out)
     if shared.gather.own_peer is None:
         return
     return_spares(shared, now)
@@ -202,6 +213,17 @@
         send_batch(ledger, shared, now, out)
 
 
+def refresh_accounts(shared: SharedState, now: float) -> None:
+    """Finds out which accounts a new version adds and removes."""
+    book, table = shared.quotas, shared.table
+    if table is None or book.version == table.configuration.version:
+        return
+    accounts = table.configuration.accounts or ()
+    book.version = table.configuration.version
+    book.has_rates = any(account.rate > 0.0 for account in accounts)
+    forget_removed(shared)
+
+
 def forget_removed(shared: SharedState) -> None:
     """Forgets accounts that no longer exist or have no rate any more."""
     book = shared.quotas
@@ -228,6 +250,7 @@
     message: QuotaMessage, shared: SharedState, now: float, out: list[object]
 ) -> None:
     """Handles a message of a ledger or to this one."""
+    refresh_accounts(shared, now)
     match message:
         case QuotaBatch():
             quotaledger.on_batch(message, shared, now, out)
@@ -238,15 +261,41 @@
         case QuotaGrant():
             on_grant(message, shared, now, out)
         case MeteredNotice():
-            on_notice(message, shared, now)
+            on_notice(message, shared, now, out)
+        case QuotaClaim():
+            refresh_orders(shared, now, out)
+            if quotahandover.on_claim(message, shared, now, out):
+                # Others may not know this instance either.
+                quotaledger.send_notices([], shared, now, out)
+        case QuotaYield():
+            quotahandover.on_yield(message, shared, now, out)
+    continue_deferred(shared, now, out)
 
 
-def on_notice(message: MeteredNotice, shared: SharedState, now: float) -> None:
+def continue_deferred(
+    shared: SharedState, now: float, out: list[object]
+) -> None:
+    """Decides on what has waited for a claim that is resolved."""
+    book = shared.quotas
+    if not (book.deferred or book.own_deferred):
+        return
+    messages, book.deferred = book.deferred, []
+    for message in messages:
+        quotaledger.on_ask(message, shared, now, out)
+    names, book.own_deferred = book.own_deferred, set()
+    for name in names:
+        if name in book.uses:
+            ask(name, book.uses[name], shared, now, out)
+
+
+def on_notice(
+    message: MeteredNotice, shared: SharedState, now: float, out: list[object]
+) -> None:
     """Handles which accounts are metered; only their own ledgers count."""
     book = shared.quotas
     if shared.gather.own_peer is None:
         return
-    book.silence.noticed(message.sender, now)
+    quotahandover.introduce(message, shared, now, out)
     for names, until in (
         (message.metered, now + NOTICE_TTL_S),
         (message.opened, -math.inf),
--- a/arbutusbridge/forwarding/quotatokens.py
+++ b/arbutusbridge/forwarding/quotatokens.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from arbutusbridge.forwarding import quotaledger
+from arbutusbridge.forwarding import quotahandover, quotaledger
 from arbutusbridge.forwarding.gather import SendGatherMessage
 from arbutusbridge.forwarding.limits import MAX_RETRY_AFTER_S
 from arbutusbridge.forwarding.messages import SetRequestTimer
@@ -88,9 +88,14 @@
     if ledger is own and account is not None:
         grant = QuotaGrant(own.name, 0, name)
         bucket = quotaledger.find_bucket(account, shared, now)
+        if bucket.awaits_claim(len(use.queue)):
+            shared.quotas.own_deferred.add(name)
+            quotahandover.send_claims(shared, now, out)
+            return
         grant.granted, grant.retry_s = quotaledger.grant_tokens(
             account, bucket, len(use.queue), shared, now, out
         )
+        quotahandover.send_claims(shared, now, out)
         use_grant(grant, len(use.queue), use, shared, now, out)
         return
     book = shared.quotas
@@ -100,6 +105,7 @@
     book.silence.sent(ledger.name, now)
     shared.count("quota_asks")
     message = QuotaAsk(own.name, own.address, book.epoch, number, name, tokens)
+    message.declined = quotahandover.declined_ledgers(name, shared, now)
     out.append(SendGatherMessage(ledger.address, message))
 
 
@@ -209,4 +215,11 @@
     book.silence.heard(message.sender, now)
     tokens = use.ask.tokens
     use.ask = None
+    if message.declined:
+        shared.count("quota_declined")
+        quotahandover.record_declined(
+            message.sender, message.account, shared, now
+        )
+        ask(message.account, use, shared, now, out)
+        return
     use_grant(message, tokens, use, shared, now, out)
--- a/tests/test_forwarding/fleet.py
+++ b/tests/test_forwarding/fleet.py
@@ -230,6 +230,16 @@
         """Returns the address at which an instance accepts messages."""
         return self.addresses[name]
 
+    def peer(self, name: str) -> Peer:
+        """Returns the record of an instance as it is when it starts."""
+        return Peer(
+            name,
+            self.places[name],
+            self.address_of(name),
+            self.capacity,
+            protocol=self.protocols.get(name, CURRENT_PROTOCOL),
+        )
+
     def start(self, name: str) -> None:
         """Starts an instance with an empty memory."""
         place = self.places[name]
@@ -239,16 +249,7 @@
         forwarder.configure(self.configuration)
         for upstream in self.upstreams.values():
             forwarder.announce(upstream.announcement, self.now)
-        peers = [
-            Peer(
-                other,
-                self.places[other],
-                self.address_of(other),
-                self.capacity,
-                protocol=self.protocols.get(other, CURRENT_PROTOCOL),
-            )
-            for other in self.places
-        ]
+        peers = [self.peer(other) for other in self.places]
         forwarder.gather.own_peer = next(p for p in peers if p.name == name)
         forwarder.gather.peer_table.update(
             [peer for peer in peers if peer.name != name]
@@ -272,17 +273,7 @@
         """Tells an instance which others run."""
         forwarder = self.instances[name]
         forwarder.gather.peer_table.update(
-            [
-                Peer(
-                    other,
-                    self.places[other],
-                    self.address_of(other),
-                    self.capacity,
-                    protocol=self.protocols.get(other, CURRENT_PROTOCOL),
-                )
-                for other in self.instances
-                if other != name
-            ]
+            [self.peer(other) for other in self.instances if other != name]
         )
         forwarder.update_instance_count(len(self.instances))
 
--- a/tests/test_forwarding/messagesamples.py
+++ b/tests/test_forwarding/messagesamples.py
@@ -32,7 +32,9 @@
     QuotaAck,
     QuotaAsk,
     QuotaBatch,
+    QuotaClaim,
     QuotaGrant,
+    QuotaYield,
 )
 
 ADDRESS = ("10.0.0.1", 7380)
@@ -124,3 +126,25 @@
     "metered": MeteredNotice("north-2", ["acme"], ["bolt"]),
 }
 """Messages of protocol 0x17 about quotas, by name."""
+
+CLAIM_SAMPLES = {
+    "claim": QuotaClaim("north-1", ADDRESS, "north", ["acme", "bolt"]),
+    "yield": QuotaYield(
+        "north-2",
+        ADDRESS,
+        "north",
+        ["acme", "bolt"],
+        ["acme"],
+        [-2.5],
+        ["acme"],
+        ["north-3"],
+    ),
+    "nothing to yield": QuotaYield("north-2", ADDRESS, "north", ["acme"]),
+    "introduction": MeteredNotice("north-2", ["acme"], [], ADDRESS, "north"),
+    "declined batch": QuotaAck("north-2", 7, declined=["bolt"]),
+    "declined ask": QuotaGrant("north-2", 9, "acme", declined=True),
+    "ask after a refusal": QuotaAsk(
+        "north-1", ADDRESS, 2**61, 8, "acme", 2, ["north-2"]
+    ),
+}
+"""Messages of protocol 0x18 about the hand-over of quotas, by name."""
--- a/tests/test_forwarding/test_gatherwire.py
+++ b/tests/test_forwarding/test_gatherwire.py
@@ -33,6 +33,7 @@
 )
 from arbutusbridge.forwarding.quotamessages import QuotaAck, QuotaGrant
 from tests.test_forwarding.messagesamples import (
+    CLAIM_SAMPLES,
     LATER_SAMPLES,
     QUOTA_SAMPLES,
     SAMPLES,
@@ -44,6 +45,7 @@
 CURRENT_ENCODINGS = json.loads((FOLDER / "messages_16.json").read_text())
 LATER_ENCODINGS = json.loads((FOLDER / "messages_17.json").read_text())
 TERMS_ENCODINGS = json.loads((FOLDER / "messages_18.json").read_text())
+CLAIM_ENCODINGS = json.loads((FOLDER / "messages_quota_18.json").read_text())
 QUOTA_ENCODINGS = json.loads((FOLDER / "messages_quota_17.json").read_text())
 
 
@@ -56,6 +58,7 @@
             *LATER_SAMPLES.values(),
             *QUOTA_SAMPLES.values(),
             *TERMS_SAMPLES.values(),
+            *CLAIM_SAMPLES.values(),
             GatherReply(7, {"s1": "a.1"}, b"x" * 32, is_final=False),
         ):
             self.assertEqual(message, decode_message(encode_message(message)))
@@ -63,6 +66,7 @@
             *SAMPLES.values(),
             *LATER_SAMPLES.values(),
             *QUOTA_SAMPLES.values(),
+            *CLAIM_SAMPLES.values(),
         ]
         kinds = {type(message) for message in samples}
         self.assertEqual(set(MESSAGE_TYPES), kinds)
@@ -182,6 +186,22 @@
                     OLDEST_PROTOCOL,
                 )
 
+    # Guards against a change of what builds of protocol 0x18 rely on for the
+    # hand-over of quotas.
+    def test_claims_are_those_of_their_protocol(self) -> None:
+        self.assertEqual(CLAIM_ENCODINGS.keys(), CLAIM_SAMPLES.keys())
+        for name, message in CLAIM_SAMPLES.items():
+            encoding = CLAIM_ENCODINGS[name]
+            self.assertEqual(encoding, encode_message(message).hex())
+            self.assertEqual(message, decode_message(bytes.fromhex(encoding)))
+        claim = CLAIM_SAMPLES["claim"]
+        self.assertRaises(
+            UnknownMessageError, encode_message, claim, OLDEST_PROTOCOL
+        )
+        # The sender of the claim understands the reply.
+        reply = CLAIM_SAMPLES["yield"]
+        self.assertEqual(encode_message(reply), encode_message(reply, 0))
+
     def test_added_fields_have_defaults(self) -> None:
         for kind, count in OLDEST_FIELD_COUNTS.items():
             for field in FIELDS[kind][count:]:
--- /dev/null
+++ b/tests/test_forwarding/test_quotahandover.py
@@ -0,0 +1,169 @@
+"""Tests of accounts whose ledger changes while it is asked for tokens."""
+
+from __future__ import annotations
+
+import functools
+
+from arbutusbridge.forwarding.gather import Peer
+from arbutusbridge.forwarding.model import Account
+from arbutusbridge.forwarding.quotaranking import group_of
+from arbutusbridge.forwarding.ranking import rank_of
+from tests.test_forwarding.fleet import Fleet
+from tests.test_forwarding.test_quotas import (
+    QuotaTestCase,
+    load,
+    make_fleet,
+    refused,
+)
+
+BUSY = Account("acme", ("k",), rate=80.0, burst=10.0)
+USUAL, HOT = 50.0, 375.0
+"""Requests per second: the usual number, and seven and a half times as many."""
+
+SMALL = {"north": 4}
+REGIONAL = {"north": 3, "central": 3, "south": 3}
+
+
+class HandoverTestCase(QuotaTestCase):
+    """Callers of an account, and instances with different knowledge."""
+
+    def ranked(self, fleet: Fleet, account: Account = BUSY) -> list[str]:
+        """Returns the names of all instances in the order of an account."""
+        key = str(group_of(account.name))
+        peers = [
+            Peer(name, place, ("", 0)) for name, place in fleet.places.items()
+        ]
+        peers.sort(key=lambda peer: rank_of(key, peer))
+        return [peer.name for peer in peers]
+
+    def tell(self, fleet: Fleet, names, known) -> None:
+        """Tells some instances which instances the store names."""
+        for name in names:
+            if name in fleet.instances:
+                table = fleet.instances[name].gather.peer_table
+                table.update(
+                    [fleet.peer(other) for other in known if other != name]
+                )
+
+    def check_hot(self, play, places, pick=None) -> None:
+        """Checks the bound for an account that is hot, and one that is not.
+
+        Args:
+          play: Plays a hand-over, given a fleet.
+          places: Number of instances by data centre.
+          pick: Returns the instance that a request is sent to, given the fleet;
+            any by default.
+        """
+        for seed in (1, 2):
+            for hot in (True, False):
+                fleet = make_fleet(BUSY, places, seed)
+                play(fleet)
+                choose = functools.partial(pick, fleet) if pick else None
+                load(fleet, USUAL, 9.0, pick=choose)
+                load(fleet, HOT if hot else USUAL, 16.0, 9.0, choose)
+                fleet.run_until(118.0)
+                self.check(fleet, BUSY)
+                if not hot:
+                    self.assertEqual([], refused(fleet))
+
+
+class JoiningInstanceTest(HandoverTestCase):
+    """An instance is added that precedes the ledger so far."""
+
+    def join(self, fleet: Fleet, stale: list[str], at: float) -> None:
+        """Adds the first in order; some instances do not learn of it."""
+        added, *others = self.ranked(fleet)
+        fleet.stop(added)
+        self.tell(fleet, others, others)
+
+        def add() -> None:
+            fleet.start(added)
+            self.tell(
+                fleet, [one for one in others if one not in stale], fleet.places
+            )
+
+        fleet.at(100.0 + at, add)
+
+    # Guards against two instances that both grant the whole rate, because the
+    # former ledger is cut off from the store and does not know its successor.
+    def test_ledger_that_does_not_know_its_successor(self) -> None:
+        for places in (SMALL, REGIONAL):
+            for at in (7.0, 10.0):
+                self.check_hot(
+                    lambda fleet, at=at: self.join(
+                        fleet, self.ranked(fleet)[1:2], at
+                    ),
+                    places,
+                )
+
+    # Guards against the same if further instances are cut off from the store
+    # and go on asking the former ledger.
+    def test_most_instances_do_not_know_the_successor(self) -> None:
+        self.check_hot(
+            lambda fleet: self.join(fleet, self.ranked(fleet)[1:6], 10.0),
+            REGIONAL,
+        )
+
+    # Guards against a hand-over that costs requests below the quota, or lets
+    # more run, if all learn of the new ledger at once.
+    def test_all_instances_know_the_successor(self) -> None:
+        self.check_hot(lambda fleet: self.join(fleet, [], 10.0), REGIONAL)
+
+    # Guards against requests below the quota that are refused, or two ledgers,
+    # after the store has removed the key of one that is cut off from it.
+    def test_key_of_the_ledger_is_removed(self) -> None:
+        def remove(fleet: Fleet) -> None:
+            first, *rest = self.ranked(fleet)
+            forwarder = fleet.instances[first]
+            forwarder.get_confirmed_at = lambda: 98.0
+            fleet.at(109.5, lambda: self.tell(fleet, rest, rest))
+
+        self.check_hot(remove, REGIONAL)
+
+    # Guards against a former ledger that the new one does not reach and that
+    # goes on granting the whole rate beside it.
+    def test_former_ledger_is_cut_off_from_all(self) -> None:
+        for at in (10.0, 12.5):
+            fleet = make_fleet(BUSY, REGIONAL)
+            former = self.ranked(fleet)[1]
+            self.join(fleet, [former], at)
+            fleet.is_cut = lambda one, other, fleet=fleet, former=former: (
+                former in (one, other) and 109.5 <= fleet.now < 114.5
+            )
+            load(fleet, USUAL, 9.0)
+            load(fleet, HOT, 18.0, 9.0)
+            fleet.run_until(120.0)
+            self.check(fleet, BUSY)
+
+    # Guards against tokens that a hand-over creates, or against a debt that it
+    # forgets.
+    def test_tokens_are_handed_over(self) -> None:
+        fleet = make_fleet(BUSY, REGIONAL)
+        added, former = self.ranked(fleet)[:2]
+        self.join(fleet, [former], 12.0)
+        load(fleet, HOT, 14.0)
+        fleet.run_until(111.99)
+        bucket = fleet.instances[former].quotas.buckets["acme"]
+        self.assertTrue(bucket.is_whole)
+        fleet.run_until(112.1)
+        self.assertFalse(bucket.is_whole)
+        self.assertEqual(added, bucket.yielded_to)
+        taken = fleet.instances[added].quotas.buckets["acme"]
+        self.assertTrue(taken.is_whole)
+        self.assertTrue(taken.metered)
+        self.assertLess(taken.tokens, 2.0)
+
+    # Guards against a ledger that waits for instances that are gone.
+    def test_successor_of_a_dead_ledger_serves(self) -> None:
+        fleet = make_fleet(BUSY, REGIONAL)
+        former = self.ranked(fleet)[0]
+        rest = [one for one in fleet.places if one != former]
+        load(fleet, USUAL, 30.0)
+        fleet.at(109.0, lambda: fleet.stop(former))
+        fleet.at(121.0, lambda: self.tell(fleet, rest, rest))
+        fleet.run_until(132.0)
+        for request_id, entered in fleet.entered.items():
+            if entered == former:
+                fleet.answers.setdefault(request_id, (0.0, None))
+        self.check(fleet, BUSY)
+        self.assertEqual([], refused(fleet, 22.0))
