Let an instance that stops decline the quotas it has kept

Cause: an instance counted itself among the ledgers also after it had given up its key in the store. It went on granting the whole rate to the clients that still reach it, beside its successor.

Change: an instance that stops is not among its own ledgers, and declines token requests and reports of others. They turn to the next in order and name there who has declined.

It works because the one that stops grants nothing once it is replaced, and its debts go over with the bucket.

--- a/arbutusbridge/forwarding/quotaledger.py
+++ b/arbutusbridge/forwarding/quotaledger.py
@@ -118,6 +118,9 @@
     ack = QuotaAck(shared.gather.own_name, message.number)
     for name, count in zip(message.accounts, message.counts, strict=False):
         account = find_account(name, shared)
+        if not shared.gather.accepts_requests:
+            ack.declined.append(name)
+            continue
         if account is None:
             continue
         bucket = find_bucket(account, shared, now)
@@ -136,14 +139,17 @@
 ) -> None:
     """Replies to a token request."""
     refresh_orders(shared, now, out)
+    is_stopping = not shared.gather.accepts_requests
     account = find_account(message.account, shared)
     grant = QuotaGrant(
         shared.gather.own_name,
         message.ask_id,
         message.account,
-        granted=message.tokens,
+        declined=is_stopping,
     )
-    if account is not None:
+    if account is None and not is_stopping:
+        grant.granted = message.tokens
+    elif account is not None and not is_stopping:
         for name in message.declined:
             quotahandover.record_declined(name, account.name, shared, now)
         bucket = find_bucket(account, shared, now)
--- a/arbutusbridge/forwarding/quotaranking.py
+++ b/arbutusbridge/forwarding/quotaranking.py
@@ -103,10 +103,16 @@
 
 
 def known_instances(shared: SharedState) -> list[Peer]:
-    """Returns the instances that may be ledgers, this one first."""
+    """Returns the instances that may be ledgers.
+
+    This one is among them unless it is stopping and there are others.
+    """
     own = shared.gather.own_peer
     assert own is not None
-    return [own, *known_peers(shared)]
+    peers = known_peers(shared)
+    if peers and not shared.gather.accepts_requests:
+        return peers
+    return [own, *peers]
 
 
 def region_of(peer: Peer, shared: SharedState) -> str:
--- a/tests/test_forwarding/test_quotahandover.py
+++ b/tests/test_forwarding/test_quotahandover.py
@@ -13,6 +13,7 @@
     QuotaTestCase,
     load,
     make_fleet,
+    most_starts,
     refused,
 )
 
@@ -167,3 +168,115 @@
                 fleet.answers.setdefault(request_id, (0.0, None))
         self.check(fleet, BUSY)
         self.assertEqual([], refused(fleet, 22.0))
+
+
+class StoppingLedgerTest(HandoverTestCase):
+    """The ledger stops as planned; callers reach it for some time."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.left_at: dict[str, float] = {}
+
+    def pick(self, fleet: Fleet) -> str:
+        """Returns an instance that is not known to be stopping."""
+        return fleet.rng.choice(
+            [
+                name
+                for name in fleet.instances
+                if fleet.now < self.left_at.get(name, fleet.now) + 2.0
+            ]
+        )
+
+    def stop(self, fleet: Fleet, count: int = 1, told_after: float = 0.01):
+        """Stops the first instances in order, one second apart."""
+        order = self.ranked(fleet)
+        self.left_at.clear()
+
+        def leave(name: str, others: list[str]) -> None:
+            self.left_at[name] = fleet.now
+            fleet.instances[name].gather.accepts_requests = False
+            fleet.after(told_after, lambda: self.tell(fleet, others, others))
+            fleet.after(3.0, lambda: fleet.stop(name))
+
+        for number in range(count):
+            name, others = order[number], order[number + 1 :]
+            fleet.at(
+                110.0 + number,
+                lambda name=name, others=others: leave(name, others),
+            )
+
+    # Guards against a ledger that stops and goes on granting the whole rate
+    # beside its successor, and against requests that it refuses meanwhile.
+    def test_stopping_ledger_leaves_the_account_to_the_next(self) -> None:
+        for told_after in (0.01, 1.0, 2.5):
+            self.check_hot(
+                lambda fleet, told_after=told_after: self.stop(
+                    fleet, told_after=told_after
+                ),
+                REGIONAL,
+                self.pick,
+            )
+
+    # Guards against the same in a series of planned stops.
+    def test_several_ledgers_stop_one_after_the_other(self) -> None:
+        self.check_hot(
+            lambda fleet: self.stop(fleet, 3, 0.2), REGIONAL, self.pick
+        )
+
+    # Guards against requests that wait for an instance that will not answer
+    # when all of them stop.
+    def test_all_instances_stop_at_once(self) -> None:
+        fleet = make_fleet(BUSY, SMALL)
+        load(fleet, USUAL, 9.0)
+        load(fleet, HOT, 13.0, 9.0)
+
+        def stop() -> None:
+            for forwarder in fleet.instances.values():
+                forwarder.gather.accepts_requests = False
+
+        fleet.at(110.0, stop)
+        fleet.run_until(115.0)
+        self.check(fleet, BUSY)
+
+
+class RepeatedHandoverTest(HandoverTestCase):
+    """Changes of the ledger in series, with lost and late messages."""
+
+    # Guards against a bound that holds for a single hand-over only.
+    def test_stops_joins_and_lost_messages(self) -> None:
+        for seed in range(1, 5):
+            fleet = make_fleet(BUSY, REGIONAL, seed)
+            order = self.ranked(fleet)
+
+            def copies(_one, _other, fleet=fleet) -> list[float]:
+                lost = fleet.rng.random() < 0.05
+                return [] if lost else [fleet.rng.uniform(0.0, 0.02)]
+
+            def leave(name, fleet=fleet) -> None:
+                fleet.instances[name].gather.accepts_requests = False
+                rest = [one for one in fleet.instances if one != name]
+                for one in rest:
+                    fleet.after(
+                        fleet.rng.uniform(0.0, 2.0),
+                        lambda one=one, rest=rest: self.tell(
+                            fleet, [one], rest
+                        ),
+                    )
+                fleet.after(2.5, lambda: fleet.stop(name))
+
+            def join(name, fleet=fleet) -> None:
+                fleet.start(name)
+                names = list(fleet.instances)
+                for one in names:
+                    fleet.after(
+                        fleet.rng.uniform(0.0, 2.0),
+                        lambda one=one: self.tell(fleet, [one], names),
+                    )
+
+            fleet.copies = copies
+            load(fleet, HOT, 30.0)
+            for number, name in enumerate((order[0], order[1], order[0])):
+                fleet.at(106.0 + 7 * number, lambda n=name: leave(n))
+                fleet.at(110.0 + 7 * number, lambda n=name: join(n))
+            fleet.run_until(132.0)
+            self.assertLessEqual(most_starts(fleet), 471)
