Decline quotas of accounts that the configuration does not have

Cause: an instance skipped accounts that it does not know in reports that it acknowledged, and granted every token request for them. So did one without any configuration.

Change: it declines both. The next in order that knows the account is asked, claims it, and yields it once the first one knows it. A new account begins with a full bucket.

It works because only an instance that counts a request acknowledges it or grants it a token.

--- a/arbutusbridge/forwarding/quotabook.py
+++ b/arbutusbridge/forwarding/quotabook.py
@@ -213,6 +213,9 @@
       epoch: Random number of this start of the instance.
       last_number: Number of the last batch or token request.
       version: Version of the configuration whose accounts are known.
+      names: Names of these accounts.
+      added_at: When an account was first named, unless the first version names
+        it.
       has_rates: Whether any account of that version has a rate.
       ranked_for: Peers for which the orders below hold, and whether this
         instance accepted requests then; None if they have to be found again.
@@ -252,6 +255,8 @@
     epoch: int = field(default_factory=lambda: secrets.randbits(EPOCH_BITS))
     last_number: int = 0
     version: int = 0
+    names: frozenset[str] = frozenset()
+    added_at: dict[str, float] = field(default_factory=dict)
     has_rates: bool = False
     ranked_for: tuple[dict[str, Peer], bool] | None = None
     ranked_at: float = -math.inf
--- a/arbutusbridge/forwarding/quotahandover.py
+++ b/arbutusbridge/forwarding/quotahandover.py
@@ -59,6 +59,9 @@
 """Time since the store last confirmed its contents after which it may have
 removed the key of this instance."""
 
+ADDED_S = 5.0
+"""Time for which an account is new; most likely it has had no ledger before."""
+
 MAX_CLAIMED_ACCOUNTS = 512
 """Maximum number of accounts in one claim."""
 
@@ -138,7 +141,8 @@
     """Makes this instance the ledger of an account.
 
     It continues with the tokens of the one before it. Without one, the account
-    has rested since this instance became the first in order.
+    has rested since this instance became the first in order, or since ever if
+    it is new.
     """
     book = shared.quotas
     claim, account = bucket.claim, find_account(name, shared)
@@ -149,7 +153,9 @@
     left = [] if claim.yielded is None else [claim.yielded]
     if bucket.kept is not None and not bucket.yielded_to:
         left.append(count_kept(name, bucket, shared, now))
-    if not left:
+    if not left and now - book.added_at.get(name, -math.inf) <= ADDED_S:
+        left.append(standing.depth)
+    elif not left:
         since = book.led_since.get(group_of(name), now)
         left = [standing.initial + (now - since) * standing.rate]
     bucket.refill(standing.rate, standing.depth, now)
--- a/arbutusbridge/forwarding/quotaledger.py
+++ b/arbutusbridge/forwarding/quotaledger.py
@@ -117,11 +117,9 @@
         book.seen[message.sender] = (message.epoch, message.number)
     ack = QuotaAck(shared.gather.own_name, message.number)
     for name, count in zip(message.accounts, message.counts, strict=False):
-        account = find_account(name, shared)
-        if not shared.gather.accepts_requests:
-            ack.declined.append(name)
-            continue
+        account = find_ledger_account(name, shared)
         if account is None:
+            ack.declined.append(name)
             continue
         bucket = find_bucket(account, shared, now)
         if is_new:
@@ -134,22 +132,30 @@
     notify_changes(shared, now, out)
 
 
+def find_ledger_account(name: str, shared: SharedState) -> Account | None:
+    """Returns an account that this instance may be the ledger of, or None.
+
+    An instance that is stopping leaves its accounts to the others. So does one
+    whose configuration does not have an account yet or any more.
+    """
+    if not shared.gather.accepts_requests:
+        return None
+    return find_account(name, shared)
+
+
 def on_ask(
     message: QuotaAsk, shared: SharedState, now: float, out: list[object]
 ) -> None:
     """Replies to a token request."""
     refresh_orders(shared, now, out)
-    is_stopping = not shared.gather.accepts_requests
-    account = find_account(message.account, shared)
+    account = find_ledger_account(message.account, shared)
     grant = QuotaGrant(
         shared.gather.own_name,
         message.ask_id,
         message.account,
-        declined=is_stopping,
+        declined=account is None,
     )
-    if account is None and not is_stopping:
-        grant.granted = message.tokens
-    elif account is not None and not is_stopping:
+    if account is not None:
         for name in message.declined:
             quotahandover.record_declined(name, account.name, shared, now)
         bucket = find_bucket(account, shared, now)
--- a/arbutusbridge/forwarding/quotas.py
+++ b/arbutusbridge/forwarding/quotas.py
@@ -219,6 +219,12 @@
     if table is None or book.version == table.configuration.version:
         return
     accounts = table.configuration.accounts or ()
+    names = frozenset(account.name for account in accounts)
+    if book.version:
+        book.added_at.update(dict.fromkeys(names - book.names, now))
+    for name in book.added_at.keys() - names:
+        del book.added_at[name]
+    book.names = names
     book.version = table.configuration.version
     book.has_rates = any(account.rate > 0.0 for account in accounts)
     forget_removed(shared)
--- a/tests/test_forwarding/test_quotahandover.py
+++ b/tests/test_forwarding/test_quotahandover.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import dataclasses
 import functools
 
+from arbutusbridge.forwarding import RoutingConfiguration
 from arbutusbridge.forwarding.gather import Peer
 from arbutusbridge.forwarding.model import Account
 from arbutusbridge.forwarding.quotaranking import group_of
@@ -11,6 +13,7 @@
 from tests.test_forwarding.fleet import Fleet
 from tests.test_forwarding.test_quotas import (
     QuotaTestCase,
+    give,
     load,
     make_fleet,
     most_starts,
@@ -239,6 +242,74 @@
         self.check(fleet, BUSY)
 
 
+class UnknownAccountTest(HandoverTestCase):
+    """The first instance in order has an earlier configuration."""
+
+    def add(self, fleet: Fleet, stale: list[str], learned_at: float) -> None:
+        """Adds the account at second 5; some instances learn of it later."""
+        old = dataclasses.replace(BUSY, name="old", keys=("o",))
+        give(fleet, old)
+
+        def configure(names) -> None:
+            for name in names:
+                fleet.instances[name].configure(
+                    RoutingConfiguration(
+                        9, fleet.configuration.routes, accounts=(old, BUSY)
+                    )
+                )
+
+        rest = [one for one in fleet.places if one not in stale]
+        fleet.at(105.0, lambda: configure(rest))
+        fleet.at(100.0 + learned_at, lambda: configure(stale))
+
+    def play(self, stale_count: int, rate: float, learned_at: float) -> Fleet:
+        """Plays requests to the instances that know the account."""
+        fleet = make_fleet(BUSY, REGIONAL)
+        order = self.ranked(fleet)
+        stale, rest = order[:stale_count], order[stale_count:]
+        self.add(fleet, stale, learned_at)
+        load(fleet, rate, 16.0, 5.3, pick=lambda: fleet.rng.choice(rest))
+        fleet.run_until(118.0)
+        return fleet
+
+    # Guards against an instance that does not know an account and grants every
+    # token of it, or counts none of its requests.
+    def test_ledger_that_does_not_know_the_account(self) -> None:
+        for stale_count in (1, 3):
+            for learned_at in (10.0, 30.0):
+                fleet = self.play(stale_count, HOT, learned_at)
+                self.check(fleet, BUSY)
+                served = len(fleet.sent) - len(refused(fleet))
+                self.assertGreater(served, 0.9 * 80.0 * 10.0)
+
+    # Guards against requests below the quota that are refused because the
+    # first instances in order do not know the account.
+    def test_nothing_is_refused_below_the_quota(self) -> None:
+        for stale_count in (1, 3):
+            for learned_at in (5.7, 10.0):
+                fleet = self.play(stale_count, USUAL, learned_at)
+                self.check(fleet, BUSY)
+                self.assertEqual([], refused(fleet))
+
+    # Guards against the same at an instance without any configuration.
+    def test_ledger_without_a_configuration(self) -> None:
+        fleet = make_fleet(BUSY, REGIONAL)
+        first, *rest = self.ranked(fleet)
+        load(fleet, HOT, 16.0, pick=lambda: fleet.rng.choice(rest))
+
+        def start_again() -> None:
+            fleet.stop(first)
+            fleet.start(first)
+            fleet.instances[first].table = None
+
+        fleet.at(108.0, start_again)
+        fleet.at(
+            111.0, lambda: fleet.instances[first].configure(fleet.configuration)
+        )
+        fleet.run_until(118.0)
+        self.check(fleet, BUSY)
+
+
 class RepeatedHandoverTest(HandoverTestCase):
     """Changes of the ledger in series, with lost and late messages."""
 
