Refuse announcements that name no address or fit no message

Cause: any whole number was taken for a port. The system refuses it with an exception that the pool did not expect, so that the handler which carried out the decisions of a request ended halfway. By the same cause: host names were looked up in the event loop, numbers above 64 bits were announced, ids could hold a line break, and a record of an instance without an IP address kept others from being connected.

Change: announcements need an IPv4 address, a port from 1 to 65535, a visible ASCII id, and numbers within bounds; records of instances need an IP address. A connection whose address the system refuses fails like one without a route. A value of the store that cannot be read is an invalid entry, not an invalid reply.

It works because a wrong entry ends where it is decoded.

--- a/arbutusbridge/daemon/connection.py
+++ b/arbutusbridge/daemon/connection.py
@@ -135,7 +135,11 @@
             self.sock.setsockopt(level, option, value)
         self.prepare_socket(self.sock)
         self.descriptor = self.sock.fileno()
-        error = self.sock.connect_ex(address)
+        try:
+            error = self.sock.connect_ex(address)
+        except (OverflowError, TypeError, ValueError) as err:
+            self.sock.close()
+            raise OSError(errno.EINVAL, f"invalid address: {err}") from err
         if error not in (0, errno.EINPROGRESS):
             self.sock.close()
             raise OSError(error, os.strerror(error))
--- a/arbutusbridge/daemon/instancelist.py
+++ b/arbutusbridge/daemon/instancelist.py
@@ -12,6 +12,9 @@
 """Prefix of the id of the check that marks a service as being removed."""
 
 
+MAX_PORT = 65_535
+
+
 def instance_list_path(namespace: str) -> str:
     """Returns the URL path of the instance list of a deployment."""
     return f"/v1/health/service/{namespace}"
@@ -45,6 +48,14 @@
             check["CheckID"].startswith(MAINTENANCE_CHECK_PREFIX)
             for check in checks
         )
-    except (LookupError, TypeError, ValueError, AttributeError):
+    except (
+        AttributeError,
+        LookupError,
+        OverflowError,
+        TypeError,
+        ValueError,
+    ):
+        return None
+    if not 0 < identity.port <= MAX_PORT:
         return None
     return ListedInstance(identity, leaving)
--- a/arbutusbridge/daemon/peerlinks.py
+++ b/arbutusbridge/daemon/peerlinks.py
@@ -78,7 +78,11 @@
         return SendResult.ACCEPTED, ""
 
     def open_link(self, address: tuple[str, int]) -> pynng.Push0:
-        """Returns the link to an address, opening it if there is none."""
+        """Returns the link to an address, opening it if there is none.
+
+        Raises:
+          pynng.NNGException: The address is not valid.
+        """
         found = self.links.pop(address, None)
         if found is None:
             found = pynng.Push0(
@@ -86,7 +90,11 @@
                 reconnect_time_min=MIN_RECONNECT_DELAY_MS,
                 reconnect_time_max=MAX_RECONNECT_DELAY_MS,
             )
-            found.dial(link_url(address), block=False)
+            try:
+                found.dial(link_url(address), block=False)
+            except pynng.NNGException:
+                found.close()
+                raise
         self.links[address] = found
         if len(self.links) > MAX_LINKS:
             oldest = next(iter(self.links))
--- a/arbutusbridge/daemon/peermessenger.py
+++ b/arbutusbridge/daemon/peermessenger.py
@@ -5,6 +5,7 @@
 from collections import Counter
 from typing import TYPE_CHECKING, Any
 
+import pynng
 from circuits import BaseComponent, handler
 
 from arbutusbridge.daemon.events import peer_message
@@ -24,8 +25,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    import pynng
-
     from arbutusbridge.daemon.forwardmetrics import ForwardMetrics
     from arbutusbridge.daemon.hub import SocketHub
     from arbutusbridge.forwarding.gather import Peer
@@ -97,7 +96,13 @@
         """Connects to peers before the first message to them."""
         for peer in peers:
             if peer.address not in self.links.links:
-                self.links.open_link(peer.address)
+                try:
+                    self.links.open_link(peer.address)
+                except pynng.NNGException as err:
+                    logger.warning(
+                        "peer not connected",
+                        extra={"address": peer.address, "error": str(err)},
+                    )
 
     def on_message(self, raw: pynng.Message) -> None:
         """Decodes a received message and fires it to its channel."""
--- a/arbutusbridge/forwarding/following.py
+++ b/arbutusbridge/forwarding/following.py
@@ -236,7 +236,7 @@
             )
             for key, value, number in msgpack.unpackb(data)
         ]
-    except (zlib.error, ValueError, TypeError) as err:
+    except (zlib.error, OverflowError, ValueError, TypeError) as err:
         # The text of the error may quote a value of the store, which may have
         # keys of accounts.
         raise ProtocolError(
--- a/arbutusbridge/forwarding/gatherwire.py
+++ b/arbutusbridge/forwarding/gatherwire.py
@@ -16,10 +16,11 @@
 import dataclasses
 import enum
 import functools
+import ipaddress
 from typing import Annotated, Any
 
 import msgpack
-from pydantic import Field, TypeAdapter, ValidationError
+from pydantic import AfterValidator, Field, TypeAdapter, ValidationError
 
 from arbutusbridge.errors import ProtocolError, UnknownMessageError
 from arbutusbridge.forwarding.following import FollowRequest, StoreUpdate
@@ -233,6 +234,7 @@
         AttributeError,
         IndexError,
         KeyError,
+        OverflowError,
         TypeError,
         ValidationError,
         ValueError,
@@ -259,6 +261,19 @@
 PeerName = Annotated[str, Field(min_length=1, max_length=200)]
 
 
+def check_address(text: str) -> str:
+    """Returns an IP address as it is.
+
+    Raises:
+      ValueError: It is none.
+    """
+    ipaddress.ip_address(text)
+    return text
+
+
+PeerAddress = Annotated[PeerName, AfterValidator(check_address)]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class InstanceRecord:
     """Record of an instance in the store.
@@ -273,7 +288,7 @@
     """
 
     data_centre: PeerName
-    ip: PeerName
+    ip: PeerAddress
     port: Annotated[int, Field(ge=1, le=65535)]
     capacity: Annotated[float, Field(gt=0, le=1024)] = 1.0
     protocol: Annotated[int, Field(ge=0, le=255)] = OLDEST_PROTOCOL
--- a/arbutusbridge/platform/documents.py
+++ b/arbutusbridge/platform/documents.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import ipaddress
+import re
 from typing import Literal
 
 import orjson
@@ -24,6 +26,21 @@
 UPSTREAMS_PREFIX = "servers/"
 EVACUATIONS_PREFIX = "op/evacuate/"
 
+UPSTREAM_ID_PATTERN = re.compile(r"[\x21-\x7e]+")
+"""Ids of upstreams, which are sent to them in a header."""
+
+ADDRESS_PATTERN = re.compile(r"(\d{1,3}(?:\.\d{1,3}){3}):([1-9]\d{0,4})")
+MAX_PORT = 65_535
+
+MAX_SLOTS = 1_000_000
+MAX_WARM_UP_MS = 86_400_000.0
+MAX_UNIX_MS = 2**53
+"""Bounds of the numbers in an announcement. Greater ones are mistakes, and some
+fit into no message to other instances."""
+
+MAX_QUOTED_CHARACTERS = 100
+"""Maximum length of an invalid value in a description."""
+
 
 class Document(BaseModel):
     """Base class of the platform's documents; unknown fields are ignored."""
@@ -184,10 +201,10 @@
     service: str
     addr: str
     zone: str
-    slots: int = Field(default=1, ge=1)
+    slots: int = Field(default=1, ge=1, le=MAX_SLOTS)
     state: Literal["ready", "draining"]
-    warmup_left_ms: float = 0.0
-    born: int = 0
+    warmup_left_ms: float = Field(default=0.0, le=MAX_WARM_UP_MS)
+    born: int = Field(default=0, ge=0, le=MAX_UNIX_MS)
 
 
 def decode_configuration(value: bytes) -> Result[RoutingConfiguration, str]:
@@ -215,18 +232,25 @@
 
 
 def decode_announcement(key: str, value: bytes) -> Result[Announcement, str]:
-    """Decodes an announcement; the id of the upstream is only in the key."""
+    """Decodes an announcement; the id of the upstream is only in the key.
+
+    Anything can write under the keys of the announcements, so that a value may
+    be wrong in any way.
+    """
+    upstream = key.removeprefix(UPSTREAMS_PREFIX)
+    if not UPSTREAM_ID_PATTERN.fullmatch(upstream):
+        return Err("key: the id is not visible ASCII")
     try:
         document = AnnouncementDocument.model_validate_json(value)
-        ip, _, port = document.addr.rpartition(":")
-        address = (ip, int(port))
     except ValidationError as err:
         return Err(describe_first_error(err))
-    except ValueError:
-        return Err(f"addr: {document.addr!r} is not an address and port")
+    address = decode_address(document.addr)
+    if address is None:
+        quoted = repr(document.addr[:MAX_QUOTED_CHARACTERS])
+        return Err(f"addr: {quoted} is not an IPv4 address and port")
     return Ok(
         Announcement(
-            upstream=key.removeprefix(UPSTREAMS_PREFIX),
+            upstream=upstream,
             service=document.service,
             address=address,
             data_centre=document.zone,
@@ -238,6 +262,17 @@
     )
 
 
+def decode_address(text: str) -> tuple[str, int] | None:
+    """Decodes an IPv4 address and port; returns None if it is not valid."""
+    found = ADDRESS_PATTERN.fullmatch(text)
+    if found is None or int(found[2]) > MAX_PORT:
+        return None
+    try:
+        return str(ipaddress.IPv4Address(found[1])), int(found[2])
+    except ipaddress.AddressValueError:
+        return None
+
+
 def is_older(key: str, value: bytes, other: bytes) -> bool:
     """Returns whether a value of a key was written before another one.
 
--- a/arbutusbridge/platform/store.py
+++ b/arbutusbridge/platform/store.py
@@ -81,7 +81,11 @@
     """Decodes an item or a deletion."""
     if row.get("deleted"):
         return StoreItem(row["key"], None, int(row["revision"]))
-    value = base64.b64decode(row["value"] or "")
+    try:
+        value = base64.b64decode(row["value"] or "")
+    except ValueError:
+        # Other items of the same reply can still be read.
+        value = b""
     return StoreItem(row["key"], value, int(row["revision"]))
 
 
--- a/tests/test_forwarding/test_gatherwire.py
+++ b/tests/test_forwarding/test_gatherwire.py
@@ -290,3 +290,20 @@
         )
         for value in (b"", b"{}", b'{"data_centre": 1}'):
             self.assertIsNone(decode_instance_record(value))
+
+    # Guards against an odd record that keeps an instance from connecting to its
+    # other peers.
+    def test_records_with_invalid_addresses_are_none(self) -> None:
+        for ip, port in (
+            ("peer.invalid", 7380),
+            ("10.0.0.1 ", 7380),
+            ("10.0.0.999", 7380),
+            ("10.0.0.1/", 7380),
+            ("10.0.0.1", 99_999),
+            ("10.0.0.1", 10**30),
+        ):
+            row = {"data_centre": "north", "ip": ip, "port": port}
+            value = json.dumps(row).encode()
+            self.assertIsNone(decode_instance_record(value), ip)
+        nested = b"[" * 100_000 + b"]" * 100_000
+        self.assertIsNone(decode_instance_record(nested))
