Bound bytes without end after a body and in one that is skipped

In three more, an upstream could let an instance keep or read many times the limit of a head: a skipped body with the beginning of a head in it (8 MiB, uncounted, searched again with each read), a trailer and a chunk extension after a long body (eight times the body).

Cause: the search for the response in flight kept everything from an incomplete head on, and the limit on bytes around a body grows with the body.

Change: what is kept of a head is at most as long as a head, and so are the bytes since the last part of a body; beyond that the connection is closed.

--- a/arbutusbridge/daemon/connection.py
+++ b/arbutusbridge/daemon/connection.py
@@ -87,6 +87,7 @@
       bytes_sent: Bytes of the current request that the kernel accepted.
       bytes_received: Bytes received since the last request or complete
         response.
+      bytes_without_body: Bytes received since the last part of a body.
       body: Pieces of the body that is being received.
       body_bytes: Their total size.
       options: Socket options that detect an unresponsive peer.
@@ -122,6 +123,7 @@
         self.response_started = False
         self.idle_since = 0.0
         self.bytes_received = 0
+        self.bytes_without_body = 0
         self.body: list[bytes] = []
         self.body_bytes = 0
         self.response: tuple[int, bytes] | None = None
@@ -176,6 +178,7 @@
         """Sends a new request."""
         self.bytes_sent = 0
         self.bytes_received = 0
+        self.bytes_without_body = 0
         self.in_flight = True
         self.response_started = False
         self.send(data)
@@ -233,6 +236,7 @@
             return
         self.response_started = True
         self.bytes_received += len(data)
+        self.bytes_without_body += len(data)
         self.feed(data)
         if self.framing_is_too_long:
             self.out_of_sync = True
@@ -265,9 +269,16 @@
 
     @property
     def framing_is_too_long(self) -> bool:
-        """Whether the bytes outside of the body exceed their limit."""
+        """Whether the bytes outside of the body exceed their limit.
+
+        The limit for all of them grows with the body; a single header, trailer
+        or chunk extension is not longer because of it.
+        """
         limit = MAX_HEAD_BYTES + MAX_FRAMING_RATIO * self.body_bytes
-        return self.bytes_received - self.body_bytes > limit
+        return (
+            self.bytes_received - self.body_bytes > limit
+            or self.bytes_without_body > MAX_HEAD_BYTES
+        )
 
     def on_eof(self) -> None:
         """Handles the end of the stream from the peer."""
@@ -291,6 +302,7 @@
 
     def on_body(self, data: bytes) -> None:
         """Collects a part of the body; called by the parser."""
+        self.bytes_without_body = 0
         self.body_bytes += len(data)
         self.hub.buffered_bytes += len(data)
         is_full = self.hub.buffered_bytes > MAX_BUFFERED_BYTES
--- a/arbutusbridge/daemon/relayconnection.py
+++ b/arbutusbridge/daemon/relayconnection.py
@@ -11,7 +11,11 @@
 import httptools
 
 from arbutusbridge.core.httpstatus import is_valid_status
-from arbutusbridge.daemon.connection import MIN_FINAL_STATUS, Connection
+from arbutusbridge.daemon.connection import (
+    MAX_HEAD_BYTES,
+    MIN_FINAL_STATUS,
+    Connection,
+)
 from arbutusbridge.daemon.responsesearch import (
     contains_status_line,
     find_invalid_heads,
@@ -193,6 +197,9 @@
         self.invalid_status = False
         self.parser_failed = not parsed
         self.unmatched = self.unmatched[incomplete_head_start(self.unmatched) :]
+        if len(self.unmatched) > MAX_HEAD_BYTES:
+            # No head is as long; the rest of the body would be kept with it.
+            self.out_of_sync = True
 
     def on_message_begin(self) -> None:
         """Starts a response; called by the parser."""
--- a/tests/test_daemon/test_endless_responses.py
+++ b/tests/test_daemon/test_endless_responses.py
@@ -6,9 +6,22 @@
 from __future__ import annotations
 
 import socket
+from collections.abc import Callable
+
+import testtools
 
 from arbutusbridge.daemon import connection
+from arbutusbridge.daemon.platform import PlatformClient
+from arbutusbridge.daemon.upstreams import UpstreamPools
 from arbutusbridge.forwarding import AttemptEnd
+from arbutusbridge.platform.store import page_request
+from arbutusbridge.standins.deployment import LOOPBACK
+from tests.test_daemon.fixtures import (
+    ComponentBench,
+    RawUpstream,
+    attempt,
+    configuration,
+)
 from tests.test_daemon.test_relaypools import OK, RelayPoolsCase, response
 
 FLOOD_BYTES = 16_000_000
@@ -18,6 +31,36 @@
 CHUNKED = OK + b"Transfer-Encoding: chunked\r\n\r\n"
 
 
+def flood(
+    sock: socket.socket, start: bytes, piece: bytes, turn: Callable[[], None]
+) -> int:
+    """Sends a piece again and again until the connection is closed.
+
+    Args:
+      sock: The connection.
+      start: What is sent before.
+      piece: The piece.
+      turn: Lets the instance read.
+
+    Returns:
+      The number of bytes that were sent.
+    """
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 65_536)
+    sock.setblocking(False)
+    sent, data = 0, start + piece
+    while sent < FLOOD_BYTES:
+        try:
+            count = sock.send(data)
+        except BlockingIOError:
+            count = 0
+        except OSError:
+            break
+        sent += count
+        data = data[count:] or piece
+        turn()
+    return sent
+
+
 class EndlessResponseTest(RelayPoolsCase):
     """Responses that never end, at the pools of a forwarding instance."""
 
@@ -28,21 +71,7 @@
           The number of bytes that were sent.
         """
         self.send(1)
-        sock = self.accept()
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 65_536)
-        sock.setblocking(False)
-        sent, data = 0, start + piece
-        while sent < FLOOD_BYTES:
-            try:
-                count = sock.send(data)
-            except BlockingIOError:
-                count = 0
-            except OSError:
-                break
-            sent += count
-            data = data[count:] or piece
-            self.bench.turn(1)
-        return sent
+        return flood(self.accept(), start, piece, lambda: self.bench.turn(1))
 
     def check_closed(self, start: bytes, piece: bytes, limit: int) -> None:
         sent = self.flood(start, piece)
@@ -109,3 +138,88 @@
         reply = self.reply()
         self.assertIs(AttemptEnd.RESULT, reply.end)
         self.assertEqual(150_000, len(reply.body))
+
+    # Guards against a response to another request whose body has the beginning
+    # of a head in it, so that all that follows is kept and searched again.
+    def test_endless_body_with_an_incomplete_head_closes_it(self) -> None:
+        other = (
+            b"HTTP/1.1 200 OK\r\nX-Server-Stamp: a.0\r\nX-Request-Id: r0\r\n"
+        )
+        start = other + b"\r\nHTTP/1.1 200 OK\r\n"
+        self.check_closed(start, b"x" * 65_536, 1_000_000)
+        start = other + b"Content-Length: 9000000\r\n\r\nHTTP/1.1 200 OK\r\n"
+        self.check_closed(start, b"x" * 65_536, 1_000_000)
+
+    # Guards against a trailer without end after a long body, whose size allows
+    # many bytes around its chunks.
+    def test_endless_trailer_after_a_long_body_closes_the_connection(self):
+        start = CHUNKED + CHUNK * 60 + b"0\r\nX-Sum: "
+        self.check_closed(start, b"x" * 65_536, len(start) + 1_000_000)
+
+    # Guards against chunk extensions without end after a long body.
+    def test_endless_extension_after_a_long_body_closes_the_connection(self):
+        start = CHUNKED + CHUNK * 60 + b"5;x="
+        self.check_closed(start, b"y" * 65_536, len(start) + 1_000_000)
+
+
+class EndlessElsewhereTest(testtools.TestCase):
+    """The same on the other connections of an instance."""
+
+    floods = (
+        (OK, b"X-More: 1\r\n" * 6000),
+        (OK + b"X-More: ", b"x" * 65_536),
+        (OK + b"\r\n", b"x" * 65_536),
+        (CHUNKED, CHUNK),
+        (CHUNKED + CHUNK + b"0\r\nX-Sum: ", b"x" * 65_536),
+        (b"", b"HTTP/1.1 102 Wait\r\n\r\n" * 3000),
+    )
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.bench = ComponentBench()
+        self.raw = RawUpstream()
+
+    def check_floods(self, send: Callable[[int], None]) -> None:
+        """Checks that each flood ends with the connection.
+
+        Args:
+          send: Sends a request, given its number.
+        """
+        limit = connection.MAX_BODY_BYTES + 5_000_000
+        for number, (start, piece) in enumerate(self.floods):
+            send(number)
+            self.bench.turn()
+            sock = self.raw.accept()
+            self.bench.turn()
+            sent = flood(sock, start, piece, lambda: self.bench.turn(1))
+            self.assertTrue(sent < limit, f"{start[:80]}: {sent} bytes")
+            self.assertEqual(0, self.bench.hub.buffered_bytes)
+        self.assertEqual([], self.bench.failures)
+
+    # Guards against a store whose reply fills the memory.
+    def test_client_of_the_store(self) -> None:
+        store = PlatformClient(
+            self.bench.hub, self.bench.timers, [(LOOPBACK, self.raw.port)]
+        ).register(self.bench)
+        results = []
+        self.check_floods(
+            lambda _number: store.send_call(
+                page_request("", ""), ("t", "page"), results.append
+            )
+        )
+        self.assertEqual(len(self.floods), len(results))
+
+    # Guards against an upstream of the project's own interface that does so.
+    def test_pools_of_the_own_interface(self) -> None:
+        pools = UpstreamPools(
+            self.bench.hub, self.bench.timers, "queries"
+        ).register(self.bench)
+        pools.probe_due = lambda _upstream: False
+        pools.on_configured(configuration(u=self.raw.port))
+        self.check_floods(
+            lambda number: pools.on_dispatch(
+                [attempt(number, self.bench.now + 2.0)]
+            )
+        )
+        self.bench.turn()
+        self.assertEqual(len(self.floods), len(self.bench.replies))
