Play an account over its rate in the soak

Cause: no soak played a quota, so that none of the three faults with two ledgers of one account could show there.

Change: runs with accounts have six more callers of an account with a rate, which send several times as much on connections that they keep; the guarantee quotas_hold counts what is sent and starts within 5 s, at disturbed instances as well. What is refused with 429 does not count as a failure in the other guarantees.

--- a/arbutusbridge/soak/environment.py
+++ b/arbutusbridge/soak/environment.py
@@ -98,6 +98,12 @@
 )
 """Accounts of a run with accounts."""
 
+HOT_ACCOUNT = Account("soak-hot", ("soak-hot-a",), rate=15.0, burst=5.0)
+"""Further account of such a run, whose callers send several times its rate."""
+
+HOT_CALLERS = 6
+HOT_ROUTES = [("desk", "GET", "/desk/")]
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SoakShape:
@@ -138,6 +144,7 @@
       platform_rng: Random numbers for restores of the store, and for what
         upstreams say of themselves.
       account_rng: Random numbers for accounts.
+      quota_rng: Random numbers for the callers of an account with a rate.
       accounts: Accounts of the next version, None for none.
       evacuation_rng: Random numbers for evacuations of data centres.
       announced: Number of announcements written so far.
@@ -178,6 +185,7 @@
         self.contract_rng = random.Random(f"contracts {seed}")
         self.platform_rng = random.Random(f"platform {seed}")
         self.account_rng = random.Random(f"accounts {seed}")
+        self.quota_rng = random.Random(f"quota {seed}")
         self.accounts: tuple[Account, ...] | None = None
         self.evacuation_rng = random.Random(f"evacuation {seed}")
         self.poller = EPoll().register(self)
@@ -547,21 +555,28 @@
         """Gives all callers keys, before the configuration requires them.
 
         Two more callers follow: one sends a key that is revoked later, one
-        sends none. The accounts are part of the next version.
+        sends none; then those of an account that exceeds its rate. The accounts
+        are part of the next version.
         """
         for number, caller in enumerate(self.callers):
             caller.key = ACCOUNTS[number % len(ACCOUNTS)].keys[0]
-        self.accounts = ACCOUNTS
+        self.accounts = (*ACCOUNTS, HOT_ACCOUNT)
         for name, key in (("revoked", REVOKED_KEY), ("keyless", "")):
             caller = self.create_caller(name, CALLER_ROUTES)
             caller.key = key
             self.callers.append(caller)
+        for number in range(HOT_CALLERS):
+            name = f"hot{number}"
+            caller = self.create_caller(name, HOT_ROUTES, rng=self.quota_rng)
+            caller.key = HOT_ACCOUNT.keys[0]
+            self.callers.append(caller)
 
     def revoke_key(self) -> None:
         """Publishes a version without REVOKED_KEY."""
         first, *others = ACCOUNTS
         kept = tuple(key for key in first.keys if key != REVOKED_KEY)
-        self.accounts = (dataclasses.replace(first, keys=kept), *others)
+        accounts = (dataclasses.replace(first, keys=kept), *others)
+        self.accounts = (*accounts, HOT_ACCOUNT)
         self.publish()
 
     def create_caller(
@@ -569,8 +584,11 @@
         name: str,
         routes: list[tuple[str, str, str]],
         crash_target: str | None = None,
+        rng: random.Random | None = None,
     ) -> Caller:
         """Creates a caller, which starts to send requests."""
+        if rng is None:
+            rng = self.rng if crash_target is None else self.crash_rng
         addresses = {
             name: self.proxies["caller", name].address
             for name in self.instances
@@ -584,7 +602,7 @@
             self.hub,
             self.clock,
             self.schedule,
-            self.rng if crash_target is None else self.crash_rng,
+            rng,
             crash_target,
         )
         if self.accounts is not None:
--- a/arbutusbridge/soak/guarantees.py
+++ b/arbutusbridge/soak/guarantees.py
@@ -53,6 +53,14 @@
 """Maximum number of upstreams that one request may crash; users want them
 counted in ones, not by the number of shards."""
 
+QUOTA_WINDOW_S = 5.0
+"""Window in which the requests of an account are counted."""
+
+QUOTA_OVERAGE = 0.1
+QUOTA_SLACK = 20.0
+"""Fraction of the rate and burst of an account, and number of requests, that
+may start in a window in addition to these."""
+
 LIMIT_WINDOW_S = 4.0
 """Window in which the requests at a limited upstream are counted."""
 
@@ -553,6 +561,8 @@
                 continue
             if not has_connected_instance(record, asked.at):
                 continue
+            if is_over_quota(asked):
+                continue
             served = bool(asked.answer and asked.answer.is_success)
             if asked.instance == cut.target:
                 here.append(served)
@@ -572,6 +582,41 @@
             yield Breach("cut_off_instances_serve", "", detail)
 
 
+def is_over_quota(asked: SentRequest) -> bool:
+    """Returns whether a request was refused as over its account's quota."""
+    return asked.answer is not None and asked.answer.status == 429
+
+
+def quotas_hold(record: SoakRecord) -> Iterator[Breach]:
+    """Checks that few requests of an account start within any window.
+
+    Those count that were sent and ran in it. It holds for disturbed instances,
+    too.
+    """
+    accounts = {
+        account.name: account
+        for _, configuration in record.configurations
+        for account in configuration.accounts or ()
+        if account.rate
+    }
+    for name, account in accounts.items():
+        began: dict[str, float] = {}
+        for run in record.runs:
+            if run.accounts == (name,) and run.request_id in record.asked:
+                at = began.get(run.request_id, math.inf)
+                began[run.request_id] = min(at, run.at)
+        limit = QUOTA_WINDOW_S * account.rate + account.burst
+        limit = limit * (1.0 + QUOTA_OVERAGE) + QUOTA_SLACK
+        ends = [(record.asked[one].at, at) for one, at in began.items()]
+        for since in sorted(sent for sent, _ in ends):
+            until = since + QUOTA_WINDOW_S
+            count = sum(sent >= since and at <= until for sent, at in ends)
+            if count > limit:
+                detail = f"{name}: {count} from {since:.2f} s, limit {limit}"
+                yield Breach("quotas_hold", "", detail)
+                break
+
+
 def has_connected_instance(record: SoakRecord, at: float) -> bool:
     """Returns whether an instance could serve the requests of the others.
 
@@ -691,6 +736,7 @@
         and not asked.abandoned
         and not asked.crashing
         and not may_be_unauthorized(record, asked)
+        and not is_over_quota(asked)
         and asked.at + asked.timeout_s < record.soak_ended_at
     ]
     served = sum(
@@ -732,6 +778,7 @@
     cut_off_instances_serve,
     invalid_key_is_refused,
     upstreams_get_the_account,
+    quotas_hold,
     recovers,
     processes_live,
 )
--- a/tests/test_soak/test_guarantees.py
+++ b/tests/test_soak/test_guarantees.py
@@ -250,6 +250,25 @@
             run.accounts, run.has_key = accounts, has_key
             self.assertEqual({"account_of_the_key"}, self.broken_guarantees())
 
+    # Guards against a check that counts requests of other accounts or windows,
+    # or none.
+    def test_account_exceeds_its_quota(self) -> None:
+        first = self.record.configurations[1][1]
+        account = Account("acme", ("k",), rate=2.0, burst=1.0)
+        named = dataclasses.replace(first, version=3, accounts=(account,))
+        self.record.configurations.append((42.0, named))
+        # (2 x 5 + 1) x 1.1 + 20 = 32.1
+        for number in range(32):
+            self.add_account_request(f"a{number}", 47.0 + number / 10)
+        other = self.add_account_request("b1", 47.5)
+        other.accounts = ("other",)
+        self.add_account_request("a50", 52.5)
+        names = {one.guarantee for one in check(self.record)}
+        self.assertNotIn("quotas_hold", names)
+        self.add_account_request("a51", 48.0)
+        names = {one.guarantee for one in check(self.record)}
+        self.assertIn("quotas_hold", names)
+
     def test_valid_key_denied(self) -> None:
         self.name_accounts(50.0)
         for at, key, expected in (
