Let a ledger that was paused claim its accounts again

Callers saw: nothing so far; found by reading after the case of two ledgers. An instance that is paused for longer than it takes to replace it granted the whole rate when it went on, until it heard of its replacement.

Cause: that it hears of too few ledgers was found out by its regular work only.

Change: an instance whose regular work has not run for 2.5 intervals of the notices leads no account, and claims those it has led once it hears of the others. The open claims are kept by name, so that no message goes through all buckets.

Evidence: test_paused_ledger_grants_little fails without the check.

--- a/arbutusbridge/forwarding/quotabook.py
+++ b/arbutusbridge/forwarding/quotabook.py
@@ -243,6 +243,8 @@
       buckets: Buckets of the accounts that this instance is asked about.
       deferred: Token requests of other instances that wait for a claim.
       own_deferred: Accounts with requests here that wait for a claim.
+      claiming: Names of the accounts that this instance claims.
+      maintained_at: Time of the last regular work, infinite before the first.
       taken_over: Decisions on claims that are not logged yet.
       seen: Epoch and number of the last batch of each instance.
       changed: Accounts that became metered or open since the last notice.
@@ -281,6 +283,8 @@
     buckets: dict[str, Bucket] = field(default_factory=dict)
     deferred: list[QuotaAsk] = field(default_factory=list)
     own_deferred: set[str] = field(default_factory=set)
+    claiming: set[str] = field(default_factory=set)
+    maintained_at: float = math.inf
     taken_over: list[object] = field(default_factory=list)
     seen: dict[str, tuple[int, int]] = field(default_factory=dict)
     changed: set[str] = field(default_factory=set)
--- a/arbutusbridge/forwarding/quotahandover.py
+++ b/arbutusbridge/forwarding/quotahandover.py
@@ -70,9 +70,9 @@
     """Begins, ends or resolves the claim of this instance to an account."""
     book = shared.quotas
     bucket = book.buckets[name]
-    own, peers = shared.gather.own_peer, shared.gather.peer_table.peers
-    if own is None or not peers or not is_entitled(name, shared, now):
+    if not may_lead(name, shared, now):
         bucket.claim = None
+        book.claiming.discard(name)
         if bucket.is_whole:
             bucket.is_whole = False
             bucket.refill(bucket.rate, bucket.depth, now)
@@ -83,6 +83,7 @@
         return
     if bucket.claim is None:
         bucket.claim = Claim(now, bucket.tokens)
+        book.claiming.add(name)
         # Its own list of instances may have named the former ledger.
         bucket.claim.awaited = {
             one: now for one in find_ledgers(name, shared, now)
@@ -91,6 +92,20 @@
         take_over(name, bucket, shared, now)
 
 
+def may_lead(name: str, shared: SharedState, now: float) -> bool:
+    """Returns whether this instance may claim an account, or keep it.
+
+    After a pause it has to hear of the other ledgers first, as one of them may
+    have replaced it meanwhile.
+    """
+    gather = shared.gather
+    if gather.own_peer is None or not gather.peer_table.peers:
+        return False
+    lapse_s = FRESH_REPEATS * repeat_interval_s(shared)
+    was_paused = now - shared.quotas.maintained_at > lapse_s
+    return not was_paused and is_entitled(name, shared, now)
+
+
 def find_ledgers(name: str, shared: SharedState, now: float) -> set[str]:
     """Returns the other instances that may grant tokens of an account.
 
@@ -162,6 +177,7 @@
     bucket.tokens = min(standing.depth, *left) - spent
     bucket.claim = bucket.kept = None
     bucket.is_whole = True
+    book.claiming.discard(name)
     detail = {
         "account": name,
         "tokens": round(bucket.tokens, 1),
@@ -202,9 +218,11 @@
     book.taken_over.clear()
     own = shared.gather.own_peer
     claims = {
-        name: bucket.claim
-        for name, bucket in book.buckets.items()
-        if bucket.claim is not None and (repeat or not bucket.claim.sent)
+        name: claim
+        for name in sorted(book.claiming)
+        if (bucket := book.buckets.get(name)) is not None
+        and (claim := bucket.claim) is not None
+        and (repeat or not claim.sent)
     }
     if not claims or own is None:
         return
@@ -219,8 +237,8 @@
         ]
         for start in range(0, len(names), MAX_CLAIMED_ACCOUNTS):
             part = names[start : start + MAX_CLAIMED_ACCOUNTS]
-            claim = QuotaClaim(own.name, own.address, own.data_centre, part)
-            out.append(SendGatherMessage(peer.address, claim))
+            message = QuotaClaim(own.name, own.address, own.data_centre, part)
+            out.append(SendGatherMessage(peer.address, message))
             shared.count("quota_claims")
     for sent in claims.values():
         sent.sent = True
--- a/arbutusbridge/forwarding/quotaledger.py
+++ b/arbutusbridge/forwarding/quotaledger.py
@@ -270,12 +270,14 @@
     """Opens accounts that have recovered, and repeats notices."""
     book = shared.quotas
     update_majority(shared, now)
+    book.maintained_at = now
     quotahandover.forget_expired(shared, now)
     metered = []
     for name, bucket in list(book.buckets.items()):
         account = find_account(name, shared)
         if account is None:
             del book.buckets[name]
+            book.claiming.discard(name)
             continue
         quotahandover.update_claim(name, shared, now)
         if bucket.metered:
--- a/tests/test_forwarding/test_quotahandover.py
+++ b/tests/test_forwarding/test_quotahandover.py
@@ -10,6 +10,7 @@
 from arbutusbridge.forwarding.model import Account
 from arbutusbridge.forwarding.quotaranking import group_of
 from arbutusbridge.forwarding.ranking import rank_of
+from tests.test_forwarding.fixtures import request, sends_of
 from tests.test_forwarding.fleet import Fleet
 from tests.test_forwarding.test_quotas import (
     QuotaTestCase,
@@ -157,6 +158,23 @@
         self.assertTrue(taken.metered)
         self.assertLess(taken.tokens, 2.0)
 
+    # Guards against a ledger that was paused and grants the whole rate until it
+    # has heard that another one has replaced it.
+    def test_paused_ledger_grants_little(self) -> None:
+        for pause_s, least, most in ((0.5, 20, 40), (6.0, 0, 5)):
+            fleet = make_fleet(BUSY, REGIONAL)
+            load(fleet, USUAL, 9.0)
+            fleet.run_until(108.0)
+            forwarder = fleet.instances[self.ranked(fleet)[0]]
+            self.assertTrue(forwarder.quotas.buckets["acme"].is_whole)
+            at = fleet.now + pause_s
+            sent = 0
+            for number in range(100):
+                asked = request(number, "/fetch/x", at)
+                asked.credentials = list(fleet.credentials)
+                sent += len(sends_of(forwarder.handle_request(asked, at)))
+            self.assertTrue(least <= sent <= most, f"{sent} after {pause_s}")
+
     # Guards against a ledger that waits for instances that are gone.
     def test_successor_of_a_dead_ledger_serves(self) -> None:
         fleet = make_fleet(BUSY, REGIONAL)
