Share the set-up of an instance with stand-ins between two tests

Cause: the tests of odd entries had repeated the set-up of those of late requests.

Change: both use InstanceCase.

--- a/tests/test_daemon/test_late_in_stop.py
+++ b/tests/test_daemon/test_late_in_stop.py
@@ -2,31 +2,16 @@
 
 from __future__ import annotations
 
-import random
 import socket
-import threading
 import time
 
-import testtools
-
 from arbutusbridge.core.stop import StopPhase
-from arbutusbridge.daemon.forwardinstance import ForwardInstance
 from arbutusbridge.forwarding.model import (
-    Announcement,
     Route,
     RoutingConfiguration,
     WeightedService,
 )
-from arbutusbridge.platform import DIALECT, WIRE
-from arbutusbridge.platform.documents import CONFIGURATION_KEY
-from arbutusbridge.platform.standins import (
-    StoreStandIn,
-    UpstreamStandIn,
-    encode_announcement,
-    encode_configuration,
-)
-from arbutusbridge.settings.forwarding import ForwardSettings
-from arbutusbridge.standins.deployment import LOOPBACK, find_free_ports
+from tests.test_daemon.instancecase import InstanceCase
 
 STOP_S = 2.0
 """Time limit of the stop."""
@@ -37,53 +22,13 @@
 HOST = "late.example"
 
 
-class LateInStopTest(testtools.TestCase):
+class LateInStopTest(InstanceCase):
     """One instance with stand-ins, in real time."""
 
     def setUp(self) -> None:
         super().setUp()
-        ports = find_free_ports(3)
-        settings = {
-            "name": "n-0",
-            "data_centre": "north",
-            "callers": f"{LOOPBACK}:{ports[0]}",
-            "operators": f"{LOOPBACK}:{ports[1]}",
-            "store": f"{LOOPBACK}:{ports[2]}",
-            "stop_seconds": STOP_S,
-            "balancer_lag_seconds": 0.2,
-        }
-        self.callers = (LOOPBACK, ports[0])
-        self.instance = ForwardInstance.from_config(
-            ForwardSettings.model_validate(settings),
-            WIRE,
-            DIALECT,
-            lambda: None,
-            lambda: 1,
-        )
-        # Lets the test run the event loop turn by turn.
-        self.instance._running = True
-        self.instance._executing_thread = threading.current_thread()
-        self.scheduled = []
-        hub, clock = self.instance.hub, time.monotonic
-
-        def schedule(seconds, function) -> None:
-            self.scheduled.append((clock() + seconds, function))
-
-        store = StoreStandIn(hub, (LOOPBACK, ports[2]), clock, schedule)
-        self.runs = []
-        self.upstream = upstream = UpstreamStandIn(
-            Announcement("i-1", "records", (LOOPBACK, 1), "north", 4),
-            hub,
-            clock,
-            schedule,
-            random.Random(1),
-            self.runs.append,
-            (LOOPBACK, 0),
-            work_s=WORK_S,
-        )
-        address = (LOOPBACK, upstream.server.port)
-        announcement = Announcement("i-1", "records", address, "north", 4)
-        store.put(*encode_announcement(announcement))
+        self.start_instance(stop_seconds=STOP_S, balancer_lag_seconds=0.2)
+        self.upstream, _ = self.start_upstream("i-1", "records", WORK_S)
         route = Route(
             name="once",
             host=HOST,
@@ -95,27 +40,7 @@
             most_upstreams=2,
             services=(WeightedService("records"),),
         )
-        configuration = RoutingConfiguration(1, (route,), {"records": 9})
-        store.put(CONFIGURATION_KEY, encode_configuration(configuration))
-        self.run_until(lambda: self.instance.forwarding.ready)
-        self.addCleanup(self.instance.ingress.stop_listening)
-
-    def run_until(self, done, seconds: float = 10.0) -> None:
-        """Runs the event loop until a condition holds."""
-        end = time.monotonic() + seconds
-        while not done():
-            if time.monotonic() > end:
-                raise TimeoutError
-            now = time.monotonic()
-            due = [one for one in self.scheduled if one[0] <= now]
-            self.scheduled = [one for one in self.scheduled if one not in due]
-            for _, function in due:
-                function()
-            self.instance.tick(0.005)
-
-    def run_for(self, seconds: float) -> None:
-        end = time.monotonic() + seconds
-        self.run_until(lambda: time.monotonic() >= end, seconds + 5.0)
+        self.configure(RoutingConfiguration(1, (route,), {"records": 9}))
 
     def begin_request(self, number: int) -> socket.socket:
         """Sends a request but for the end of its body."""
--- a/tests/test_daemon/test_odd_entries.py
+++ b/tests/test_daemon/test_odd_entries.py
@@ -3,32 +3,19 @@
 from __future__ import annotations
 
 import json
-import random
 import socket
-import threading
-import time
 
 import orjson
-import testtools
 from circuits import BaseComponent, handler
 
-from arbutusbridge.daemon.forwardinstance import ForwardInstance
 from arbutusbridge.forwarding.model import (
     Announcement,
     Route,
     RoutingConfiguration,
     WeightedService,
 )
-from arbutusbridge.platform import DIALECT, WIRE
-from arbutusbridge.platform.documents import CONFIGURATION_KEY
-from arbutusbridge.platform.standins import (
-    StoreStandIn,
-    UpstreamStandIn,
-    encode_announcement,
-    encode_configuration,
-)
-from arbutusbridge.settings.forwarding import ForwardSettings
-from arbutusbridge.standins.deployment import LOOPBACK, find_free_ports
+from arbutusbridge.standins.deployment import LOOPBACK
+from tests.test_daemon.instancecase import InstanceCase
 from tests.test_daemon.test_relaypools import RelayPoolsCase
 
 HOST = "desk.example"
@@ -103,53 +90,16 @@
         self.found.append(value)
 
 
-class OddEntriesTest(testtools.TestCase):
+class OddEntriesTest(InstanceCase):
     """An instance with upstreams of three shards, beside odd entries."""
 
     def setUp(self) -> None:
         super().setUp()
-        ports = find_free_ports(3)
-        self.callers = (LOOPBACK, ports[0])
-        self.instance = ForwardInstance.from_config(
-            ForwardSettings.model_validate(
-                {
-                    "name": "n-0",
-                    "data_centre": "north",
-                    "callers": f"{LOOPBACK}:{ports[0]}",
-                    "operators": f"{LOOPBACK}:{ports[1]}",
-                    "store": f"{LOOPBACK}:{ports[2]}",
-                }
-            ),
-            WIRE,
-            DIALECT,
-            lambda: None,
-            lambda: 1,
-        )
-        self.instance._running = True
-        self.instance._executing_thread = threading.current_thread()
+        self.start_instance()
         self.failures = Failures().register(self.instance)
-        self.scheduled = []
-        hub, clock = self.instance.hub, time.monotonic
-
-        def schedule(seconds, function) -> None:
-            self.scheduled.append((clock() + seconds, function))
-
-        self.store = StoreStandIn(hub, (LOOPBACK, ports[2]), clock, schedule)
-        self.entries = {}
-        for name in SHARDS:
-            upstream = UpstreamStandIn(
-                Announcement(f"i-{name}", name, (LOOPBACK, 1), "north", 4),
-                hub,
-                clock,
-                schedule,
-                random.Random(1),
-                lambda _run: None,
-                (LOOPBACK, 0),
-            )
-            address = (LOOPBACK, upstream.server.port)
-            announcement = Announcement(f"i-{name}", name, address, "north", 4)
-            self.entries[name] = encode_announcement(announcement)
-            self.store.put(*self.entries[name])
+        self.entries = {
+            name: self.start_upstream(f"i-{name}", name)[1] for name in SHARDS
+        }
         fields = {"timeout_s": 5.0, "target_s": 0.5, "most_upstreams": 2}
         routes = (
             Route(
@@ -170,27 +120,7 @@
                 max_records=5,
             ),
         )
-        configuration = RoutingConfiguration(1, routes, {})
-        self.store.put(CONFIGURATION_KEY, encode_configuration(configuration))
-        self.run_until(lambda: self.instance.forwarding.ready)
-        self.addCleanup(self.instance.ingress.stop_listening)
-
-    def run_until(self, done, seconds: float = 10.0) -> None:
-        """Runs the event loop until a condition holds."""
-        end = time.monotonic() + seconds
-        while not done():
-            if time.monotonic() > end:
-                raise TimeoutError(f"never held: {self.failures.found}")
-            now = time.monotonic()
-            due = [one for one in self.scheduled if one[0] <= now]
-            self.scheduled = [one for one in self.scheduled if one not in due]
-            for _, function in due:
-                function()
-            self.instance.tick(0.005)
-
-    def run_for(self, seconds: float) -> None:
-        end = time.monotonic() + seconds
-        self.run_until(lambda: time.monotonic() >= end, seconds + 5.0)
+        self.configure(RoutingConfiguration(1, routes, {}))
 
     def check_served(self, what: str) -> None:
         """Checks that requests of both routes are served at once."""
@@ -226,7 +156,7 @@
         for number, (what, value) in enumerate(odd_values().items()):
             self.store.put(f"servers/odd-{number}", value)
             added = f"i-s{number % 3}-{number}"
-            _key, entry = self.entries[f"s{number % 3}"]
+            _, entry = self.entries[f"s{number % 3}"]
             row = orjson.loads(entry) | {"born": 1}
             self.store.put(f"servers/{added}", orjson.dumps(row))
             self.run_until(lambda added=added: added in self.known(), 4.0)
