--- a/arbutusbridge/soak/guarantees.py
+++ b/arbutusbridge/soak/guarantees.py
@@ -561,7 +561,7 @@
                 continue
             if not has_connected_instance(record, asked.at):
                 continue
-            if is_over_quota(asked):
+            if has_quota(record, asked):
                 continue
             served = bool(asked.answer and asked.answer.is_success)
             if asked.instance == cut.target:
@@ -582,9 +582,17 @@
             yield Breach("cut_off_instances_serve", "", detail)
 
 
-def is_over_quota(asked: SentRequest) -> bool:
-    """Returns whether a request was refused as over its account's quota."""
-    return asked.answer is not None and asked.answer.status == 429
+def has_quota(record: SoakRecord, asked: SentRequest) -> bool:
+    """Returns whether a request belongs to an account with a rate.
+
+    Its callers send many requests for one service, and more after each refusal,
+    so that they say little of how the others are served.
+    """
+    return any(
+        account.rate and asked.key in account.keys
+        for _, configuration in record.configurations
+        for account in configuration.accounts or ()
+    )
 
 
 def quotas_hold(record: SoakRecord) -> Iterator[Breach]:
@@ -736,7 +744,7 @@
         and not asked.abandoned
         and not asked.crashing
         and not may_be_unauthorized(record, asked)
-        and not is_over_quota(asked)
+        and not has_quota(record, asked)
         and asked.at + asked.timeout_s < record.soak_ended_at
     ]
     served = sum(
