Drop token requests that have outlasted a claim

Callers saw: nothing so far; found by reading. Token requests that wait for a claim were all kept, and got tokens once it was resolved, also those whose senders had long turned to another instance. These tokens are lost to the account.

Change: one request is kept for each instance and account, for as long as the sender waits for the reply.

Evidence: test_token_requests_do_not_outlast_their_time; the code before kept all three requests of the test.

--- a/arbutusbridge/forwarding/quotabook.py
+++ b/arbutusbridge/forwarding/quotabook.py
@@ -241,7 +241,8 @@
       granted: Requests that have got a token and are to continue.
       rejected: Requests that got none, each with its retry time and ledger.
       buckets: Buckets of the accounts that this instance is asked about.
-      deferred: Token requests of other instances that wait for a claim.
+      deferred: Latest token request of each other instance for an account that
+        waits for a claim, and when it arrived, by the names of both.
       own_deferred: Accounts with requests here that wait for a claim.
       claiming: Names of the accounts that this instance claims.
       maintained_at: Time of the last regular work, infinite before the first.
@@ -281,7 +282,9 @@
     granted: list[Exchange] = field(default_factory=list)
     rejected: list[tuple[Exchange, float, str]] = field(default_factory=list)
     buckets: dict[str, Bucket] = field(default_factory=dict)
-    deferred: list[QuotaAsk] = field(default_factory=list)
+    deferred: dict[tuple[str, str], tuple[float, QuotaAsk]] = field(
+        default_factory=dict
+    )
     own_deferred: set[str] = field(default_factory=set)
     claiming: set[str] = field(default_factory=set)
     maintained_at: float = math.inf
--- a/arbutusbridge/forwarding/quotaledger.py
+++ b/arbutusbridge/forwarding/quotaledger.py
@@ -144,9 +144,21 @@
 
 
 def on_ask(
-    message: QuotaAsk, shared: SharedState, now: float, out: list[object]
+    message: QuotaAsk,
+    shared: SharedState,
+    now: float,
+    out: list[object],
+    arrived: float | None = None,
 ) -> None:
-    """Replies to a token request."""
+    """Replies to a token request, or lets it wait for a claim.
+
+    Args:
+      message: The token request.
+      shared: State of this instance.
+      now: The time.
+      out: Actions, to which those of this function are appended.
+      arrived: When it arrived, None for just now.
+    """
     refresh_orders(shared, now, out)
     account = find_ledger_account(message.account, shared)
     grant = QuotaGrant(
@@ -171,7 +183,9 @@
             out.append(SendGatherMessage(message.reply_to, grant))
             return
         if bucket.awaits_claim(message.tokens):
-            shared.quotas.deferred.append(message)
+            key = (message.sender, message.account)
+            since = now if arrived is None else arrived
+            shared.quotas.deferred[key] = (since, message)
             quotahandover.send_claims(shared, now, out)
             return
         grant.granted, grant.retry_s = grant_tokens(
--- a/arbutusbridge/forwarding/quotaranking.py
+++ b/arbutusbridge/forwarding/quotaranking.py
@@ -129,7 +129,7 @@
         return
     found_for = (peers, shared.gather.accepts_requests)
     if book.ranked_for is not None and (
-        book.ranked_for[0] is peers and book.ranked_for[1] is found_for[1]
+        book.ranked_for[0] is peers and book.ranked_for[1] == found_for[1]
     ):
         return
     book.ranked_for = found_for
--- a/arbutusbridge/forwarding/quotas.py
+++ b/arbutusbridge/forwarding/quotas.py
@@ -41,6 +41,7 @@
     repeat_interval_s,
 )
 from arbutusbridge.forwarding.quotatokens import (
+    ASK_TIMEOUT_S,
     SPARE_TTL_S,
     ask,
     continue_first,
@@ -281,13 +282,18 @@
 def continue_deferred(
     shared: SharedState, now: float, out: list[object]
 ) -> None:
-    """Decides on what has waited for a claim that is resolved."""
+    """Decides on what has waited for a claim that is resolved.
+
+    Whoever has sent a token request has turned to another instance by the time
+    at which it is dropped here; its tokens would be lost.
+    """
     book = shared.quotas
     if not (book.deferred or book.own_deferred):
         return
-    messages, book.deferred = book.deferred, []
-    for message in messages:
-        quotaledger.on_ask(message, shared, now, out)
+    deferred, book.deferred = book.deferred, {}
+    for arrived, message in deferred.values():
+        if now - arrived <= ASK_TIMEOUT_S:
+            quotaledger.on_ask(message, shared, now, out, arrived)
     names, book.own_deferred = book.own_deferred, set()
     for name in names:
         if name in book.uses:
--- a/tests/test_forwarding/test_quotahandover.py
+++ b/tests/test_forwarding/test_quotahandover.py
@@ -8,6 +8,11 @@
 from arbutusbridge.forwarding import RoutingConfiguration
 from arbutusbridge.forwarding.gather import Peer
 from arbutusbridge.forwarding.model import Account
+from arbutusbridge.forwarding.quotamessages import (
+    QuotaAsk,
+    QuotaGrant,
+    QuotaYield,
+)
 from arbutusbridge.forwarding.quotaranking import group_of
 from arbutusbridge.forwarding.ranking import rank_of
 from tests.test_forwarding.fixtures import request, sends_of
@@ -29,6 +34,12 @@
 REGIONAL = {"north": 3, "central": 3, "south": 3}
 
 
+def grants_of(actions) -> list[QuotaGrant]:
+    """Returns the replies to token requests among actions."""
+    messages = [getattr(action, "message", None) for action in actions]
+    return [one for one in messages if isinstance(one, QuotaGrant)]
+
+
 class HandoverTestCase(QuotaTestCase):
     """Callers of an account, and instances with different knowledge."""
 
@@ -158,6 +169,37 @@
         self.assertTrue(taken.metered)
         self.assertLess(taken.tokens, 2.0)
 
+    # Guards against tokens for requests that have turned to another instance
+    # while a claim was open.
+    def test_token_requests_do_not_outlast_their_time(self) -> None:
+        fleet = make_fleet(BUSY, REGIONAL)
+        first, second = self.ranked(fleet)[:2]
+        # The second in order is heard of, and its reply is lost.
+        fleet.is_cut = lambda one, other: (one, other) == (second, first)
+        forwarder = fleet.instances[first]
+        forwarder.quotas.former[group_of("acme")] = second
+        fleet.run_until(102.0)
+        for number in range(1, 4):
+            at = 102.0 + number / 10
+            fleet.run_until(at)
+            forwarder.quotas.silence.noticed(second, at)
+            out = forwarder.handle_peer_message(
+                QuotaAsk("north-9", ("10.8.0.9", 1), 5, number, "acme", 8), at
+            )
+            self.assertEqual([], grants_of(out))
+        bucket = forwarder.quotas.buckets["acme"]
+        self.assertIsNotNone(bucket.claim)
+        self.assertEqual(1, len(forwarder.quotas.deferred))
+        forwarder.handle_peer_message(
+            QuotaYield(
+                second, ("10.8.0.2", 1), "north", ["acme"], ["acme"], [20.0]
+            ),
+            102.6,
+        )
+        self.assertTrue(bucket.is_whole)
+        self.assertEqual({}, forwarder.quotas.deferred)
+        self.assertGreater(bucket.tokens, 15.0)
+
     # Guards against a ledger that was paused and grants the whole rate until it
     # has heard that another one has replaced it.
     def test_paused_ledger_grants_little(self) -> None:
