Forget departed peers without quotas, and name declined ledgers in one place

Cause, both found by reading the change once more: departed peers were forgotten by the work of quotas only, so that they were kept for ever where no account has a rate; and each token request compared all ranked instances with each other to name those that have declined, although nearly always none has.

Change: departed peers are forgotten before that work is skipped. declined_ledgers returns at once without any, and active_ledgers uses it.

--- a/arbutusbridge/forwarding/quotahandover.py
+++ b/arbutusbridge/forwarding/quotahandover.py
@@ -406,18 +406,6 @@
         book.declined[ledger, account] = now + DECLINED_S
 
 
-def declined_ledgers(
-    account: str, shared: SharedState, now: float
-) -> list[str]:
-    """Returns the names of those that have declined to lead an account."""
-    active = active_ledgers(account, shared, now)
-    return [
-        peer.name
-        for peer in rank_ledgers(account, shared)
-        if peer not in active
-    ]
-
-
 def forget_expired(shared: SharedState, now: float) -> None:
     """Forgets instances and refusals that no longer matter."""
     book, table = shared.quotas, shared.gather.peer_table
--- a/arbutusbridge/forwarding/quotaledger.py
+++ b/arbutusbridge/forwarding/quotaledger.py
@@ -285,7 +285,6 @@
     book = shared.quotas
     update_majority(shared, now)
     book.maintained_at = now
-    quotahandover.forget_expired(shared, now)
     metered = []
     for name, bucket in list(book.buckets.items()):
         account = find_account(name, shared)
--- a/arbutusbridge/forwarding/quotaranking.py
+++ b/arbutusbridge/forwarding/quotaranking.py
@@ -173,13 +173,23 @@
 def active_ledgers(account: str, shared: SharedState, now: float) -> list[Peer]:
     """Returns those of the ranked instances that have not declined."""
     order = rank_ledgers(account, shared)
-    declined = shared.quotas.declined
+    declined = declined_ledgers(account, shared, now)
     if not declined:
         return order
+    return [peer for peer in order if peer.name not in declined]
+
+
+def declined_ledgers(
+    account: str, shared: SharedState, now: float
+) -> list[str]:
+    """Returns the names of those that have declined to lead an account."""
+    declined = shared.quotas.declined
+    if not declined:
+        return []
     return [
-        peer
-        for peer in order
-        if declined.get((peer.name, account), -math.inf) <= now
+        peer.name
+        for peer in rank_ledgers(account, shared)
+        if declined.get((peer.name, account), -math.inf) > now
     ]
 
 
--- a/arbutusbridge/forwarding/quotas.py
+++ b/arbutusbridge/forwarding/quotas.py
@@ -191,6 +191,8 @@
     if table is None:
         return
     refresh_accounts(shared, now)
+    # Peers depart also where no account has a rate.
+    quotahandover.forget_expired(shared, now)
     if not (book.has_rates or book.uses or book.buckets):
         return
     refresh_orders(shared, now, out)
--- a/arbutusbridge/forwarding/quotatokens.py
+++ b/arbutusbridge/forwarding/quotatokens.py
@@ -14,7 +14,11 @@
 )
 from arbutusbridge.forwarding.quotabook import TokenRequest, WaitingRequest
 from arbutusbridge.forwarding.quotamessages import QuotaAsk, QuotaGrant
-from arbutusbridge.forwarding.quotaranking import choose_ledger, find_account
+from arbutusbridge.forwarding.quotaranking import (
+    choose_ledger,
+    declined_ledgers,
+    find_account,
+)
 from arbutusbridge.forwarding.ratelimit import spread_return
 
 if TYPE_CHECKING:
@@ -105,7 +109,7 @@
     book.silence.sent(ledger.name, now)
     shared.count("quota_asks")
     message = QuotaAsk(own.name, own.address, book.epoch, number, name, tokens)
-    message.declined = quotahandover.declined_ledgers(name, shared, now)
+    message.declined = declined_ledgers(name, shared, now)
     out.append(SendGatherMessage(ledger.address, message))
 
 
--- a/tests/test_forwarding/test_quotahandover.py
+++ b/tests/test_forwarding/test_quotahandover.py
@@ -217,6 +217,18 @@
                 sent += len(sends_of(forwarder.handle_request(asked, at)))
             self.assertTrue(least <= sent <= most, f"{sent} after {pause_s}")
 
+    # Guards against departed peers that are remembered for ever where no
+    # account has a rate.
+    def test_departed_peers_are_forgotten_without_quotas(self) -> None:
+        fleet = make_fleet(dataclasses.replace(BUSY, rate=0.0), SMALL)
+        gone, *rest = self.ranked(fleet)
+        fleet.stop(gone)
+        self.tell(fleet, rest, rest)
+        fleet.run_until(110.0)
+        for name in rest:
+            table = fleet.instances[name].gather.peer_table
+            self.assertEqual({}, table.departed)
+
     # Guards against a ledger that waits for instances that are gone.
     def test_successor_of_a_dead_ledger_serves(self) -> None:
         fleet = make_fleet(BUSY, REGIONAL)
