--- a/review/fleet3.py
+++ b/review/fleet3.py
@@ -525,7 +525,7 @@
         self.name = f"front-{zone}-{number}"
         self.zone = zone
         self.fleet = fleet
-        self.ip = f"127.0.1.{number}"
+        self.ip = f"{fleet.network}.{number}"
         self.callers = (self.ip, free_port(self.ip))
         self.ready_address = (self.ip, free_port(self.ip))
         self.metrics = (self.ip, free_port(self.ip))
@@ -613,6 +613,8 @@
         self.store = Store()
         self.replicas: list[Replica] = []
         self.instances: list[Instance] = []
+        # Runs beside each other use different addresses.
+        self.network = f"127.{random.randint(1, 250)}.{random.randint(1, 250)}"
         self.peer_port = 0
         self.version = 0
         self.tasks: set[asyncio.Task[object]] = set()
@@ -635,7 +637,7 @@
     async def start_instances(self, zones: list[str], **settings: object) -> bool:
         """Starts instances and waits until they are ready."""
         if not self.peer_port:
-            self.peer_port = free_port("127.0.1.1")
+            self.peer_port = free_port(f"{self.network}.1")
         first = len(self.instances) + 1
         new = [
             Instance(number, zone, self, **settings)
