Answer 502 where a relayed failure would deny a run

Cause: conclude_unsharded relayed every unsuccessful response with a signature, whatever the outcome of its attempt. The outcome was known to be FAILED, "has run". By the same line a response in a content encoding or with two signatures went out as a success without its headers, and a signed rejection as 503 although an earlier attempt had run. Peers passed such failures on to instances that are cut off.

Change: find_response relays only failures that an upstream reports itself, except with a status that promises the contrary (408, 421, 429, 503). The line "answer" names the upstream's status.

Why it works: all three rules hold. 502 promises nothing, an answer without a signature claims no status of an upstream, and all other failures stay unchanged. This applies to routes that may be repeated too, after their retries; their callers repeat after any failure.

--- a/arbutusbridge/forwarding/conclusion.py
+++ b/arbutusbridge/forwarding/conclusion.py
@@ -5,6 +5,7 @@
 import math
 from typing import TYPE_CHECKING
 
+from arbutusbridge.core.httpstatus import NOT_RUN_STATUSES
 from arbutusbridge.core.messages import Decision
 from arbutusbridge.forwarding import (
     canaries,
@@ -20,6 +21,7 @@
 from arbutusbridge.forwarding.merge import merge_greatest
 from arbutusbridge.forwarding.messages import (
     UNCERTAIN_REFUSALS,
+    AttemptEnd,
     MergedAnswer,
     Refusal,
     RefusedAnswer,
@@ -29,7 +31,8 @@
 )
 
 if TYPE_CHECKING:
-    from arbutusbridge.forwarding.exchange import Exchange
+    from arbutusbridge.forwarding.exchange import Exchange, Part
+    from arbutusbridge.forwarding.messages import UpstreamReply
     from arbutusbridge.forwarding.model import CallerRequest
     from arbutusbridge.forwarding.shared import SharedState
 
@@ -175,11 +178,7 @@
 ) -> None:
     """Answers a request to one service with the response of its upstream."""
     part = exchange.parts[0]
-    reply = part.reply
-    failure = part.failure
-    if reply is None and part.given_up and failure and failure.stamp:
-        # A failure that comes from the upstream itself is relayed unchanged.
-        reply = failure
+    reply = find_response(part)
     if reply is not None:
         if exchange.peer_request is not None:
             peerreplies.send_response(exchange, reply, None, out)
@@ -192,6 +191,25 @@
         refuse(exchange, shared, now, out, timed_out=True)
 
 
+def find_response(part: Part) -> UpstreamReply | None:
+    """Returns the response of an upstream to answer with, None without one.
+
+    A failure reported by the upstream itself is relayed unchanged, except one
+    whose status promises that the request has not run. The upstream states with
+    another header that it has not run a request.
+    """
+    failure = part.failure
+    if part.reply is not None or not part.given_up or failure is None:
+        return part.reply
+    if (
+        failure.end is not AttemptEnd.FAILED
+        or not failure.stamp
+        or failure.status in NOT_RUN_STATUSES
+    ):
+        return None
+    return failure
+
+
 def answer_merged(
     exchange: Exchange, shared: SharedState, now: float, out: list[object]
 ) -> None:
@@ -279,7 +297,10 @@
         refusal, retry = Refusal.LOST, FAILED_RETRY_AFTER_S
     if refusal not in UNCERTAIN_REFUSALS:
         quotas.give_back(exchange, shared, now)
-    missing = describe_missing(exchange, shared)
+    detail: dict[str, object] = {"missing": describe_missing(exchange, shared)}
+    failure = exchange.parts[0].failure
+    if failure is not None and failure.status and not exchange.route.shards:
+        detail["upstream_status"] = failure.status
     if exchange.peer_request is not None and not exchange.route.shards:
         peerreplies.send_response(exchange, None, retry, out)
     elif exchange.peer_request is not None:
@@ -289,7 +310,7 @@
         peerreplies.send_reply(exchange, body, out)
     else:
         out.append(RefusedAnswer(exchange.request, refusal, retry))
-    finish(exchange, shared, now, out, refusal.value, missing=missing)
+    finish(exchange, shared, now, out, refusal.value, **detail)
 
 
 def finish(
--- a/arbutusbridge/forwarding/peermessages.py
+++ b/arbutusbridge/forwarding/peermessages.py
@@ -8,7 +8,7 @@
 import math
 from typing import TYPE_CHECKING
 
-from arbutusbridge.core.httpstatus import is_valid_status
+from arbutusbridge.core.httpstatus import is_success_status, is_valid_status
 from arbutusbridge.core.messages import Decision
 from arbutusbridge.forwarding import (
     attempts,
@@ -216,15 +216,16 @@
     if response is not None and not is_valid_status(response.status):
         on_invalid_status(response.status, group, part, shared, now, out)
     elif response is not None:
+        is_result = response.is_result and is_success_status(response.status)
         reply = UpstreamReply(
             0,
-            AttemptEnd.RESULT if response.is_result else AttemptEnd.FAILED,
+            AttemptEnd.RESULT if is_result else AttemptEnd.FAILED,
             response.status,
             response.headers,
             response.body,
             response.stamp,
         )
-        if response.is_result:
+        if is_result:
             part.reply = reply
         else:
             part.failure = reply
--- a/arbutusbridge/platform/http.py
+++ b/arbutusbridge/platform/http.py
@@ -8,7 +8,7 @@
 
 from result import Err, Ok, Result
 
-from arbutusbridge.core.httpstatus import is_valid_status
+from arbutusbridge.core.httpstatus import is_success_status, is_valid_status
 from arbutusbridge.daemon.httpmessages import REASON_PHRASES
 from arbutusbridge.forwarding.messages import (
     AttemptEnd,
@@ -246,7 +246,7 @@
         return AttemptEnd.SHED, f"status {status}"
     if not stamp or "," in stamp:
         return AttemptEnd.LOST, f"status {status} without a signature"
-    if not 200 <= status < 300:
+    if not is_success_status(status):
         return AttemptEnd.FAILED, f"status {status}"
     if (
         header_values.get(CONTENT_ENCODING_HEADER, b"identity").lower()
--- a/arbutusbridge/platform/standins.py
+++ b/arbutusbridge/platform/standins.py
@@ -359,6 +359,7 @@
       work_s: Mean processing time of a request.
       ran: Function called for each request that starts to run or is shed.
       fault: Current fault.
+      failure_status: Status of its responses while it fails.
       runs: Number of runs so far.
       max_rate: Rate limit that it names in its responses, None for none.
       leaving: Whether its responses say that it is leaving.
@@ -380,6 +381,7 @@
     address: tuple[str, int]
     work_s: float = 0.01
     fault: UpstreamFault = UpstreamFault.NONE
+    failure_status: int = 500
     runs: int = 0
     max_rate: float | None = None
     leaving: bool = False
@@ -467,7 +469,9 @@
         elif self.invalid_share and self.rng.random() < self.invalid_share:
             connection.write(encode_invalid_response(body, signed, self.rng))
         elif self.fault is UpstreamFault.FAILING:
-            connection.respond(500, b"failed", signed)
+            if self.retry_after_s is not None:
+                signed += f"Retry-After: {self.retry_after_s}\r\n"
+            connection.respond(self.failure_status, b"failed", signed)
         elif self.fault is UpstreamFault.DAMAGING:
             wrong = f"X-Request-Id: other\r\nX-Server-Stamp: {stamp}\r\n"
             connection.respond(200, body, wrong)
