Apply a removal before the upstream ends

Cause: three waits that were each chosen for themselves add up to 3.25 s. The next watch comes 0.8 s after one with changes; removals were held back for 2.2 s from when they were read, after any failed call, also one watch that was closed in order, and if many keys went at once; and they were looked at each 0.25 s. Instances that follow another one added its wait for silence. For upstreams that announce that they leave, waiting requests were sent until 2 s after that was read, 3.1 s after it with a slow reply.

Change: forwarding/removals.py decides how long removals are held. Only 2 s without any usable reply, or a call that gets none, is an outage. Removals are held until 2.6 s after its end, not from when they are read. Without an outage they are in force 0.5 s before the end of the drain period at the latest, counted from the last moment up to which every removal is known. A timer is set for each; the next watch comes after 0.4 s while any is held. An instance follows another only if upstreams drain for 5 s or more (drain_ms). Waiting requests are sent to a leaving upstream for 1.5 s. Two lines tell of held removals.

--- a/arbutusbridge/daemon/following.py
+++ b/arbutusbridge/daemon/following.py
@@ -356,7 +356,11 @@
             return
         self.source_state.on_update(update, now)
         self.feed.apply_changes(
-            items, update.revision, update.age_s, update.era
+            items,
+            update.revision,
+            update.age_s,
+            update.era,
+            not update.doubtful,
         )
 
     def leave_source(self, why: str) -> None:
--- a/arbutusbridge/daemon/forwardinstance.py
+++ b/arbutusbridge/daemon/forwardinstance.py
@@ -56,6 +56,7 @@
 from arbutusbridge.forwarding.quarantinerecord import QUARANTINE_PREFIX
 from arbutusbridge.forwarding.quotabook import QuotaLimits
 from arbutusbridge.forwarding.quotamessages import QuotaMessage
+from arbutusbridge.forwarding.removals import RemovalTiming
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -190,6 +191,7 @@
             dialect,
             self.timers,
             wire.key_rules,
+            RemovalTiming.from_drain_period(settings.drain_s),
         ).register(self)
         self.forwarding.forwarder.get_confirmed_at = lambda: (
             self.feed.last_confirmed_at
@@ -270,7 +272,7 @@
             own,
             self.forwarding.forwarder.gather.peer_table,
             seeds,
-            self.settings.changes_s,
+            self.settings.max_change_delay_s,
             self.feed,
             self.peers,
             self.store,
@@ -281,7 +283,7 @@
     @property
     def lease_s(self) -> float:
         """Length of the lease of this instance in the store, in seconds."""
-        follows = self.settings.changes_s >= MIN_CHANGE_DELAY_LIMIT_S
+        follows = self.settings.max_change_delay_s >= MIN_CHANGE_DELAY_LIMIT_S
         return FOLLOWER_LEASE_DURATION_S if follows else LEASE_DURATION_S
 
     def on_instances(self, count: int, peers: list[Peer]) -> None:
--- a/arbutusbridge/daemon/platform.py
+++ b/arbutusbridge/daemon/platform.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import base64
+import math
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
@@ -27,6 +28,7 @@
 from arbutusbridge.daemon.httpmessages import encode_request
 from arbutusbridge.daemon.instancelist import instance_list_path
 from arbutusbridge.daemon.logs import get_logger
+from arbutusbridge.forwarding.removals import MIN_OUTAGE_S
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -105,6 +107,7 @@
       restores: Number of times that the era has risen.
       failing: Whether the last completed call had no usable reply.
       last_reply_at: Time of the last usable reply.
+      outage_ended_at: Time of the first usable reply after the last outage.
     """
 
     channel = "platform"
@@ -132,6 +135,7 @@
         self.next_address = 0
         self.failing = False
         self.last_reply_at = timers.clock()
+        self.outage_ended_at = -math.inf
 
     def get(
         self,
@@ -362,7 +366,10 @@
             while self.idle_connections:
                 self.idle_connections.pop().close()
         else:
-            self.last_reply_at = self.timers.clock()
+            now = self.timers.clock()
+            if recovered and now - self.last_reply_at >= MIN_OUTAGE_S:
+                self.outage_ended_at = now
+            self.last_reply_at = now
         call.on_done(result)
         if recovered:
             self.fire(store_recovered(), "*")
--- a/arbutusbridge/daemon/storefeed.py
+++ b/arbutusbridge/daemon/storefeed.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import functools
+import math
 from collections.abc import Callable, Sequence
 from dataclasses import replace
 from typing import TYPE_CHECKING, Any
@@ -17,6 +18,7 @@
     StoreCall,
     StoreCallKind,
 )
+from arbutusbridge.forwarding.removals import RemovalTiming
 
 if TYPE_CHECKING:
     from arbutusbridge.core.messages import StoreResult
@@ -45,9 +47,8 @@
 CALL_TIMEOUT_S = 1.5
 """Timeout of a read. The slowest store observed answers in 0.3 s."""
 
-RELEASE_INTERVAL_S = 0.25
-"""Interval at which keys whose deletion is held back are checked."""
-
+RELEASE = "release"
+"""Token of the timer at which held removals are due."""
 
 Topic = tuple[str, Callable[[list[StoreItem]], Event]]
 """A key prefix and the event that carries changes of its keys."""
@@ -63,6 +64,11 @@
       key_feed: Keys and revision known so far.
       loaded: Whether all keys have been loaded.
       watch_call: Call number of the open watch, 0 if there is none.
+      sent_at: When the last call was sent.
+      wait_s: Time that it may wait for changes, in seconds; 0 if it is no
+        watch.
+      release_at: When the next timer for held removals is due, infinite if none
+        is set.
       reading: Whether this instance reads or watches the store itself.
       generation: Number of pauses so far; results of calls sent before the last
         pause are ignored.
@@ -78,19 +84,24 @@
         dialect: Dialect,
         timers: TimerService,
         rules: KeyRules | None = None,
+        timing: RemovalTiming | None = None,
     ) -> None:
         super().__init__()
         self.topics = topics
         self.store = store
         self.dialect = dialect
         self.timers = timers
-        self.key_feed = KeyFeed(rules or KeyRules())
+        self.key_feed = KeyFeed(
+            rules or KeyRules(), timing=timing or RemovalTiming()
+        )
         self.loaded = False
         self.watch_call = 0
+        self.sent_at = 0.0
+        self.wait_s = 0.0
+        self.release_at = math.inf
         self.reading = False
         self.generation = 0
         self.told: Callable[[list[StoreItem]], None] = lambda _changes: None
-        self.timers.after(RELEASE_INTERVAL_S, self.channel, None)
 
     def begin(self) -> None:
         """Starts to read and watch the store from the known revision."""
@@ -143,6 +154,7 @@
         revision: int,
         age_s: float,
         era: int | None = None,
+        is_complete: bool = True,
     ) -> None:
         """Applies changes from a peer.
 
@@ -151,10 +163,13 @@
           revision: Store revision after the changes.
           age_s: Time since the store confirmed it, in seconds.
           era: Era of that revision, None if it is not known.
+          is_complete: Whether the peer holds back no removals.
         """
         confirmed_at = self.timers.clock() - age_s
         self.report(
-            self.key_feed.apply_from_peer(items, revision, confirmed_at, era)
+            self.key_feed.apply_from_peer(
+                items, revision, confirmed_at, era, is_complete
+            )
         )
 
     def note_era(self) -> bool:
@@ -189,17 +204,33 @@
     def on_due(self, tokens: list[Any]) -> None:
         """Sends due calls and reports deletions held back until now."""
         for token in tokens:
-            if token is not None:
-                if token[0] == self.generation:
-                    self.make_call(token[1])
-            else:
-                self.report(self.key_feed.release_held(self.timers.clock()))
-                self.timers.after(RELEASE_INTERVAL_S, self.channel, None)
+            if token == RELEASE:
+                self.release_held()
+            elif token[0] == self.generation:
+                self.make_call(token[1])
+
+    def release_held(self) -> None:
+        """Applies the removals that have been held back until now."""
+        now = self.timers.clock()
+        if now >= self.release_at:
+            self.release_at = math.inf
+        removals = self.key_feed.release_held(now)
+        if removals:
+            logger.notice(
+                "held removals applied",
+                extra={
+                    "keys": len(removals),
+                    "first": removals[0].key,
+                    "still_held": len(self.key_feed.held),
+                },
+            )
+        self.report(removals)
 
     def make_call(self, call: StoreCall) -> None:
         """Sends one call of the feed to the store."""
         token = (self.channel, call.kind.value)
         on_done = functools.partial(self.on_result, self.generation)
+        self.sent_at, self.wait_s = self.timers.clock(), 0.0
         if call.kind is StoreCallKind.PAGE:
             request = self.dialect.page(ALL_KEYS, call.after_key)
             self.store.send_call(request, token, on_done, CALL_TIMEOUT_S)
@@ -207,6 +238,7 @@
         wait_s = BRIEF_WATCH_WAIT_S if call.is_brief else WATCH_WAIT_S
         request = self.dialect.watch(ALL_KEYS, call.revision, wait_s)
         seconds = wait_s + WATCH_SLACK_S
+        self.wait_s = wait_s
         self.watch_call = self.store.send_call(request, token, on_done, seconds)
 
     @handler("store_restored", channel="*")
@@ -239,15 +271,17 @@
             return
         now = self.timers.clock()
         key_feed = self.key_feed
+        is_watch = result.token[1] == StoreCallKind.WATCH.value
+        open_s = now - self.sent_at
         self.watch_call = 0
         changes: list[StoreItem] = []
+        held_before = set(key_feed.held)
         if self.note_era() or result.status is StoreStatus.RESTORED:
             call = key_feed.next_call()
         elif result.status is StoreStatus.HISTORY_LOST or (
             # All changes of the time since the last watch, in one reply. Pages
             # are limited and hold each key once.
-            result.status is StoreStatus.TOO_LARGE
-            and result.token[1] == StoreCallKind.WATCH.value
+            result.status is StoreStatus.TOO_LARGE and is_watch
         ):
             logger.notice(
                 "store history lost, loading all keys again",
@@ -258,8 +292,10 @@
             )
             call = key_feed.on_history_lost()
         elif result.status is not StoreStatus.DONE or result.page is None:
-            call = self.on_failure()
+            call = self.on_failure(open_s)
         else:
+            key_feed.timing.on_wait(now, open_s, self.wait_s)
+            key_feed.timing.on_outage_end(self.store.outage_ended_at)
             if key_feed.failures:
                 logger.notice(
                     "store connection restored",
@@ -268,16 +304,45 @@
                         "revision": key_feed.revision,
                     },
                 )
-            if result.token[1] == StoreCallKind.PAGE.value:
-                changes, call = key_feed.on_page(result.page, now)
-            else:
+            if is_watch:
                 changes, call = key_feed.on_changes(result.page, now)
+            else:
+                changes, call = key_feed.on_page(result.page, now)
+        self.log_held(key_feed.held.keys() - held_before, now)
         self.report(changes)
         self.timers.after(call.delay_s, self.channel, (self.generation, call))
 
-    def on_failure(self) -> StoreCall:
+    def set_release_timer(self) -> None:
+        """Sets the timer for the next held removal, unless one is set."""
+        due_at = min(self.key_feed.held.values(), default=math.inf)
+        if due_at < self.release_at:
+            self.release_at = due_at
+            self.timers.at(due_at, self.channel, RELEASE)
+
+    def log_held(self, keys: set[str], now: float) -> None:
+        """Logs removals that are held back from now on."""
+        if not keys:
+            return
+        latest = max(self.key_feed.held[key] for key in keys)
+        since_outage_s = now - self.key_feed.timing.recovered_at
+        logger.notice(
+            "removals held back",
+            extra={
+                "keys": len(keys),
+                "first": min(keys),
+                "for_ms": round((latest - now) * 1000),
+                "since_outage_ms": None
+                if math.isinf(since_outage_s)
+                else round(since_outage_s * 1000),
+            },
+        )
+
+    def on_failure(self, open_s: float) -> StoreCall:
         """Counts a failed call and logs the first one of an outage.
 
+        Args:
+          open_s: Time for which it was open.
+
         Returns:
           The call that retries it, with its delay.
         """
@@ -290,7 +355,8 @@
                     "Serving goes on with what is known.",
                 },
             )
-        return self.key_feed.on_failure()
+        now = self.timers.clock()
+        return self.key_feed.on_failure(now, open_s, self.wait_s)
 
     def report(self, changes: list[StoreItem]) -> None:
         """Fires an event for each topic with changes.
@@ -309,6 +375,7 @@
                     "keys": len(self.key_feed.items),
                 },
             )
+        self.set_release_timer()
         if changes or first:
             self.told(changes)
         for prefix, event in self.topics:
--- a/arbutusbridge/forwarding/feed.py
+++ b/arbutusbridge/forwarding/feed.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING
 
 from arbutusbridge.core.messages import StoreItem
+from arbutusbridge.forwarding.removals import RemovalTiming
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -36,17 +37,9 @@
 """Maximum delay between calls while the store is unreachable; it bounds how
 soon after an outage changes are seen."""
 
-REMOVAL_GRACE_S = 2.2
-"""Grace period after an outage during which a missing key may come back; the
-platform restores keys within about 2 s."""
-
-MASS_REMOVAL_RATIO = 0.3
-"""Fraction of all keys whose removal at once is taken for an outage that was
-not noticed here."""
-
-MIN_MASS_REMOVAL = 4
-"""Minimum number of keys removed at once that counts as such an outage."""
-
+HELD_WATCH_DELAY_S = 0.4
+"""The same while removals are held back, so that a key that comes back is read
+before its removal is applied."""
 
 MAX_REMOVED_KEYS = 256
 """Maximum number of removed keys whose last values are remembered."""
@@ -116,8 +109,9 @@
         load.
       loading: Items found by the load in progress.
       load_revision: Revision at which that load began.
+      load_began_at: When its first page was read.
       failures: Consecutive failed calls.
-      recovered_at: When the store last became reachable again.
+      timing: Decides how long removals are held back.
       held: Held removals: when to apply the removal of each key.
       confirmed_at: When the store last confirmed the items.
       reloads: Number of complete loads, including the first.
@@ -135,8 +129,9 @@
     revision: int | None = None
     loading: dict[str, StoreItem] = field(default_factory=dict)
     load_revision: int | None = None
+    load_began_at: float = 0.0
     failures: int = 0
-    recovered_at: float = -REMOVAL_GRACE_S
+    timing: RemovalTiming = field(default_factory=RemovalTiming)
     held: dict[str, float] = field(default_factory=dict)
     confirmed_at: float = 0.0
     reloads: int = 0
@@ -161,8 +156,18 @@
             is_brief=self.failures > 0,
         )
 
-    def on_failure(self) -> StoreCall:
-        """Records a failed call and returns the next one."""
+    def on_failure(
+        self, now: float, open_s: float = 0.0, wait_s: float = 0.0
+    ) -> StoreCall:
+        """Records a failed call and returns the next one.
+
+        Args:
+          now: The time.
+          open_s: Time for which it was open.
+          wait_s: Time that a watch may wait for changes; 0 for another call.
+        """
+        is_first = not self.failures
+        self.timing.on_failure(now, open_s, wait_s, is_first)
         self.failures += 1
         self.began_in_outage |= math.isinf(self.loaded_at)
         delay = INITIAL_RETRY_DELAY_S * 2.0 ** min(self.failures - 1, 6)
@@ -203,7 +208,7 @@
         self.revision = None
         self.revision_before = None
         self.restored = bool(self.items)
-        self.recovered_at = now
+        self.timing.on_restored(now)
         self.failures = 0
 
     def load_from_peer(
@@ -230,6 +235,7 @@
             self.void_revisions(era, now)
         self.loading = {item.key: item for item in items}
         self.load_revision = revision
+        self.load_began_at = confirmed_at
         return self.finish_load(confirmed_at, now)
 
     def apply_from_peer(
@@ -238,6 +244,7 @@
         revision: int,
         confirmed_at: float,
         era: int | None = None,
+        is_complete: bool = True,
     ) -> list[StoreItem]:
         """Applies changes that another instance has already applied.
 
@@ -248,6 +255,7 @@
           revision: Revision up to which they are known.
           confirmed_at: When the store last confirmed them.
           era: Era of that revision, None if it is not known.
+          is_complete: Whether that instance holds back no removals.
 
         Returns:
           The changes that were not known.
@@ -256,6 +264,8 @@
             # The source has not noticed that the store was restored.
             return []
         self.confirmed_at = confirmed_at
+        if is_complete:
+            self.timing.quiet_at = max(self.timing.quiet_at, confirmed_at)
         if era is not None and self.era is None:
             # The source did not name it before.
             self.era = era
@@ -283,13 +293,14 @@
         self, page: StorePage, now: float
     ) -> tuple[list[StoreItem], StoreCall]:
         """Adds a page of a load and returns changes and the next call."""
-        self.record_contact(now)
+        self.failures = 0
         if self.revision is not None:
             # A peer sent all keys while this page was being read.
             return [], self.next_call()
         if self.load_revision is None:
             # Pages do not form a snapshot: watch from before the first one.
             self.load_revision = page.revision
+            self.load_began_at = now
             if (self.revision_before or 0) > page.revision:
                 self.void_revisions(self.era, now)
         for item in page.items:
@@ -325,7 +336,9 @@
         self.load_revision = None
         self.loading = {}
         self.confirmed_at = confirmed_at
-        return self.apply(changes, self.compute_hold_until(changes, now))
+        hold_until = self.compute_hold_until(changes, now)
+        self.timing.quiet_at = self.load_began_at
+        return self.apply(changes, hold_until)
 
     def is_known(self, key: str, item: StoreItem) -> bool:
         """Returns whether a loaded item changes nothing.
@@ -365,39 +378,28 @@
         """Applies the changes that a watch returned."""
         if self.revision is not None and page.revision < self.revision:
             return [], self.on_restored(self.era, now)
-        self.record_contact(now)
+        self.failures = 0
         self.confirmed_at = now
         if self.revision is not None:
             self.revision = max(self.revision, page.revision)
+        hold_until = self.compute_hold_until(page.items, now)
+        self.timing.quiet_at = now
+        applied = self.apply(page.items, hold_until)
         delay = self.watch_delay_s(now) if page.items else 0.0
-        applied = self.apply(
-            page.items, self.compute_hold_until(page.items, now)
-        )
         return applied, self.next_call(delay)
 
     def watch_delay_s(self, now: float) -> float:
         """Returns the delay of the next watch after one with changes."""
         if self.began_in_outage and now - self.loaded_at < SETTLING_S:
             return SETTLING_WATCH_DELAY_S
-        return WATCH_DELAY_S
-
-    def record_contact(self, now: float) -> None:
-        """Records a usable reply, which may be the first after an outage."""
-        if self.failures:
-            self.failures = 0
-            self.recovered_at = now
+        return HELD_WATCH_DELAY_S if self.held else WATCH_DELAY_S
 
     def compute_hold_until(
         self, changes: Sequence[StoreItem], now: float
     ) -> float | None:
         """Returns until when to hold removals, None to apply them now."""
         removals = sum(item.value is None for item in changes)
-        mass_removal = removals >= max(
-            MIN_MASS_REMOVAL, MASS_REMOVAL_RATIO * len(self.items)
-        )
-        if mass_removal or now - self.recovered_at < REMOVAL_GRACE_S:
-            return now + REMOVAL_GRACE_S
-        return None
+        return self.timing.compute_hold_until(removals, len(self.items), now)
 
     def apply(
         self, changes: Sequence[StoreItem], hold_until: float | None
--- a/arbutusbridge/forwarding/leaving.py
+++ b/arbutusbridge/forwarding/leaving.py
@@ -11,9 +11,10 @@
 if TYPE_CHECKING:
     from arbutusbridge.forwarding.upstreams import Upstream
 
-LEAVING_SEND_S = 2.0
-"""Time after which no waiting request is sent to an upstream that is leaving,
-below the shortest drain period of the users, 3 s."""
+LEAVING_SEND_S = 1.5
+"""Time after which no waiting request is sent to an upstream that is leaving.
+With the time in which its announcement is read, it has to stay below the
+shortest drain period of the users."""
 
 
 def learn_leaving(
--- a/arbutusbridge/settings/forwarding.py
+++ b/arbutusbridge/settings/forwarding.py
@@ -107,6 +107,8 @@
       upstream_source_ip: IP address of this host that connections to upstreams
         come from, selected by the system if None.
       changes_ms: Time within which a change in the store must be in force.
+      drain_ms: Time for which an upstream goes on serving after the store has
+        removed its announcement; by default that of ``changes_ms``.
       stop_seconds: Time limit of a planned stop.
       balancer_lag_seconds: Time for which the load balancer may still send
         requests after the instance has stopped being ready.
@@ -130,6 +132,7 @@
     store: AddressText
     upstream_source_ip: str | None = None
     changes_ms: int = Field(default=3000, ge=100, le=600_000)
+    drain_ms: int | None = Field(default=None, ge=100, le=600_000)
     stop_seconds: float = Field(default=6.0, gt=0, le=600)
     balancer_lag_seconds: float = Field(default=2.5, ge=0, le=60)
     extras: RetryBudgetSettings = RetryBudgetSettings()
@@ -143,6 +146,16 @@
         """Value of ``changes_ms`` in seconds."""
         return self.changes_ms / 1000
 
+    @property
+    def drain_s(self) -> float:
+        """``drain_ms``, or ``changes_ms`` without it, in seconds."""
+        return (self.drain_ms or self.changes_ms) / 1000
+
+    @property
+    def max_change_delay_s(self) -> float:
+        """Time within which any change must take effect, in seconds."""
+        return min(self.changes_s, self.drain_s)
+
     @property
     def capacity(self) -> float:
         """Processor time that it may use, in usual cores."""
--- a/tests/test_daemon/test_store_restore.py
+++ b/tests/test_daemon/test_store_restore.py
@@ -19,9 +19,9 @@
 from arbutusbridge.daemon.presence import InstancePresence
 from arbutusbridge.daemon.queries import QueryDriver
 from arbutusbridge.daemon.storefeed import StoreFeed
-from arbutusbridge.forwarding.feed import REMOVAL_GRACE_S
 from arbutusbridge.forwarding.gatherwire import InstanceRecord
 from arbutusbridge.forwarding.presence import INSTANCES_PREFIX
+from arbutusbridge.forwarding.removals import REMOVAL_GRACE_S
 from arbutusbridge.platform import DIALECT, WIRE
 from arbutusbridge.platform.standins import StoreFault, StoreStandIn
 from arbutusbridge.platform.store import page_request
--- a/tests/test_forwarding/test_leaving.py
+++ b/tests/test_forwarding/test_leaving.py
@@ -17,7 +17,9 @@
     RefusedAnswer,
     RelayedAnswer,
 )
+from arbutusbridge.forwarding.feed import WATCH_DELAY_S
 from arbutusbridge.forwarding.leaving import LEAVING_SEND_S
+from arbutusbridge.forwarding.removals import DEFAULT_DRAIN_S, MAX_REPLY_S
 from arbutusbridge.forwarding.upstreams import LEAVING_GRACE_S
 from arbutusbridge.platform import WIRE
 from tests.test_forwarding.fixtures import (
@@ -113,6 +115,12 @@
         self.assertIs(Refusal.UNSERVABLE, answer.refusal)
         self.assertIsNotNone(answer.retry_after_s)
 
+    # Guards against a request that waits for longer than the upstream serves,
+    # where its announcement is read as late as a sound store allows.
+    def test_last_waiting_request_is_sent_within_the_drain_period(self) -> None:
+        read_s = WATCH_DELAY_S + MAX_REPLY_S
+        self.assertLessEqual(read_s + LEAVING_SEND_S, DEFAULT_DRAIN_S)
+
     def test_parts_of_a_search_go_elsewhere(self) -> None:
         forwarder = make_forwarder([sharded(3)], shard_upstreams(3))
         first = sends_of(forwarder.handle_request(request(1), NOW))
