State no guess after a cut as certain

A cut-off instance answered 503, which promises that a request has not run, to a request that had: an idempotent one that no peer could serve either.

Cause: take_over takes attempts that were sent after the last response of any upstream not to have arrived, and drops them, so that the request is sent again through peers. The cut may have come after they had arrived.

Change: the part keeps that it is a guess (is_unsure). It still decides what is sent again; Exchange.may_have_run includes it, and replies to searches state may_have_run as those without shards do.

Why it works: 503 is left to requests whose attempts are all known not to have run; the others get 502. Routes that may run once are unchanged, their attempts are still awaited.

Evidence: both new tests fail before.

--- a/arbutusbridge/forwarding/exchange.py
+++ b/arbutusbridge/forwarding/exchange.py
@@ -59,8 +59,10 @@
       limited: Whether the rate limits of its upstreams keep it from being sent.
       relays: Number of peers that it was relayed to and that did not decline.
       relayed_to: Names of all peers that it was relayed to.
-      not_arrived: Whether no attempt has reached an upstream, as this instance
-        was cut off before, or as homes or an evacuation allow none.
+      not_arrived: Whether no attempt is taken to have reached an upstream, as
+        this instance was cut off before, or as homes or an evacuation allow
+        none. It decides whether the part is sent again.
+      is_unsure: Whether that is a guess, which no answer may rely on.
     """
 
     service: str
@@ -83,6 +85,7 @@
     relays: int = 0
     relayed_to: set[str] = field(default_factory=set)
     not_arrived: bool = False
+    is_unsure: bool = False
 
     @property
     def pending(self) -> bool:
@@ -220,7 +223,8 @@
     def may_have_run(self) -> bool:
         """Whether an upstream may have run the request or may still run it."""
         return any(not group.not_run for group in self.groups) or any(
-            part.may_have_run or part.open_attempts for part in self.parts
+            part.may_have_run or part.is_unsure or part.open_attempts
+            for part in self.parts
         )
 
     @property
--- a/arbutusbridge/forwarding/gather.py
+++ b/arbutusbridge/forwarding/gather.py
@@ -229,7 +229,7 @@
       unsent: Shards for which nothing has reached an upstream.
       held_back: Shards that waited for the result of a canary.
       response: Response of an upstream to a request without shards, if any.
-      may_have_run: Whether a request without shards may have run.
+      may_have_run: Whether the request may have run.
       retry_after_s: Time after which to retry one that has not run, in
         seconds.
       is_final: Whether no further reply follows; the next one covers the shards
--- a/arbutusbridge/forwarding/peermessages.py
+++ b/arbutusbridge/forwarding/peermessages.py
@@ -152,7 +152,7 @@
         on_response(message, group, shared, now, out)
         return
     has_run = message.asked or message.stamps or not message.is_final
-    group.not_run = not has_run
+    group.not_run = not has_run and not message.may_have_run
     if routeterms.is_truncated(message, exchange.route):
         # An earlier reply may have covered some of its shards.
         message = routeterms.discard_truncated(message, group, shared, out)
--- a/arbutusbridge/forwarding/peerreplies.py
+++ b/arbutusbridge/forwarding/peerreplies.py
@@ -107,6 +107,7 @@
         asked,
         unsent,
         held_back,
+        may_have_run=exchange.may_have_run,
         is_final=is_final,
     )
     if gather_request.max_records is not None:
--- a/arbutusbridge/forwarding/relay.py
+++ b/arbutusbridge/forwarding/relay.py
@@ -207,7 +207,8 @@
     Attempts that wait for a connection are withdrawn. The others will not be
     answered; their connections are closed unless the request must not be
     repeated, in which case its reply is still awaited. What was sent after the
-    last response of any upstream is taken not to have arrived.
+    last response of any upstream is taken not to have arrived, so that it is
+    sent again, but callers are not told so.
     """
     responded_at = shared.isolation.responded_at
     for exchange in list(shared.exchanges.values()):
@@ -232,6 +233,8 @@
             if len(lost) < len(part.open_attempts):
                 part.may_have_run = True
             part.not_arrived = not part.may_have_run
+            # The cut may have come after one of them had arrived.
+            part.is_unsure = part.is_unsure or bool(lost)
             drop_open_attempts(part, True, shared, out)
             taken_over.append(part)
         if exchange.relayed:
--- a/tests/test_forwarding/test_promises.py
+++ b/tests/test_forwarding/test_promises.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import itertools
+import math
 
 import testtools
 
@@ -18,6 +19,7 @@
     RefusedAnswer,
     RelayedAnswer,
 )
+from arbutusbridge.forwarding import relay as relaying
 from arbutusbridge.forwarding.gather import (
     GatherReply,
     RelayedResponse,
@@ -33,7 +35,7 @@
     upstream,
 )
 from tests.test_forwarding.fixtures import request as make_request
-from tests.test_forwarding.test_isolation import FETCH, ONCE, make_fleet
+from tests.test_forwarding.test_isolation import FETCH, ONCE, SEARCH, make_fleet
 from tests.test_forwarding.test_peer_statuses import relay_from_cut_off
 
 NOW = 100.0
@@ -178,6 +180,53 @@
             self.assertTrue(replies[0].may_have_run)
 
 
+class TakeOverTest(testtools.TestCase):
+    """Requests that are open at an instance when it loses its upstreams.
+
+    Their attempts were sent after the last response of any upstream; whether
+    they arrived cannot be known.
+    """
+
+    def lose_upstreams(self, forwarder, now: float) -> list[object]:
+        """Cuts an instance off, none of whose peers reach the upstreams."""
+        for peer in forwarder.gather.peer_table.peers.values():
+            peer.isolated_until = math.inf
+        forwarder.isolation.isolated = True
+        out: list[object] = []
+        relaying.take_over(forwarder, now, out)
+        return out
+
+    # Guards against an instance that takes its guess that nothing has arrived
+    # for certain.
+    def test_open_request_may_have_run(self) -> None:
+        for target in (FETCH, SEARCH):
+            fleet = make_fleet()
+            forwarder = fleet.instances["north-0"]
+            request = make_request(target=f"{target}x", at=fleet.now)
+            sends = sends_of(forwarder.handle_request(request, fleet.now))
+            self.assertNotEqual([], sends)
+            out = self.lose_upstreams(forwarder, fleet.now + 0.1)
+            self.assertIs(Refusal.LOST, only(out, RefusedAnswer).refusal)
+
+    # Guards against a helper that tells its peer so.
+    def test_open_request_of_a_peer_may_have_run(self) -> None:
+        for target in (FETCH, SEARCH):
+            fleet, forwarder, request, message = relay_from_cut_off(target)
+            helper = make_fleet().instances["central-0"]
+            sends = sends_of(helper.handle_peer_message(message, fleet.now))
+            self.assertNotEqual([], sends)
+            out = self.lose_upstreams(helper, fleet.now + 0.1)
+            (reply,) = replies_in(out)
+            self.assertTrue(reply.may_have_run)
+            for peer in forwarder.gather.peer_table.peers.values():
+                peer.isolated_until = math.inf
+            now = fleet.now + 0.2
+            out = forwarder.handle_peer_message(reply, now)
+            out += forwarder.handle_timer(request, now)
+            answer = only(out, RefusedAnswer)
+            self.assertIs(Refusal.LOST, answer.refusal)
+
+
 def replies_in(out) -> list[GatherReply]:
     """Returns the replies to peers among actions."""
     return [
