Leave no request without an answer after an error

Cause: decode_load took whole numbers of any size. Dividing one raises OverflowError, which ended the handler of request_arrived before the request had a timer. By reading, other errors had like effects: an action or a timer that failed cost those after it, and a socket whose callback failed was neither polled nor closed, the listeners of callers and peers included.

Change: what headers say is decoded in platform/fields.py, with types and ranges. An action or due timer that fails costs no other. After a failure, requests without any state get 502, and the others their timers again. A connection whose callback fails is closed; a listener is polled on.

Why it works: a request either has a timer that ends it or is found without one.

--- a/arbutusbridge/daemon/connection.py
+++ b/arbutusbridge/daemon/connection.py
@@ -145,7 +145,7 @@
         if error not in (0, errno.EINPROGRESS):
             self.sock.close()
             raise OSError(error, os.strerror(error))
-        hub.add(self.descriptor, WRITABLE, self.on_ready)
+        hub.add(self.descriptor, WRITABLE, self.on_ready, self.close)
 
     def prepare_socket(self, sock: socket.socket) -> None:
         """Prepares a socket before it is connected."""
--- a/arbutusbridge/daemon/forwarding.py
+++ b/arbutusbridge/daemon/forwarding.py
@@ -21,6 +21,7 @@
     Locality,
     PrepareConnection,
     ProbeUpstream,
+    Refusal,
     RefusedAnswer,
     RetryBudgetLimits,
     SendAttempt,
@@ -28,6 +29,7 @@
     WithdrawAttempt,
 )
 from arbutusbridge.forwarding.allocation import CHECK_INTERVAL_S
+from arbutusbridge.forwarding.conclusion import FAILED_RETRY_AFTER_S
 from arbutusbridge.forwarding.gather import SendGatherMessage
 from arbutusbridge.forwarding.notices import EXCHANGE_INTERVAL_S
 
@@ -53,6 +55,11 @@
 
 EXCHANGE_NOTICES = "exchange_notices"
 MAINTAIN = "maintain"
+RECOVER = "recover"
+
+RECOVERY_DELAY_S = 0.1
+"""Time after the failure of a handler at which the requests are looked at that
+it may have left behind."""
 
 
 class ForwardingDriver(BaseComponent):
@@ -62,6 +69,7 @@
       forwarder: Decides on requests; does no I/O itself.
       upstreams_loaded: Whether the upstreams have been read from the store.
       evacuations_loaded: Whether the evacuated data centres have been.
+      recovers: Whether a handler has failed just now.
     """
 
     channel = "forwarding"
@@ -83,6 +91,7 @@
         )
         self.upstreams_loaded = False
         self.evacuations_loaded = False
+        self.recovers = False
         self.ingress: Ingress
         self.pools: RelayPools
         self.peers: PeerMessenger | None = None
@@ -163,17 +172,53 @@
     def on_due(self, requests: list[Any]) -> None:
         """Handles due timers of requests and of the messages to peers."""
         for request in requests:
-            now = self.timers.clock()
-            if request == EXCHANGE_NOTICES:
-                self.carry_out(self.forwarder.exchange_notices(now))
-                self.timers.after(
-                    EXCHANGE_INTERVAL_S, self.channel, EXCHANGE_NOTICES
+            try:
+                self.handle_due(request)
+            except Exception:
+                logger.exception("timer of a request failed")
+                self.on_exception()
+
+    def handle_due(self, request: Any) -> None:
+        """Handles one due timer."""
+        now = self.timers.clock()
+        if request == EXCHANGE_NOTICES:
+            self.timers.after(
+                EXCHANGE_INTERVAL_S, self.channel, EXCHANGE_NOTICES
+            )
+            self.carry_out(self.forwarder.exchange_notices(now))
+        elif request == MAINTAIN:
+            self.timers.after(CHECK_INTERVAL_S, self.channel, MAINTAIN)
+            self.carry_out(self.forwarder.maintain(now))
+        elif request == RECOVER:
+            self.recover(now)
+        else:
+            self.carry_out(self.forwarder.handle_timer(request, now))
+
+    @handler("exception", channel="*")
+    def on_exception(self, *_args: Any, **_context: Any) -> None:
+        """Plans to look after the requests of a handler that has failed.
+
+        It may be any: what it was about to do for them is not known.
+        """
+        if not self.recovers:
+            self.recovers = True
+            self.timers.after(RECOVERY_DELAY_S, self.channel, RECOVER)
+
+    def recover(self, now: float) -> None:
+        """Answers or continues the requests that failed handlers have left.
+
+        Whether one without any state has run is not known. The others get their
+        timers again, which end them at the latest.
+        """
+        self.recovers = False
+        for request in self.ingress.find_unanswered(now - RECOVERY_DELAY_S):
+            if not self.forwarder.is_open(request):
+                answer = RefusedAnswer(
+                    request, Refusal.LOST, FAILED_RETRY_AFTER_S
                 )
-            elif request == MAINTAIN:
-                self.carry_out(self.forwarder.maintain(now))
-                self.timers.after(CHECK_INTERVAL_S, self.channel, MAINTAIN)
-            else:
-                self.carry_out(self.forwarder.handle_timer(request, now))
+                self.perform(answer)
+        for action in self.forwarder.rearm(now):
+            self.timers.at(action.at, self.channel, action.request)
 
     @handler("routing_changed", channel="*")
     def on_routing_changed(self, items: list[StoreItem]) -> None:
@@ -308,36 +353,44 @@
         self.carry_out(self.forwarder.finish_all(self.timers.clock()))
 
     def carry_out(self, actions: list[Any]) -> None:
-        """Performs the forwarder's actions."""
+        """Performs the forwarder's actions; one that fails costs no other."""
         for action in actions:
-            match action:
-                case SendAttempt():
-                    self.metrics.attempts.inc()
-                    self.pools.send(action)
-                case DropAttempt():
-                    self.pools.drop(action)
-                case CheckUpstream():
-                    self.pools.check(action.upstream)
-                case ProbeUpstream():
-                    self.pools.probe(action.upstream)
-                case WithdrawAttempt():
-                    self.pools.withdraw(action.attempt_id)
-                case PrepareConnection():
-                    self.pools.ensure_connected(action.upstream)
-                case SendGatherMessage():
-                    assert self.peers is not None
-                    self.peers.send(action.address, action.message)
-                case SetRequestTimer():
-                    self.timers.at(action.at, self.channel, action.request)
-                case Decision():
-                    self.record_decision(action)
-                case _:
-                    if isinstance(action, RefusedAnswer):
-                        reason = action.refusal.value
-                        self.metrics.refusals.labels(reason).inc()
-                    self.ingress.answer(action)
+            try:
+                self.perform(action)
+            except Exception:
+                logger.exception("action failed")
+                self.on_exception()
         self.pools.flush()
 
+    def perform(self, action: Any) -> None:
+        """Performs one action."""
+        match action:
+            case SendAttempt():
+                self.metrics.attempts.inc()
+                self.pools.send(action)
+            case DropAttempt():
+                self.pools.drop(action)
+            case CheckUpstream():
+                self.pools.check(action.upstream)
+            case ProbeUpstream():
+                self.pools.probe(action.upstream)
+            case WithdrawAttempt():
+                self.pools.withdraw(action.attempt_id)
+            case PrepareConnection():
+                self.pools.ensure_connected(action.upstream)
+            case SendGatherMessage():
+                assert self.peers is not None
+                self.peers.send(action.address, action.message)
+            case SetRequestTimer():
+                self.timers.at(action.at, self.channel, action.request)
+            case Decision():
+                self.record_decision(action)
+            case _:
+                if isinstance(action, RefusedAnswer):
+                    reason = action.refusal.value
+                    self.metrics.refusals.labels(reason).inc()
+                self.ingress.answer(action)
+
     def record_decision(self, decision: Decision) -> None:
         """Counts and logs a decision."""
         self.metrics.record_decision(decision)
--- a/arbutusbridge/daemon/hub.py
+++ b/arbutusbridge/daemon/hub.py
@@ -33,6 +33,8 @@
 
     Attributes:
       callbacks: Functions called with the event mask, by file descriptor.
+      closers: Functions that close the socket of a callback which has failed,
+        by file descriptor.
       after_turn: Functions called once the sockets of a turn are handled.
       removed: File descriptors removed in this turn.
       buffered_bytes: Size of the incomplete response bodies that connections
@@ -43,6 +45,7 @@
         super().__init__(channel=channel)
         self.epoll = select.epoll()
         self.callbacks: dict[int, Callable[[int], None]] = {}
+        self.closers: dict[int, Callable[[], None]] = {}
         self.after_turn: list[Callable[[], None]] = []
         self.removed: set[int] = set()
         self.buffered_bytes = 0
@@ -69,15 +72,44 @@
                 callback(mask)
             except Exception:
                 logger.exception("socket callback failed")
-                self.remove(descriptor)
+                self.close_failed(descriptor)
         for function in self.after_turn:
             function()
 
+    def close_failed(self, descriptor: int) -> None:
+        """Closes the socket of a callback that has failed.
+
+        Whoever waits for it is told so by its closer. A socket without one is
+        polled on: others still come to it.
+        """
+        closer = self.closers.get(descriptor)
+        if closer is None:
+            return
+        try:
+            closer()
+        except Exception:
+            logger.exception("socket could not be closed")
+            self.remove(descriptor)
+
     def add(
-        self, descriptor: int, mask: int, callback: Callable[[int], None]
+        self,
+        descriptor: int,
+        mask: int,
+        callback: Callable[[int], None],
+        closer: Callable[[], None] | None = None,
     ) -> None:
-        """Starts polling a socket for the events in a mask."""
+        """Starts polling a socket for the events in a mask.
+
+        Args:
+          descriptor: File descriptor of the socket.
+          mask: The events.
+          callback: Function called with those that have occurred.
+          closer: Function that closes the socket if the callback fails; None
+            for a listener, which is polled on.
+        """
         self.callbacks[descriptor] = callback
+        if closer is not None:
+            self.closers[descriptor] = closer
         self.epoll.register(descriptor, mask)
 
     def change(self, descriptor: int, mask: int) -> None:
@@ -86,6 +118,7 @@
 
     def remove(self, descriptor: int) -> None:
         """Stops polling a socket; must be called before it is closed."""
+        self.closers.pop(descriptor, None)
         if self.callbacks.pop(descriptor, None) is not None:
             self.epoll.unregister(descriptor)
             self.removed.add(descriptor)
--- a/arbutusbridge/daemon/ingress.py
+++ b/arbutusbridge/daemon/ingress.py
@@ -242,7 +242,10 @@
         descriptor = sock.fileno()
         self.connections[descriptor] = connection
         self.hub.add(
-            descriptor, READABLE, lambda mask: self.on_ready(connection, mask)
+            descriptor,
+            READABLE,
+            lambda mask: self.on_ready(connection, mask),
+            lambda: self.close(connection),
         )
         if len(self.connections) > MAX_CALLER_CONNECTIONS:
             self.send_refusal(connection, TOO_MANY_CONNECTIONS)
@@ -315,20 +318,24 @@
         self.waiting[connection.request] = connection
         self.fire(request_arrived(connection.request), self.target)
 
+    def find_unanswered(self, until: float) -> list[CallerRequest]:
+        """Returns the requests without an answer that arrived until a time."""
+        return [one for one in self.waiting if one.arrived <= until]
+
     def answer(self, answer: Any) -> None:
         """Writes the final answer to a request to its caller."""
-        connection = self.waiting.pop(answer.request, None)
+        connection = self.waiting.get(answer.request)
         if connection is None:
             return
-        connection.request = None
-        connection.last_used_at = now = self.timers.clock()
         stays_open = connection.keeps_open and not self.draining
         keep_alive_s = min(self.keep_alive_s, int(self.limits.idle_seconds))
+        # One that cannot be encoded leaves the request waiting for another.
+        data = self.wire.encode_answer(answer, stays_open, keep_alive_s)
+        del self.waiting[answer.request]
+        connection.request = None
+        connection.last_used_at = now = self.timers.clock()
         connection.keep_alive_s = keep_alive_s
-        self.write(
-            connection,
-            self.wire.encode_answer(answer, stays_open, keep_alive_s),
-        )
+        self.write(connection, data)
         if connection.sock.fileno() < 0:
             return
         if not stays_open:
--- a/arbutusbridge/daemon/relaypools.py
+++ b/arbutusbridge/daemon/relaypools.py
@@ -298,9 +298,15 @@
         """Decodes the response to an attempt and queues it for reporting."""
         assert isinstance(connection, RelayConnection)
         attempt = job.context
-        reply = self.wire.decode_reply(
-            attempt.attempt_id, status, connection.headers, body
-        )
+        try:
+            reply = self.wire.decode_reply(
+                attempt.attempt_id, status, connection.headers, body
+            )
+        except Exception:
+            logger.exception("response could not be decoded")
+            reply = UpstreamReply(
+                attempt.attempt_id, AttemptEnd.LOST, detail="not decoded"
+            )
         self.jobs.pop(attempt.attempt_id, None)
         self.replies.append(reply)
         return True
--- a/arbutusbridge/forwarding/forwarder.py
+++ b/arbutusbridge/forwarding/forwarder.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 from typing import TYPE_CHECKING
 
@@ -47,6 +48,7 @@
     UNSENT_ENDS,
     AttemptEnd,
     Refusal,
+    SetRequestTimer,
     UpstreamReply,
 )
 from arbutusbridge.forwarding.quarantinemessages import QuarantineNotice
@@ -419,6 +421,28 @@
         intake.settle_quotas(self, now, out)
         return out
 
+    def is_open(self, request: CallerRequest) -> bool:
+        """Returns whether a request is being processed."""
+        return request in self.exchanges or request in self.quotas.waiting
+
+    def rearm(self, now: float) -> list[SetRequestTimer]:
+        """Returns the timers of all open requests, some of which may be lost.
+
+        A request without a next timer is looked at now.
+        """
+        for exchange in self.exchanges.values():
+            if exchange.timer_at == math.inf:
+                exchange.timer_at = now
+        timers = [
+            SetRequestTimer(max(now, exchange.timer_at), exchange.request)
+            for exchange in self.exchanges.values()
+        ]
+        timers += [
+            SetRequestTimer(now + quotatokens.ASK_TIMEOUT_S, request)
+            for request in self.quotas.waiting
+        ]
+        return timers
+
     def abandon(self, request: CallerRequest, now: float) -> list[object]:
         """Drops the request of a caller that closed its connection."""
         waiting = quotatokens.drop(request, self)
--- a/arbutusbridge/platform/documents.py
+++ b/arbutusbridge/platform/documents.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import ipaddress
-import re
 from typing import Literal
 
 import orjson
@@ -20,18 +18,13 @@
     WarmUp,
     WeightedService,
 )
+from arbutusbridge.platform.fields import decode_address, is_upstream_id
 from arbutusbridge.settings.loader import format_path
 
 CONFIGURATION_KEY = "op/config"
 UPSTREAMS_PREFIX = "servers/"
 EVACUATIONS_PREFIX = "op/evacuate/"
 
-UPSTREAM_ID_PATTERN = re.compile(r"[\x21-\x7e]+")
-"""Ids of upstreams, which are sent to them in a header."""
-
-ADDRESS_PATTERN = re.compile(r"(\d{1,3}(?:\.\d{1,3}){3}):([1-9]\d{0,4})")
-MAX_PORT = 65_535
-
 MAX_SLOTS = 1_000_000
 MAX_WARM_UP_MS = 86_400_000.0
 MAX_UNIX_MS = 2**53
@@ -238,7 +231,7 @@
     be wrong in any way.
     """
     upstream = key.removeprefix(UPSTREAMS_PREFIX)
-    if not UPSTREAM_ID_PATTERN.fullmatch(upstream):
+    if not is_upstream_id(upstream):
         return Err("key: the id is not visible ASCII")
     try:
         document = AnnouncementDocument.model_validate_json(value)
@@ -262,17 +255,6 @@
     )
 
 
-def decode_address(text: str) -> tuple[str, int] | None:
-    """Decodes an IPv4 address and port; returns None if it is not valid."""
-    found = ADDRESS_PATTERN.fullmatch(text)
-    if found is None or int(found[2]) > MAX_PORT:
-        return None
-    try:
-        return str(ipaddress.IPv4Address(found[1])), int(found[2])
-    except ipaddress.AddressValueError:
-        return None
-
-
 def is_older(key: str, value: bytes, other: bytes) -> bool:
     """Returns whether a value of a key was written before another one.
 
--- a/arbutusbridge/platform/http.py
+++ b/arbutusbridge/platform/http.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import math
-import re
 from typing import TYPE_CHECKING
 
 from result import Err, Ok, Result
@@ -23,6 +22,7 @@
 from arbutusbridge.forwarding.routes import normalise_host
 from arbutusbridge.forwarding.terms import NO_TERMS, UpstreamTerms
 from arbutusbridge.forwarding.wireformat import ResponseIdentity
+from arbutusbridge.platform.fields import decode_count, decode_decimal
 
 if TYPE_CHECKING:
     from arbutusbridge.forwarding.messages import Headers, SendAttempt
@@ -70,8 +70,6 @@
 MAX_DEADLINE_MS = 600_000.0
 """Maximum deadline that a caller may send."""
 
-DECIMAL_NUMBER = re.compile(rb"[+-]?(?:\d+\.?\d*|\.\d+)")
-
 MAX_LIMITED_RATE = 1_000_000.0
 """Rate limit above which an upstream is not limited, in requests per second;
 ten times what any one of them is sent."""
@@ -263,16 +261,18 @@
     """Decodes a reported load; returns None if it is missing or invalid."""
     if value is None:
         return None
-    try:
-        numbers = [int(part) for part in value.split(b",")]
-    except ValueError:
-        return None
-    if len(numbers) < 3 or min(numbers) < 0:
+    counts = []
+    for part in value.split(b",")[:4]:
+        count = decode_count(part)
+        if count is None:
+            return None
+        counts.append(count)
+    if len(counts) < 3:
         return None
     # The optional fourth number is the current processing time in percent of
     # the usual one.
-    slowdown = numbers[3] / 100 if len(numbers) > 3 and numbers[3] else 1.0
-    return Load(numbers[0], numbers[1], numbers[2], slowdown)
+    slowdown = counts[3] / 100 if len(counts) > 3 and counts[3] else 1.0
+    return Load(counts[0], counts[1], counts[2], slowdown)
 
 
 def decode_terms(
@@ -289,9 +289,9 @@
         return None
     if value is None:
         return None if end is AttemptEnd.LOST else NO_TERMS
-    if not DECIMAL_NUMBER.fullmatch(value.strip()):
+    rate = decode_decimal(value)
+    if rate is None:
         return None
-    rate = float(value)
     return (
         NO_TERMS if rate > MAX_LIMITED_RATE else UpstreamTerms(max(0.0, rate))
     )
@@ -316,12 +316,10 @@
     Returns 0 for a value that is missing, negative or no decimal number (a
     date), and MAX_PAUSE_S for a greater one.
     """
-    value = header_values.get(RETRY_AFTER_HEADER, b"").strip()
     if status != UNAVAILABLE_STATUS or end is AttemptEnd.LOST:
         return 0.0
-    if not DECIMAL_NUMBER.fullmatch(value):
-        return 0.0
-    return min(max(0.0, float(value)), MAX_PAUSE_S)
+    seconds = decode_decimal(header_values.get(RETRY_AFTER_HEADER, b""))
+    return min(max(0.0, seconds or 0.0), MAX_PAUSE_S)
 
 
 def encode_answer(
--- a/tests/test_platform/test_http.py
+++ b/tests/test_platform/test_http.py
@@ -242,6 +242,13 @@
         for value in (None, b"", b"1,2", b"a,b,c", b"-1,0,2"):
             self.assertIsNone(http.decode_load(value))
 
+    # Guards against a figure that no later calculation can use (review/13).
+    def test_load_of_many_digits_is_invalid(self) -> None:
+        for place in range(4):
+            parts = [b"1"] * 4
+            parts[place] = b"9" * 400
+            self.assertIsNone(http.decode_load(b",".join(parts)))
+
     def test_decoding_of_rate_limits(self) -> None:
         def decode_limit(*headers, status=200):
             return http.decode_reply(1, status, [STAMP, *headers], b"").terms
