Take an entry without one of its fields for no upstream

Cause: two fields that every upstream writes were not checked, and two had defaults.

Change: all of them are required, with types and ranges; born alone may be missing. The stand-ins write them all, and so does the entry in the test of evacuations at the start.

Why it works: an entry of another writer without one of them names no upstream, as the protocol says; the others are not touched.

--- a/arbutusbridge/platform/documents.py
+++ b/arbutusbridge/platform/documents.py
@@ -183,20 +183,27 @@
 class AnnouncementDocument(Document):
     """Value of a key under ``servers/``.
 
+    Every upstream writes all fields but ``born``. An entry without one of them
+    is of another writer and names no upstream.
+
     Attributes:
       addr: IP address and port.
       zone: Data centre.
+      version: Version of its software.
       warmup_left_ms: Remaining time for which the upstream is slow after its
         start.
+      seq: Number of the entry among those of one start.
       born: Wall-clock time of its start in ms since 1970; 0 from older writers.
     """
 
-    service: str
+    service: str = Field(min_length=1)
     addr: str
-    zone: str
-    slots: int = Field(default=1, ge=1, le=MAX_SLOTS)
+    zone: str = Field(min_length=1)
+    version: str
+    slots: int = Field(ge=1, le=MAX_SLOTS)
     state: Literal["ready", "draining"]
-    warmup_left_ms: float = Field(default=0.0, le=MAX_WARM_UP_MS)
+    warmup_left_ms: float = Field(ge=0, le=MAX_WARM_UP_MS)
+    seq: int = Field(ge=0, le=MAX_UNIX_MS)
     born: int = Field(default=0, ge=0, le=MAX_UNIX_MS)
 
 
--- a/arbutusbridge/platform/standins.py
+++ b/arbutusbridge/platform/standins.py
@@ -584,8 +584,10 @@
         "service": announcement.service,
         "addr": f"{ip}:{port}",
         "zone": announcement.data_centre,
+        "version": "v1",
         "slots": announcement.slots,
         "state": "draining" if announcement.leaving else "ready",
+        "warmup_left_ms": round(announcement.warm_up_s * 1000),
         "born": announcement.started_ms,
         "seq": number,
     }
--- a/tests/test_daemon/test_forwardinstance.py
+++ b/tests/test_daemon/test_forwardinstance.py
@@ -111,7 +111,11 @@
                 "service": "records",
                 "addr": "10.0.0.1:80",
                 "zone": "north",
+                "version": "v1",
+                "slots": 1,
                 "state": "ready",
+                "warmup_left_ms": 0,
+                "seq": 1,
             }
         )
         items = [
--- a/tests/test_daemon/test_odd_entries.py
+++ b/tests/test_daemon/test_odd_entries.py
@@ -24,6 +24,7 @@
     "service": "s1",
     "addr": f"{LOOPBACK}:9",
     "zone": "north",
+    "version": "v1",
     "slots": 2,
     "state": "ready",
     "warmup_left_ms": 0,
@@ -49,14 +50,25 @@
     "warm-up too large": {"warmup_left_ms": 1e300},
     "nested address": {"addr": [["x"]]},
     "odd state": {"state": "gone"},
+    "no zone": {"zone": ""},
+    "version that is a number": {"version": 1},
+    "number that is a text": {"seq": "1"},
+    "negative warm-up": {"warmup_left_ms": -1},
 }
 
+REQUIRED = ("service", "addr", "zone", "version", "slots", "state")
+REQUIRED += ("warmup_left_ms", "seq")
+"""Fields that every upstream writes."""
+
 
 def odd_values() -> dict[str, bytes]:
     """Returns values that name no upstream, by what is wrong with them."""
     values = {
         what: encode_row(SOUND | fields) for what, fields in ODD_FIELDS.items()
     }
+    for field in REQUIRED:
+        row = {name: value for name, value in SOUND.items() if name != field}
+        values[f"without {field}"] = encode_row(row)
     depth = 200_000
     values["deeply nested"] = b"[" * depth + b"]" * depth
     nested = b'{"a":' * depth + b"1" + b"}" * depth
--- a/tests/test_platform/test_documents.py
+++ b/tests/test_platform/test_documents.py
@@ -158,5 +158,14 @@
             {"addr": 5},
             {"slots": "2"},
             {"service": None},
+            {"version": 1},
+            {"seq": "4"},
         ):
             self.assertIsInstance(self.decode(**changes), Err)
+
+    # Guards against an entry of another writer that is used (review/11).
+    def test_missing_fields_are_errors(self) -> None:
+        for name in set(ENTRY) - {"born"}:
+            row = {key: value for key, value in ENTRY.items() if key != name}
+            found = decode_announcement("servers/i", json.dumps(row).encode())
+            self.assertIsInstance(found, Err, name)
