Apply a configuration with a weight of 0

Cause: the weight had to be greater than 0, and one such field refuses the whole version.

Change: 0 is valid, and such a part gets no requests. A route without any part that gets requests is refused at once; before, it made the handler fail.

Why it works: weighted round robin owes a part of weight 0 nothing, so that it is not chosen beside others.

--- a/arbutusbridge/forwarding/intake.py
+++ b/arbutusbridge/forwarding/intake.py
@@ -19,6 +19,10 @@
 """Number of times that the lag delays a request: when it is read and when it is
 answered."""
 
+NO_SERVICE_RETRY_AFTER_S = 5.0
+"""Retry-after delay of a route none of whose services gets requests; only the
+operators can change that."""
+
 SUSPECT_RETRY_AFTER_S = 0.3
 """Retry-after delay of a suspect while one with the same content is open here;
 whether it crashes its upstream is known by then."""
@@ -78,6 +82,8 @@
     """
     if now + route.target_s > shared.final_answers_at:
         return Refusal.STOPPING, STOPPING_RETRY_AFTER_S
+    if not route.has_service:
+        return Refusal.UNSERVABLE, NO_SERVICE_RETRY_AFTER_S
     state = shared.suspicion(request, now)
     if state is FingerprintState.QUARANTINED:
         return Refusal.QUARANTINED, shared.quarantine_left_s(request, now)
--- a/arbutusbridge/forwarding/model.py
+++ b/arbutusbridge/forwarding/model.py
@@ -21,7 +21,8 @@
 
     Attributes:
       name: Name of the service.
-      weight: Its weight relative to the other services of the route.
+      weight: Its weight relative to the other services of the route; one of
+        weight 0 gets no requests.
     """
 
     name: str
@@ -66,6 +67,11 @@
     allows_anonymous: bool = False
     homes: frozenset[str] = frozenset()
 
+    @property
+    def has_service(self) -> bool:
+        """Whether any service gets its requests."""
+        return bool(self.shards) or any(one.weight for one in self.services)
+
 
 @dataclass(frozen=True, slots=True)
 class Account:
--- a/arbutusbridge/forwarding/routes.py
+++ b/arbutusbridge/forwarding/routes.py
@@ -78,7 +78,8 @@
         """Returns the next service of a weighted route.
 
         Smooth weighted round robin keeps the share of each service close to its
-        weight even over a few requests.
+        weight even over a few requests. One of weight 0 is never owed any, so
+        that it is not chosen beside others.
         """
         if len(route.services) == 1:
             return route.services[0].name
--- a/arbutusbridge/platform/documents.py
+++ b/arbutusbridge/platform/documents.py
@@ -42,10 +42,14 @@
 
 
 class WeightedServiceDocument(Document):
-    """Entry of ``weighted_backends``."""
+    """Entry of ``weighted_backends``.
+
+    Attributes:
+      weight: Share of the requests; 0 for a part that gets none.
+    """
 
     service: str
-    weight: float = Field(gt=0)
+    weight: float = Field(ge=0, allow_inf_nan=False)
 
 
 class RouteDocument(Document):
--- a/tests/test_forwarding/test_plain.py
+++ b/tests/test_forwarding/test_plain.py
@@ -106,6 +106,23 @@
         )
         self.assertEqual({"records": 30, "other": 10}, taken)
 
+    # Guards against a request for a part that is to get none.
+    def test_part_of_weight_0_gets_no_requests(self) -> None:
+        services = (WeightedService("other", 0), WeightedService("records", 7))
+        forwarder = make_forwarder(
+            [plain(services=services)], [*TWO, upstream("o", "other")]
+        )
+        for number in range(20):
+            (send,) = sends_of(arrive(forwarder, number))
+            self.assertEqual("records", send.upstream.service)
+
+    def test_route_without_any_part_is_refused_at_once(self) -> None:
+        for services in ((), (WeightedService("records", 0),)):
+            forwarder = make_forwarder([plain(services=services)], TWO)
+            answer = only(arrive(forwarder), RefusedAnswer)
+            self.assertIs(Refusal.UNSERVABLE, answer.refusal)
+            self.assertIsNotNone(answer.retry_after_s)
+
 
 class FailureTest(testtools.TestCase):
     """Answers to callers when an upstream fails."""
--- a/tests/test_platform/test_documents.py
+++ b/tests/test_platform/test_documents.py
@@ -126,6 +126,13 @@
         (found,) = self.decode(routes=[route]).ok_value.routes
         self.assertEqual([3, 1], [one.weight for one in found.services])
 
+    # Guards against a version that is never applied (review/15).
+    def test_weight_of_0_is_valid(self) -> None:
+        parts = [{"service": "a", "weight": 100}, {"service": "b", "weight": 0}]
+        route = {**ROUTE, "fanout_services": [], "weighted_backends": parts}
+        (found,) = self.decode(routes=[route]).ok_value.routes
+        self.assertEqual([100, 0], [one.weight for one in found.services])
+
     def test_error_states_the_field(self) -> None:
         error = self.decode(routes=[ROUTE, {**ROUTE, "kind": "odd"}])
         self.assertIn("routes[1].kind", error.err_value)
