Receive an answer in one place in the tests of an instance

Two tests of daemons had the same loop that runs the instance until a caller's socket has data. It is InstanceCase.receive now.

--- a/tests/test_daemon/instancecase.py
+++ b/tests/test_daemon/instancecase.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import socket
 import threading
 import time
 from collections.abc import Callable
@@ -111,6 +112,21 @@
                 function()
             self.instance.tick(0.005)
 
+    def receive(self, sock: socket.socket, seconds: float) -> bytes:
+        """Runs the event loop until a caller's socket has data or is closed."""
+        sock.setblocking(False)
+        received: list[bytes] = []
+
+        def has_received() -> bool:
+            try:
+                received.append(sock.recv(4096))
+            except BlockingIOError:
+                return False
+            return True
+
+        self.run_until(has_received, seconds)
+        return received[0]
+
     def run_for(self, seconds: float) -> None:
         """Runs the event loop for a time."""
         end = time.monotonic() + seconds
--- a/tests/test_daemon/test_handler_failures.py
+++ b/tests/test_daemon/test_handler_failures.py
@@ -69,18 +69,7 @@
                 f"GET /fetch/1 HTTP/1.1\r\nHost: {HOST}\r\n"
                 f"X-Request-Id: r{began_at}\r\n\r\n".encode()
             )
-            sock.setblocking(False)
-            answer = b""
-
-            def answered() -> bool:
-                nonlocal answer
-                try:
-                    answer += sock.recv(4096)
-                except BlockingIOError:
-                    return False
-                return True
-
-            self.run_until(answered, limit_s)
+            answer = self.receive(sock, limit_s)
         took_s = time.monotonic() - began_at
         return answer.partition(b"\r\n")[0], took_s
 
--- a/tests/test_daemon/test_odd_entries.py
+++ b/tests/test_daemon/test_odd_entries.py
@@ -143,18 +143,7 @@
                     f"X-Request-Id: r{path}{what}\r\n"
                     "X-Deadline-Ms: 3000\r\n\r\n".encode()
                 )
-                sock.setblocking(False)
-                answer = b""
-
-                def answered(sock=sock) -> bool:
-                    nonlocal answer
-                    try:
-                        answer += sock.recv(4096)
-                    except BlockingIOError:
-                        return False
-                    return True
-
-                self.run_until(answered, 2.0)
+                answer = self.receive(sock, 2.0)
                 self.assertIn(b" 200 ", answer[:20], f"{what}: {answer[:60]}")
         self.assertEqual([], self.failures.found, what)
 
