Check every figure of a load again

Before that, it was invalid as a whole. Found in reading the change; no run had shown it.

Change: all figures are decoded again, as before.

Evidence: the added case of test_decoding_of_reported_load fails without the change and passes with it; tests/test_platform, test_plain.py and the linters pass.

--- a/arbutusbridge/platform/http.py
+++ b/arbutusbridge/platform/http.py
@@ -262,7 +262,7 @@
     if value is None:
         return None
     counts = []
-    for part in value.split(b",")[:4]:
+    for part in value.split(b","):
         count = decode_count(part)
         if count is None:
             return None
--- a/tests/test_platform/test_http.py
+++ b/tests/test_platform/test_http.py
@@ -239,7 +239,7 @@
     def test_decoding_of_reported_load(self) -> None:
         self.assertEqual(Load(3, 0, 8), http.decode_load(b"3,0,8"))
         self.assertEqual(Load(3, 0, 8, 2.5), http.decode_load(b"3,0,8,250"))
-        for value in (None, b"", b"1,2", b"a,b,c", b"-1,0,2"):
+        for value in (None, b"", b"1,2", b"a,b,c", b"-1,0,2", b"1,0,2,100,x"):
             self.assertIsNone(http.decode_load(value))
 
     # Guards against a figure that no later calculation can use (review/13).
