Decode each entry of the configuration on its own

What callers saw: one entry that an instance could not decode kept the whole version from all instances, without an end.

Cause: the configuration was one document, valid or not as a whole. A refused version left the one before in force, and a started instance without any.

Change: platform/configuration.py decodes entry by entry. What is wrong is kept as InvalidParts, in the log and in a metric. Requests that an invalid entry may be about are refused at once with 503, invalid_entry; all others follow the new version. Accounts and homes fail closed: keys of an invalid account, or that may be of one, let nobody in, its quota is kept until the entry is valid, and a route or account with invalid homes sends nothing. Peers decline such requests.

Why it works: an entry can no longer keep another one from being decoded, and what is unknown is refused instead of being taken from an older version.

--- a/arbutusbridge/daemon/forwarding.py
+++ b/arbutusbridge/daemon/forwarding.py
@@ -23,7 +23,9 @@
     ProbeUpstream,
     Refusal,
     RefusedAnswer,
+    RequestLimits,
     RetryBudgetLimits,
+    RoutingConfiguration,
     SendAttempt,
     SetRequestTimer,
     WithdrawAttempt,
@@ -62,6 +64,31 @@
 it may have left behind."""
 
 
+MAX_ENTRIES_LOGGED = 20
+"""Maximum number of invalid entries of one configuration that are logged."""
+
+
+def log_invalid_entries(
+    configuration: RoutingConfiguration, revision: int
+) -> None:
+    """Logs the entries of a configuration that could not be decoded."""
+    entries = configuration.invalid.entries
+    for number, one in enumerate(entries[:MAX_ENTRIES_LOGGED], 1):
+        logger.error(
+            "invalid entry of the routing configuration",
+            extra={
+                "entry": one.entry,
+                "mistake": one.mistake,
+                "number": number,
+                "of": len(entries),
+                "version": configuration.version,
+                "revision": revision,
+                "remedy": "Correct the entry in a new version. "
+                "Its requests are refused until then.",
+            },
+        )
+
+
 class ForwardingDriver(BaseComponent):
     """Drives the forwarder of one instance.
 
@@ -70,6 +97,7 @@
       upstreams_loaded: Whether the upstreams have been read from the store.
       evacuations_loaded: Whether the evacuated data centres have been.
       recovers: Whether a handler has failed just now.
+      bounds: Limits on callers' requests.
     """
 
     channel = "forwarding"
@@ -92,6 +120,7 @@
         self.upstreams_loaded = False
         self.evacuations_loaded = False
         self.recovers = False
+        self.bounds = RequestLimits()
         self.ingress: Ingress
         self.pools: RelayPools
         self.peers: PeerMessenger | None = None
@@ -109,8 +138,10 @@
     @property
     def ready(self) -> bool:
         """Whether requests can be routed to upstreams."""
+        table = self.forwarder.table
         return (
-            self.forwarder.table is not None
+            table is not None
+            and bool(table.routes_by_host or not table.invalid.any_host)
             and self.upstreams_loaded
             and self.evacuations_loaded
         )
@@ -227,24 +258,16 @@
             if item.value is None or item.key != self.wire.configuration_key:
                 continue
             decoded = self.wire.decode_configuration(item.value)
-            if isinstance(decoded, Err):
-                logger.error(
-                    "routing configuration refused",
-                    extra={
-                        "revision": item.revision,
-                        "mistake": decoded.err_value,
-                        "remedy": "Publish a valid routing configuration.",
-                    },
-                )
-                continue
-            configuration = decoded.ok_value
+            configuration = (
+                RoutingConfiguration.from_mistake(decoded.err_value)
+                if isinstance(decoded, Err)
+                else decoded.ok_value
+            )
             taken = self.forwarder.configure(configuration)
             if taken:
-                self.ingress.set_limits(configuration.bounds)
-                self.share(self.forwarder.instances)
-                now = self.timers.clock()
-                self.carry_out(self.forwarder.update_cold(now))
-                self.metrics.version.set(configuration.version)
+                assert self.forwarder.table is not None
+                configuration = self.forwarder.table.configuration
+                self.apply(configuration)
             extra: dict[str, object] = {
                 "version": configuration.version,
                 "revision": item.revision,
@@ -260,6 +283,23 @@
                 else "routing configuration not newer, ignored",
                 extra=extra,
             )
+            if taken:
+                log_invalid_entries(configuration, item.revision)
+
+    def apply(self, configuration: RoutingConfiguration) -> None:
+        """Applies what the new configuration says beyond its routes.
+
+        A limit on callers that is not known is at most the one before.
+        """
+        self.bounds = configuration.bounds.tighten(
+            self.bounds, configuration.invalid.limits
+        )
+        self.ingress.set_limits(self.bounds)
+        self.share(self.forwarder.instances)
+        now = self.timers.clock()
+        self.carry_out(self.forwarder.update_cold(now))
+        self.metrics.version.set(configuration.version)
+        self.metrics.set_invalid_entries(configuration.invalid.entries)
 
     @handler("evacuations_changed", channel="*")
     def on_evacuations_changed(self, items: list[StoreItem]) -> None:
--- a/arbutusbridge/daemon/forwardmetrics.py
+++ b/arbutusbridge/daemon/forwardmetrics.py
@@ -13,13 +13,19 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from arbutusbridge.core.messages import Decision
+    from arbutusbridge.forwarding.model import InvalidEntry
 
 
 MAX_ACCOUNT_LABELS = 100
 """Maximum number of accounts with a counter of their own. Each takes a line of
 the metrics, and tens of thousands of accounts are possible."""
 
+MAX_ENTRY_LABELS = 50
+"""Maximum number of invalid entries with a metric of their own."""
+
 OTHER_ACCOUNTS = "other"
 """Label of the accounts beyond the maximum."""
 
@@ -138,6 +144,13 @@
             "Version of the routing configuration in force.",
             registry=self.registry,
         )
+        self.invalid_entries = Gauge(
+            "arbutusbridge_forward_invalid_entries",
+            "Entries of the routing configuration in force that could not be "
+            "decoded, by place and mistake; further ones are counted together.",
+            ["entry", "mistake"],
+            registry=self.registry,
+        )
         self.refusals = self.counter(
             "forward_refusals",
             "Requests answered by the instance itself, by reason.",
@@ -188,6 +201,15 @@
             registry=self.registry,
         )
 
+    def set_invalid_entries(self, entries: Sequence[InvalidEntry]) -> None:
+        """Sets the entries of the configuration that could not be decoded."""
+        self.invalid_entries.clear()
+        for one in entries[:MAX_ENTRY_LABELS]:
+            self.invalid_entries.labels(one.entry, one.mistake).set(1)
+        further = len(entries) - MAX_ENTRY_LABELS
+        if further > 0:
+            self.invalid_entries.labels("other", "").set(further)
+
     def set_overflow(self, fractions: dict[str, float]) -> None:
         """Sets the fractions that are sent away, by data centre."""
         self.overflow_fraction.clear()
--- a/arbutusbridge/forwarding/accounts.py
+++ b/arbutusbridge/forwarding/accounts.py
@@ -11,9 +11,13 @@
 from arbutusbridge.forwarding.messages import Refusal
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Sequence
+    from collections.abc import Sequence
 
-    from arbutusbridge.forwarding.model import Account, Route
+    from arbutusbridge.forwarding.model import (
+        Account,
+        Route,
+        RoutingConfiguration,
+    )
 
 MAX_CREDENTIAL_BYTES = 512
 """Maximum size of a header with a key. Hashing takes longer for a longer one,
@@ -69,24 +73,30 @@
 
     Attributes:
       by_name: Accounts by name.
-      by_digest: Account of each key, by the digest of the key.
+      by_digest: Account of each key, by the digest of the key; None for a key
+        of an account whose entry is invalid.
+      invalid: What could not be decoded of the configuration.
     """
 
-    def __init__(self, accounts: Iterable[Account]) -> None:
+    def __init__(self, configuration: RoutingConfiguration) -> None:
         self.by_name: dict[str, Account] = {}
-        self.by_digest: dict[bytes, tuple[bytes, Account]] = {}
-        for account in accounts:
+        self.by_digest: dict[bytes, tuple[bytes, Account | None]] = {}
+        self.invalid = configuration.invalid
+        for account in configuration.accounts or ():
             self.by_name[account.name] = account
             for key in account.keys:
                 digest = digest_key(key.encode())
                 self.by_digest[digest] = (digest, account)
+        for key in self.invalid.keys:
+            digest = digest_key(key.encode())
+            self.by_digest[digest] = (digest, None)
 
     @classmethod
     def from_config(
-        cls, accounts: Iterable[Account] | None
+        cls, configuration: RoutingConfiguration
     ) -> AccountTable | None:
         """Creates the table of a configuration, None if it has no accounts."""
-        return None if accounts is None else cls(accounts)
+        return None if configuration.accounts is None else cls(configuration)
 
     def authenticate(
         self, route: Route, credentials: Sequence[bytes]
@@ -99,10 +109,13 @@
 
         Returns:
           The account, None if the route accepts the request without one, or the
-          refusal of a request whose key is missing or not valid.
+          refusal of a request whose key is missing or not valid. A key that
+          may be of an account whose entry is invalid is not called unknown.
         """
         if not credentials and route.allows_anonymous:
             return None
+        if self.invalid.accounts:
+            return Refusal.INVALID_ENTRY
         key = read_key(credentials)
         if key is None:
             return Refusal.UNAUTHORIZED
@@ -110,6 +123,8 @@
         # The dictionary finds a digest by comparing it with equal hashes only;
         # these depend on the secret, so that its time says nothing of a key.
         known, account = self.by_digest.get(digest, (b"", None))
-        if account is None or not hmac.compare_digest(known, digest):
-            return Refusal.UNAUTHORIZED
-        return account
+        if account is not None and hmac.compare_digest(known, digest):
+            return account
+        if known or self.invalid.any_key:
+            return Refusal.INVALID_ENTRY
+        return Refusal.UNAUTHORIZED
--- a/arbutusbridge/forwarding/conclusion.py
+++ b/arbutusbridge/forwarding/conclusion.py
@@ -255,6 +255,8 @@
             missing[part.service] = "isolated"
         elif part.limited:
             missing[part.service] = "limited"
+        elif part.service in shared.invalid_services:
+            missing[part.service] = "invalid_entry"
         elif part.failure is not None:
             missing[part.service] = part.failure.end.value
         elif shared.directory.services.get(part.service):
--- a/arbutusbridge/forwarding/dispatch.py
+++ b/arbutusbridge/forwarding/dispatch.py
@@ -28,6 +28,7 @@
     deadline has passed.
     """
     shared.exchanges[exchange.request] = exchange
+    give_up_invalid_parts(exchange, shared)
     if (
         now >= exchange.give_up_at
         or shared.is_quarantined(exchange.request, now)
@@ -44,6 +45,17 @@
     conclude_or_set_timer(exchange, shared, now, out)
 
 
+def give_up_invalid_parts(exchange: Exchange, shared: SharedState) -> None:
+    """Gives up the shards whose service has an invalid entry.
+
+    Nothing is sent to its upstreams, here or by a peer.
+    """
+    invalid = shared.invalid_services
+    if invalid:
+        for part in exchange.parts:
+            part.given_up = part.given_up or part.service in invalid
+
+
 def retain_servable_parts(
     exchange: Exchange, shared: SharedState, now: float
 ) -> bool:
--- a/arbutusbridge/forwarding/dryrun.py
+++ b/arbutusbridge/forwarding/dryrun.py
@@ -17,7 +17,7 @@
 from arbutusbridge.core.requests.quarantine import canary_never
 from arbutusbridge.forwarding import dispatch, intake
 from arbutusbridge.forwarding.gather import PeerTable
-from arbutusbridge.forwarding.messages import RefusedAnswer
+from arbutusbridge.forwarding.messages import Refusal, RefusedAnswer
 from arbutusbridge.forwarding.model import CallerRequest
 
 if TYPE_CHECKING:
@@ -189,9 +189,12 @@
     if not canaries:
         state.quarantine.canary = canary_never
     request.account = account.name if account is not None else ""
-    return Trial(
-        state, intake.begin_exchange(request, route, account, state, now)
-    )
+    exchange = intake.begin_exchange(request, route, account, state, now)
+    assert state.table is not None
+    if intake.has_invalid_service(exchange, state.table):
+        refusal = Refusal.INVALID_ENTRY.value
+        return Trial(state, None, refusal, intake.OPERATOR_RETRY_AFTER_S)
+    return Trial(state, exchange)
 
 
 def start(trial: Trial, now: float) -> None:
--- a/arbutusbridge/forwarding/explain.py
+++ b/arbutusbridge/forwarding/explain.py
@@ -26,7 +26,11 @@
     describe_upstreams,
     to_ms,
 )
-from arbutusbridge.forwarding.intake import NOT_READY_RETRY_AFTER_S
+from arbutusbridge.forwarding.intake import (
+    NOT_READY_RETRY_AFTER_S,
+    find_route_refusal,
+    retry_after_of,
+)
 from arbutusbridge.forwarding.messages import Refusal
 
 if TYPE_CHECKING:
@@ -75,14 +79,20 @@
         found["refusal"] = build_refusal(refusal.value, NOT_READY_RETRY_AFTER_S)
         return found
     route = table.find(described.host, described.target)
-    if route is None:
-        found["refusal"] = build_refusal(Refusal.NO_ROUTE.value, None)
+    refused = find_route_refusal(route, described.host, table)
+    if refused is not None:
+        why = route.mistake if route is not None else None
+        found["refusal"] = build_refusal(refused[0].value, refused[1], why)
         return found
+    assert route is not None
     found["route"] = describe_route(route)
-    account, why = find_account(table, route, described.account)
-    if why is not None:
-        refusal = Refusal.UNAUTHORIZED
-        found["refusal"] = build_refusal(refusal.value, None, why)
+    account, denied = find_account(table, route, described.account)
+    if denied is not None:
+        is_unknown = denied is Refusal.UNAUTHORIZED
+        why = explain_missing(described.account) if is_unknown else None
+        found["refusal"] = build_refusal(
+            denied.value, retry_after_of(denied), why
+        )
         return found
     homes = find_homes(route, account)
     found["account"] = describe_account(account, table)
@@ -111,15 +121,25 @@
 
 def find_account(
     table: RouteTable, route: Route, name: str
-) -> tuple[Account | None, str | None]:
-    """Returns the account of a request, and why it would be unauthorized."""
+) -> tuple[Account | None, Refusal | None]:
+    """Returns the account of a request, and why it would be refused."""
     if table.accounts is None:
         return None, None
-    if name:
-        account = table.accounts.by_name.get(name)
-        return account, None if account is not None else "unknown"
-    refused = table.accounts.authenticate(route, ())
-    return None, explain_refusal(()) if refused is not None else None
+    if not name:
+        refused = table.accounts.authenticate(route, ())
+        return None, refused if isinstance(refused, Refusal) else None
+    account = table.accounts.by_name.get(name)
+    if account is not None:
+        return account, None
+    invalid = table.invalid
+    if invalid.accounts or name in invalid.account_names:
+        return None, Refusal.INVALID_ENTRY
+    return None, Refusal.UNAUTHORIZED
+
+
+def explain_missing(name: str) -> str:
+    """Returns why a request of an account, or without one, is unauthorized."""
+    return "unknown" if name else explain_refusal(())
 
 
 def describe_instance(forwarder: Forwarder, now: float) -> Section:
--- a/arbutusbridge/forwarding/forwarder.py
+++ b/arbutusbridge/forwarding/forwarder.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import math
 from collections import Counter
 from typing import TYPE_CHECKING
@@ -111,10 +112,14 @@
     def configure(self, configuration: RoutingConfiguration) -> bool:
         """Applies a configuration and returns whether it is a newer one.
 
-        Open requests keep the route that they arrived with.
+        Open requests keep the route that they arrived with. One whose number
+        is not known was written later than the one before, as the store says.
         """
         table = self.table
-        if table and configuration.version <= table.configuration.version:
+        if not configuration.is_numbered:
+            known = table.configuration.version if table else 0
+            configuration = dataclasses.replace(configuration, version=known)
+        elif table and configuration.version <= table.configuration.version:
             return False
         self.table = RouteTable(configuration)
         return True
--- a/arbutusbridge/forwarding/intake.py
+++ b/arbutusbridge/forwarding/intake.py
@@ -13,15 +13,16 @@
 
 if TYPE_CHECKING:
     from arbutusbridge.forwarding.model import Account, CallerRequest, Route
+    from arbutusbridge.forwarding.routes import RouteTable
     from arbutusbridge.forwarding.shared import SharedState
 
 LAGS_PER_REQUEST = 2.0
 """Number of times that the lag delays a request: when it is read and when it is
 answered."""
 
-NO_SERVICE_RETRY_AFTER_S = 5.0
-"""Retry-after delay of a route none of whose services gets requests; only the
-operators can change that."""
+OPERATOR_RETRY_AFTER_S = 5.0
+"""Retry-after delay of what only a new version of the configuration can change:
+no service gets the requests of a route, or an entry is invalid."""
 
 SUSPECT_RETRY_AFTER_S = 0.3
 """Retry-after delay of a suspect while one with the same content is open here;
@@ -44,22 +45,29 @@
         refuse(request, Refusal.NOT_READY, retry_s, shared, now, out)
         return
     route = table.find(request.host, request.target)
-    if route is None:
-        refuse(request, Refusal.NO_ROUTE, None, shared, now, out)
+    refused = find_route_refusal(route, request.host, table)
+    if refused is not None:
+        refuse(request, *refused, shared, now, out)
         return
+    assert route is not None
     account = None
     if table.accounts is None:
         request.headers += request.identity_headers
     else:
         found = table.accounts.authenticate(route, request.credentials)
         if isinstance(found, Refusal):
-            refuse(request, found, None, shared, now, out)
+            retry_after_s = retry_after_of(found)
+            refuse(request, found, retry_after_s, shared, now, out)
             return
         account = found
         request.account = account.name if account is not None else ""
     if refuse_unwanted(request, route, shared, now, out):
         return
     exchange = begin_exchange(request, route, account, shared, now)
+    if has_invalid_service(exchange, table):
+        refusal, retry_s = Refusal.INVALID_ENTRY, OPERATOR_RETRY_AFTER_S
+        refuse(request, refusal, retry_s, shared, now, out)
+        return
     if account is not None and account.rate > 0.0:
         decision = quotas.admit(exchange, account, shared, now, out)
         if decision is quotas.Admission.WAITING:
@@ -71,6 +79,42 @@
     settle_quotas(shared, now, out)
 
 
+def find_route_refusal(
+    route: Route | None, host: str, table: RouteTable
+) -> tuple[Refusal, float | None] | None:
+    """Returns why a request is refused because of its route.
+
+    Args:
+      route: Route that it matches, None if it matches none.
+      host: Host that its caller names.
+      table: The routes.
+
+    Returns:
+      The refusal and its retry-after delay in seconds, None if the route is
+      valid.
+    """
+    if route is not None and not route.mistake:
+        return None
+    if route is None and table.is_complete(host):
+        return Refusal.NO_ROUTE, None
+    return Refusal.INVALID_ENTRY, OPERATOR_RETRY_AFTER_S
+
+
+def retry_after_of(refusal: Refusal) -> float | None:
+    """Returns the retry-after delay of a refusal because of an account."""
+    return OPERATOR_RETRY_AFTER_S if refusal is Refusal.INVALID_ENTRY else None
+
+
+def has_invalid_service(exchange: Exchange, table: RouteTable) -> bool:
+    """Returns whether the entry of the one service of a request is invalid.
+
+    A search goes on without the shards of which this is so.
+    """
+    return not exchange.route.shards and (
+        exchange.parts[0].service in table.invalid.services
+    )
+
+
 def find_refusal(
     request: CallerRequest, route: Route, shared: SharedState, now: float
 ) -> tuple[Refusal, float] | None:
@@ -82,8 +126,11 @@
     """
     if now + route.target_s > shared.final_answers_at:
         return Refusal.STOPPING, STOPPING_RETRY_AFTER_S
-    if not route.has_service:
-        return Refusal.UNSERVABLE, NO_SERVICE_RETRY_AFTER_S
+    if not route.is_servable:
+        return Refusal.UNSERVABLE, OPERATOR_RETRY_AFTER_S
+    assert shared.table is not None
+    if not shared.table.has_enough_services(route):
+        return Refusal.INVALID_ENTRY, OPERATOR_RETRY_AFTER_S
     state = shared.suspicion(request, now)
     if state is FingerprintState.QUARANTINED:
         return Refusal.QUARANTINED, shared.quarantine_left_s(request, now)
--- a/arbutusbridge/forwarding/messages.py
+++ b/arbutusbridge/forwarding/messages.py
@@ -177,6 +177,7 @@
     UNAUTHORIZED = "unauthorized"
     OVER_QUOTA = "over_quota"
     OUTSIDE_HOMES = "outside_homes"
+    INVALID_ENTRY = "invalid_entry"
     NOT_READY = "not_ready"
     STOPPING = "stopping"
     UNSERVABLE = "unservable"
--- a/arbutusbridge/forwarding/peermessages.py
+++ b/arbutusbridge/forwarding/peermessages.py
@@ -381,7 +381,7 @@
     if route is None:
         return DeclineReason.OUTDATED
     known = {*route.shards, *(one.name for one in route.services)}
-    if not set(message.services) <= known:
+    if not set(message.services) <= known - shared.invalid_services:
         return DeclineReason.OUTDATED
     if not routeterms.is_of_same_kind(message, route):
         return DeclineReason.OUTDATED
--- a/arbutusbridge/forwarding/quotabook.py
+++ b/arbutusbridge/forwarding/quotabook.py
@@ -14,7 +14,10 @@
 if TYPE_CHECKING:
     from arbutusbridge.forwarding.exchange import Exchange
     from arbutusbridge.forwarding.gather import Peer
-    from arbutusbridge.forwarding.model import CallerRequest
+    from arbutusbridge.forwarding.model import (
+        CallerRequest,
+        RoutingConfiguration,
+    )
     from arbutusbridge.forwarding.quotamessages import (
         QuotaAsk,
         QuotaBatch,
@@ -212,7 +215,9 @@
       limits: Bound that the requests of an account stay within.
       epoch: Random number of this start of the instance.
       last_number: Number of the last batch or token request.
-      version: Version of the configuration whose accounts are known.
+      configuration: Configuration whose accounts are known.
+      invalid_names: Accounts whose entry in it is invalid. What has been
+        granted of them is kept until their entry is valid again.
       names: Names of these accounts.
       added_at: When an account was first named, unless the first version names
         it.
@@ -257,7 +262,8 @@
     limits: QuotaLimits = field(default_factory=QuotaLimits)
     epoch: int = field(default_factory=lambda: secrets.randbits(EPOCH_BITS))
     last_number: int = 0
-    version: int = 0
+    configuration: RoutingConfiguration | None = None
+    invalid_names: frozenset[str] = frozenset()
     names: frozenset[str] = frozenset()
     added_at: dict[str, float] = field(default_factory=dict)
     has_rates: bool = False
--- a/arbutusbridge/forwarding/quotaledger.py
+++ b/arbutusbridge/forwarding/quotaledger.py
@@ -289,8 +289,9 @@
     for name, bucket in list(book.buckets.items()):
         account = find_account(name, shared)
         if account is None:
-            del book.buckets[name]
-            book.claiming.discard(name)
+            if name not in book.invalid_names:
+                del book.buckets[name]
+                book.claiming.discard(name)
             continue
         quotahandover.update_claim(name, shared, now)
         if bucket.metered:
--- a/arbutusbridge/forwarding/quotas.py
+++ b/arbutusbridge/forwarding/quotas.py
@@ -219,16 +219,22 @@
 def refresh_accounts(shared: SharedState, now: float) -> None:
     """Finds out which accounts a new version adds and removes."""
     book, table = shared.quotas, shared.table
-    if table is None or book.version == table.configuration.version:
+    if table is None or book.configuration is table.configuration:
         return
     accounts = table.configuration.accounts or ()
     names = frozenset(account.name for account in accounts)
-    if book.version:
+    invalid = table.configuration.invalid
+    book.invalid_names = invalid.account_names
+    if invalid.concerns_accounts:
+        # The name of an invalid entry may be unknown.
+        book.invalid_names |= book.names - names
+    names |= book.invalid_names
+    if book.configuration is not None:
         book.added_at.update(dict.fromkeys(names - book.names, now))
     for name in book.added_at.keys() - names:
         del book.added_at[name]
     book.names = names
-    book.version = table.configuration.version
+    book.configuration = table.configuration
     book.has_rates = any(account.rate > 0.0 for account in accounts)
     forget_removed(shared)
 
@@ -237,7 +243,8 @@
     """Forgets accounts that no longer exist or have no rate any more."""
     book = shared.quotas
     for name, use in list(book.uses.items()):
-        if find_account(name, shared) is None and not use.queue:
+        is_gone = find_account(name, shared) is None
+        if is_gone and name not in book.invalid_names and not use.queue:
             del book.uses[name]
             book.unreported.discard(name)
 
--- a/arbutusbridge/forwarding/routes.py
+++ b/arbutusbridge/forwarding/routes.py
@@ -24,6 +24,7 @@
       widest_shards: Shards of the route with the most shards.
       top_urgencies: Rank of the most urgent requests to each service.
       owed_weights: Weight owed to each service, by weighted route.
+      invalid: What could not be decoded of the configuration.
       accounts: Client accounts, None if the configuration names none.
     """
 
@@ -31,7 +32,8 @@
         self.configuration = configuration
         self.routes_by_host: dict[str, dict[str, Route]] = {}
         self.owed_weights: dict[str, dict[str, float]] = {}
-        self.accounts = AccountTable.from_config(configuration.accounts)
+        self.invalid = configuration.invalid
+        self.accounts = AccountTable.from_config(configuration)
         routes = configuration.routes
         self.widest_shards = max(
             (one.shards for one in routes), key=len, default=()
@@ -47,7 +49,10 @@
             if self.accounts is None or route.allows_anonymous:
                 urgencies.add(route.urgency)
             urgency = min(urgencies, default=route.urgency)
-            self.routes_by_host.setdefault(route.host, {})[route.prefix] = route
+            prefixes = self.routes_by_host.setdefault(route.host, {})
+            known = prefixes.get(route.prefix)
+            if known is None or not known.mistake:
+                prefixes[route.prefix] = route
             for name in (*route.shards, *(one.name for one in route.services)):
                 top = self.top_urgencies.get(name, urgency)
                 self.top_urgencies[name] = min(top, urgency)
@@ -74,6 +79,24 @@
                 return route
         return None
 
+    def is_complete(self, host: str) -> bool:
+        """Returns whether all routes of a host are known."""
+        return not (self.invalid.any_host or host in self.invalid.hosts)
+
+    def has_enough_services(self, route: Route) -> bool:
+        """Returns whether a route has services without a mistake.
+
+        A request without shards fails only if the service chosen for it has
+        one; a search goes on as long as the others cover enough.
+        """
+        invalid = self.invalid.services
+        if not invalid:
+            return True
+        if not route.shards:
+            return any(one.name not in invalid for one in route.services)
+        valid = sum(service not in invalid for service in route.shards)
+        return valid >= max(1.0, route.least_coverage * len(route.shards))
+
     def next_service(self, route: Route) -> str:
         """Returns the next service of a weighted route.
 
--- a/arbutusbridge/forwarding/shared.py
+++ b/arbutusbridge/forwarding/shared.py
@@ -154,6 +154,13 @@
         self.seed_addresses: list[tuple[str, int]] = []
         self.final_answers_at = math.inf
 
+    @property
+    def invalid_services(self) -> frozenset[str]:
+        """Services whose entry in the configuration is invalid."""
+        if self.table is None:
+            return frozenset()
+        return self.table.invalid.services
+
     def count(self, what: str) -> None:
         """Counts a decision that is not logged on its own."""
         self.decision_counts[what] += 1
--- a/arbutusbridge/platform/__init__.py
+++ b/arbutusbridge/platform/__init__.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 from arbutusbridge.forwarding.wireformat import WireFormat
-from arbutusbridge.platform import documents, http
+from arbutusbridge.platform import configuration, documents, http
 from arbutusbridge.platform.store import DIALECT
 
 WIRE = WireFormat(
@@ -15,9 +15,9 @@
     http.encode_attempt,
     http.decode_reply,
     http.read_identity,
-    documents.decode_configuration,
+    configuration.decode_configuration,
     documents.decode_announcement,
-    documents.CONFIGURATION_KEY,
+    configuration.CONFIGURATION_KEY,
     documents.UPSTREAMS_PREFIX,
     documents.EVACUATIONS_PREFIX,
     documents.KEY_RULES,
--- a/arbutusbridge/platform/http.py
+++ b/arbutusbridge/platform/http.py
@@ -83,6 +83,7 @@
     Refusal.UNAUTHORIZED: 401,
     Refusal.OVER_QUOTA: 429,
     Refusal.OUTSIDE_HOMES: 503,
+    Refusal.INVALID_ENTRY: 503,
     Refusal.NOT_READY: 503,
     Refusal.STOPPING: 503,
     Refusal.UNSERVABLE: 503,
--- a/arbutusbridge/soak/environment.py
+++ b/arbutusbridge/soak/environment.py
@@ -22,8 +22,8 @@
     RoutingConfiguration,
     WeightedService,
 )
+from arbutusbridge.platform.configuration import CONFIGURATION_KEY
 from arbutusbridge.platform.documents import (
-    CONFIGURATION_KEY,
     EVACUATIONS_PREFIX,
     UPSTREAMS_PREFIX,
 )
--- a/tests/test_daemon/instancecase.py
+++ b/tests/test_daemon/instancecase.py
@@ -13,7 +13,7 @@
 from arbutusbridge.daemon.forwardinstance import ForwardInstance
 from arbutusbridge.forwarding.model import Announcement, RoutingConfiguration
 from arbutusbridge.platform import DIALECT, WIRE
-from arbutusbridge.platform.documents import CONFIGURATION_KEY
+from arbutusbridge.platform.configuration import CONFIGURATION_KEY
 from arbutusbridge.platform.standins import (
     StoreStandIn,
     UpstreamStandIn,
