Keep weighted routes of one name apart

Cause: the weights owed to the services of a route were kept by its name.

Change: they are kept by host and prefix, which identify a route.

Evidence: test_weighted_routes_of_one_name_keep_to_their_services failed before and passes. Not seen with real processes.

--- a/arbutusbridge/forwarding/routes.py
+++ b/arbutusbridge/forwarding/routes.py
@@ -23,7 +23,8 @@
       routes_by_host: Routes by host and prefix.
       widest_shards: Shards of the route with the most shards.
       top_urgencies: Rank of the most urgent requests to each service.
-      owed_weights: Weight owed to each service, by weighted route.
+      owed_weights: Weight owed to each service, by host and prefix of a
+        weighted route; names of routes may be equal.
       invalid: What could not be decoded of the configuration.
       accounts: Client accounts, None if the configuration names none.
     """
@@ -31,7 +32,7 @@
     def __init__(self, configuration: RoutingConfiguration) -> None:
         self.configuration = configuration
         self.routes_by_host: dict[str, dict[str, Route]] = {}
-        self.owed_weights: dict[str, dict[str, float]] = {}
+        self.owed_weights: dict[tuple[str, str], dict[str, float]] = {}
         self.invalid = configuration.invalid
         self.accounts = AccountTable.from_config(configuration)
         routes = configuration.routes
@@ -106,7 +107,7 @@
         """
         if len(route.services) == 1:
             return route.services[0].name
-        owed = self.owed_weights.setdefault(route.name, {})
+        owed = self.owed_weights.setdefault((route.host, route.prefix), {})
         total = 0.0
         for service in route.services:
             total += service.weight
--- a/tests/test_forwarding/test_invalid_entries.py
+++ b/tests/test_forwarding/test_invalid_entries.py
@@ -180,6 +180,29 @@
             refusal = self.refusal_of("/fetch/x")
             self.assertEqual(Refusal.UNSERVABLE, refusal)
 
+    # Guards against requests that run by a service of another route.
+    def test_weighted_routes_of_one_name_keep_to_their_services(self) -> None:
+        first = [
+            {"service": "records", "weight": 5},
+            {"service": "parts", "weight": 1},
+        ]
+        second = [
+            {"service": "others", "weight": 1},
+            {"service": "records", "weight": 1},
+        ]
+        self.configure(
+            encode(
+                2,
+                [
+                    entry("/a/", "", name="x", weighted_backends=first),
+                    entry("/b/", "", name="x", weighted_backends=second),
+                ],
+            )
+        )
+        for _ in range(20):
+            self.assertIn(self.service_of("/a/1"), ("records", "parts"))
+            self.assertIn(self.service_of("/b/1"), ("others", "records"))
+
     def test_explanation_names_the_mistake(self) -> None:
         self.configure(encode(2, [entry("/fetch/", "records", kind="odd")]))
         found = explain(self.forwarder, DescribedRequest(HOST, "/fetch/x"), NOW)
