--- a/tests/test_platform/test_configuration.py
+++ b/tests/test_platform/test_configuration.py
@@ -13,6 +13,7 @@
 from result import Err
 
 from arbutusbridge.forwarding.model import Account, RequestLimits
+from arbutusbridge.forwarding.routes import RouteTable
 from arbutusbridge.platform.configuration import (
     MAX_COUNT,
     decode_configuration,
@@ -150,6 +151,20 @@
 }
 """Route beside the one that is invalid."""
 
+JSON_VALUES = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.floats()
+    | st.text(st.characters(), max_size=5),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.text(max_size=8), inner, max_size=3)
+    ),
+    max_leaves=6,
+)
+"""What an entry or one of its fields may be."""
+
 DEEP = "[" * 200_000 + "]" * 200_000
 
 INVALID_ROUTE_FIELDS = {
@@ -373,3 +388,34 @@
         found = decode_configuration(value).ok_value
         self.assertTrue(found.routes[0].mistake)
         self.assertEqual("", found.routes[1].mistake)
+
+    # Guards against a value that raises instead of costing its entry.
+    @given(
+        st.sampled_from(["routes", "services", "tenants"]),
+        st.sampled_from(sorted({*ROUTE, *PLAIN, "warmup_s", "api_keys"})),
+        JSON_VALUES,
+    )
+    def test_any_value_costs_only_its_entry_fuzz(
+        self, part: str, field: str, value: object
+    ) -> None:
+        sound = {
+            "routes": PLAIN,
+            "services": {"name": "old"},
+            "tenants": {"name": "a", "api_keys": ["k1"]},
+        }
+        entries = {name: [one] for name, one in sound.items()}
+        odd = {"routes": ROUTE, "services": {"name": "s0"}}.get(
+            part, {"name": "b", "api_keys": ["k2"]}
+        )
+        entries[part].append(odd | {field: value})
+        found = self.decode(**entries)
+        self.assertIn("plain", [one.name for one in found.routes])
+        self.assertNotIn("old", found.invalid.services)
+        self.assertIn("a", [one.name for one in found.accounts])
+        self.assertLessEqual(len(found.invalid.entries), 1)
+        self.assertTrue(RouteTable(found).accounts)
+
+    @given(JSON_VALUES)
+    def test_any_value_of_a_list_is_described_fuzz(self, value: object) -> None:
+        for part in ("routes", "services", "tenants", "limits", "version"):
+            RouteTable(self.decode(**{part: value}))
