Take whole numbers with a fraction of 0 in announcements

What callers could see: an upstream without any requests, if its encoder writes 2.0 for 2; JSON has one type of numbers.

Cause: strict integers in the document of an announcement.

Change: the type of whole numbers that the configuration has.

Evidence: test_whole_numbers_may_have_a_fraction_of_0 failed before and passes.

--- a/arbutusbridge/platform/documents.py
+++ b/arbutusbridge/platform/documents.py
@@ -16,6 +16,7 @@
 )
 from arbutusbridge.platform.fields import (
     Document,
+    WholeNumber,
     decode_address,
     describe_first_error,
     is_upstream_id,
@@ -54,11 +55,11 @@
     addr: str
     zone: str = Field(min_length=1)
     version: str
-    slots: int = Field(ge=1, le=MAX_SLOTS)
+    slots: WholeNumber = Field(ge=1, le=MAX_SLOTS)
     state: Literal["ready", "draining"]
     warmup_left_ms: float = Field(ge=0, le=MAX_WARM_UP_MS)
-    seq: int = Field(ge=0, le=MAX_UNIX_MS)
-    born: int = Field(default=0, ge=0, le=MAX_UNIX_MS)
+    seq: WholeNumber = Field(ge=0, le=MAX_UNIX_MS)
+    born: WholeNumber = Field(default=0, ge=0, le=MAX_UNIX_MS)
 
 
 def decode_announcement(key: str, value: bytes) -> Result[Announcement, str]:
--- a/tests/test_platform/test_documents.py
+++ b/tests/test_platform/test_documents.py
@@ -51,6 +51,14 @@
         ):
             self.assertIsInstance(self.decode(**changes), Err)
 
+    # Guards against an upstream that is not used because of its encoder.
+    def test_whole_numbers_may_have_a_fraction_of_0(self) -> None:
+        changes = {"slots": 2.0, "seq": 4.0, "born": 1700000000000.0}
+        found = self.decode(**changes).ok_value
+        self.assertEqual((2, 1700000000000), (found.slots, found.started_ms))
+        for name in changes:
+            self.assertIsInstance(self.decode(**{name: 4.5}), Err)
+
     # Guards against an entry of another writer that is used (review/11).
     def test_missing_fields_are_errors(self) -> None:
         for name in set(ENTRY) - {"born"}:
