Read the version of a configuration without its routes

The store's rule that an older version does not replace a newer one after a restore read no version from a value without routes, since the decoding of entries. What makes a value a configuration is checked where it is decoded.

--- a/arbutusbridge/platform/configuration.py
+++ b/arbutusbridge/platform/configuration.py
@@ -519,6 +519,8 @@
     row = parse_object(value)
     if isinstance(row, Err):
         return row
+    if "routes" not in row.ok_value:
+        return Err("not an object with routes")
     decoder = ConfigurationDecoder()
     decoder.decode_version(row.ok_value)
     decoder.decode_routes(row.ok_value)
@@ -539,7 +541,7 @@
 
 
 def parse_object(value: bytes) -> Result[dict[str, Any], str]:
-    """Parses the JSON object of a configuration.
+    """Parses a JSON object.
 
     Bytes that are not UTF-8 become surrogates, which no valid field contains.
     """
@@ -551,8 +553,8 @@
             row = parse(drop_deep_parts(text))
     except (ValueError, RecursionError) as err:
         return Err(f"not JSON: {err}")
-    if not isinstance(row, dict) or "routes" not in row:
-        return Err("not an object with routes")
+    if not isinstance(row, dict):
+        return Err("not an object")
     return Ok(row)
 
 
