Send a canary for shards that a peer alone holds back

Cause: a peer that suspects a search reports its shards as held back, and the entry holds them back in turn. Where the entry does not suspect the search, it wants 0 canaries, and the loop that sends them takes no shard in any turn: it never ends.

Change: one shard at least is taken.

Evidence: test_shards_held_back_by_a_peer_alone_are_sent did not end within 15 s before and passes.

--- a/arbutusbridge/forwarding/canaries.py
+++ b/arbutusbridge/forwarding/canaries.py
@@ -73,10 +73,12 @@
     """Sends canaries until at least one was sent.
 
     They go to the shards that will probably reply soonest, as all others wait.
+    Shards may also be held back because a peer suspects the request, while none
+    are wanted here.
     """
     if delegate_canary(exchange, shared, now, out):
         return
-    wanted = exchange.canary_count
+    wanted = max(1, exchange.canary_count)
     held = [part for part in exchange.parts if part.held_back]
     sent: list[Part] = []
     while held and not sent:
--- a/tests/test_forwarding/test_delegation.py
+++ b/tests/test_forwarding/test_delegation.py
@@ -107,6 +107,18 @@
         self.assertEqual(set(reply.asked), sent)
         self.assertTrue(len(sent) < SHARDS)
 
+    # Guards against an instance that runs for ever and answers nobody, as a peer
+    # suspects a request that is not suspected here (soak 54011).
+    def test_shards_held_back_by_a_peer_alone_are_sent(self) -> None:
+        arrived, gather_request = self.pair.start_request()
+        far = self.pair.far
+        self.assertEqual(0, far.exchanges[arrived].canary_count)
+        reply = GatherReply(
+            gather_request.gather_id, {}, b"", held_back=gather_request.services
+        )
+        out = far.handle_peer_message(reply, NOW + 0.02)
+        self.assertEqual(1, len(sends_of(out)))
+
     # Guards against a reply to an earlier start of this instance, which a link
     # has kept meanwhile and which names a group of this start.
     def test_reply_to_an_earlier_start_is_ignored(self) -> None:
