Recognise a cut that existing connections outlive

Cause: responses on connections that live on cleared the failures of new ones, so that the instance never took itself for cut off.

Change: a search that finds no upstream of three or more of its shards accepting connections raises the suspicion, and only a new connection that stays open clears it.

--- a/arbutusbridge/forwarding/dispatch.py
+++ b/arbutusbridge/forwarding/dispatch.py
@@ -7,6 +7,7 @@
 from arbutusbridge.forwarding import (
     canaries,
     division,
+    isolation,
     limits,
     placement,
     relay,
@@ -67,6 +68,7 @@
     left out.
     """
     unreachable = []
+    unconnected = 0
     limits_apply = bool(shared.limits.limited) and sends_itself(
         exchange, shared
     )
@@ -82,6 +84,7 @@
             )
         elif all(upstream.unreachable_until > now for upstream in usable):
             unreachable.append(part)
+            unconnected += 1
         elif limits_apply:
             ready_at = limits.service_ready_at(
                 exchange, part.service, shared, now
@@ -90,6 +93,7 @@
             if part.limited:
                 shared.count("limit_given_up")
                 unreachable.append(part)
+    isolation.doubt_links(unconnected, shared, now)
     if exchange.is_sufficient(exchange.attainable - len(unreachable)):
         return True
     for part in unreachable:
--- a/arbutusbridge/forwarding/isolation.py
+++ b/arbutusbridge/forwarding/isolation.py
@@ -35,6 +35,10 @@
 """Number of upstreams that must have failed since the last response, as long as
 there are more."""
 
+MIN_UNREACHABLE_SERVICES = 3
+"""Number of services, none of whose upstreams accepts connections, from which
+the links of this instance are in doubt although others respond."""
+
 CONFIRMATION_S = 0.25
 """Time in which a response, or a new connection that stays open, refutes the
 suspicion; some round trips between regions, and the time for which it must."""
@@ -65,8 +69,10 @@
     state = shared.isolation
     if not shared.gather.peer_table.peers:
         return False
-    if state.isolated or not state.failed:
-        return state.isolated
+    if state.isolated or state.is_doubted:
+        return True
+    if not state.failed:
+        return False
     known, failed = len(shared.directory.by_name), len(state.failed)
     if shared.evacuated:
         # Those of an evacuated data centre may be stopped at any time.
@@ -75,6 +81,22 @@
     return failed >= min(MIN_FAILED_UPSTREAMS, max(1, known))
 
 
+def doubt_links(unreachable: int, shared: SharedState, now: float) -> None:
+    """Doubts the links if no upstream of several services accepts connections.
+
+    Connections that exist may outlive a cut, so that responses on them do not
+    speak against it.
+
+    Args:
+      unreachable: Number of these services.
+      shared: State of this instance.
+      now: The time.
+    """
+    state = shared.isolation
+    if unreachable >= MIN_UNREACHABLE_SERVICES and now >= state.trusted_until:
+        state.is_doubted = not state.isolated
+
+
 def relays_requests(shared: SharedState, now: float) -> bool:
     """Returns whether the next request is to be relayed to a peer."""
     state = shared.isolation
@@ -133,6 +155,7 @@
     if now - state.suspected_at < CONFIRMATION_S:
         return False
     state.isolated = True
+    state.is_doubted = False
     state.deferred.clear()
     detail = {
         "failed": len(state.failed),
@@ -216,7 +239,7 @@
     """Handles that a connection to an upstream has stayed open."""
     state = shared.isolation
     if not state.isolated:
-        state.clear_failures()
+        state.record_connection(now)
         return
     state.connected.add(announcement.upstream)
     known = len(placement.in_service(shared))
@@ -224,7 +247,7 @@
         return
     state.isolated = False
     state.ended_at = now
-    state.clear_failures()
+    state.record_connection(now)
     for upstream in shared.directory.by_name.values():
         upstream.forget_failures(now)
     out.append(Decision("", "connected_again", {}))
--- a/tests/test_forwarding/fleet.py
+++ b/tests/test_forwarding/fleet.py
@@ -74,7 +74,7 @@
 EVENT_CPU_TIME_S = 0.0006
 """Processor time of one event on a full core, if processors are simulated."""
 
-HANGING, REFUSED = "hang", "refused"
+HANGING, REFUSED, KEPT = "hang", "refused", "kept"
 
 CRASHING = "crash"
 """Part of the target of requests that crash the upstreams that run them."""
@@ -145,7 +145,10 @@
       entered: Instance that each request was sent to, by request id.
       cut_off: Instances that have lost their links to all upstreams, each with
         what becomes of its attempts: they ``hang``, or connections are reset
-        and then ``refused``.
+        and then ``refused``, or those that exist are ``kept`` and new ones are
+        refused.
+      connected: Pairs of an instance and a service with connections that
+        outlive a cut.
       unreachable: Pairs of an instance and a service whose upstreams refuse its
         connections.
       unsent: Function that ends each attempt that waits for a connection, by
@@ -198,6 +201,7 @@
         self.maintenance_phase: Callable[[], float] = lambda: 0.0
         self.entered: dict[str, str] = {}
         self.cut_off: dict[str, str] = {}
+        self.connected: set[tuple[str, str]] = set()
         self.unreachable: set[tuple[str, str]] = set()
         self.unsent: dict[tuple[str, int], Callable[..., None]] = {}
         self.told: dict[tuple[str, str], float] = {}
@@ -515,13 +519,20 @@
 
             self.after(way_s, lambda: self.process(name, deliver))
 
+        def is_lost() -> bool:
+            how = self.cut_off.get(name)
+            link = (name, action.upstream.service)
+            return how is not None and (
+                how != KEPT or link not in self.connected
+            )
+
         def arrive() -> None:
             silent = upstream.down and self.crashes_are_silent
             if silent or self.cut_off.get(name) == HANGING:
                 hang()
                 return
             link = (name, action.upstream.service)
-            is_refused = name in self.cut_off or link in self.unreachable
+            is_refused = is_lost() or link in self.unreachable
             if upstream.down or is_refused:
                 report(AttemptEnd.NOT_SENT, detail="not_sent")
                 return
@@ -572,7 +583,7 @@
                 report(AttemptEnd.NOT_SENT, detail="not_sent")
 
         def finish() -> None:
-            if key not in upstream.running or name in self.cut_off:
+            if key not in upstream.running or is_lost():
                 return
             load = upstream.load() if self.has_queues else None
             upstream.running.discard(key)
@@ -616,6 +627,8 @@
     def cut(self, names: list[str], how: str) -> None:
         """Cuts instances off from all upstreams."""
         self.cut_off.update(dict.fromkeys(names, how))
+        if how == KEPT:
+            return
         for upstream in self.upstreams.values():
             for key in sorted(upstream.running):
                 if key[0] not in names:
--- a/tests/test_forwarding/test_delegation.py
+++ b/tests/test_forwarding/test_delegation.py
@@ -107,7 +107,7 @@
         self.assertEqual(set(reply.asked), sent)
         self.assertTrue(len(sent) < SHARDS)
 
-    # Guards against an instance that runs for ever and answers nobody, as a peer
+    # Guards against an instance that never answers anybody again, if a peer
     # suspects a request that is not suspected here (soak 54011).
     def test_shards_held_back_by_a_peer_alone_are_sent(self) -> None:
         arrived, gather_request = self.pair.start_request()
--- a/tests/test_forwarding/test_isolation.py
+++ b/tests/test_forwarding/test_isolation.py
@@ -24,7 +24,7 @@
 from arbutusbridge.platform.http import REFUSAL_STATUSES
 from tests.test_forwarding.fixtures import HOST, only, plain, sharded
 from tests.test_forwarding.fixtures import request as make_request
-from tests.test_forwarding.fleet import CRASHING, HANGING, REFUSED, Fleet
+from tests.test_forwarding.fleet import CRASHING, HANGING, KEPT, REFUSED, Fleet
 
 PLACES = {"north": 3, "central": 3, "south": 2}
 PLACES_OF = {
@@ -134,7 +134,14 @@
 
 
 class CutOffInstancesTest(testtools.TestCase):
-    """Instances cut off from all upstreams, reached by callers and peers."""
+    """Instances cut off from all upstreams, reached by callers and peers.
+
+    Attributes:
+      connected: Pairs of an instance and a service with connections that
+        outlive the cut.
+    """
+
+    connected: set[tuple[str, str]] = set()
 
     def play(self, names: list[str], how: str) -> Fleet:
         """Cuts instances off from second 6 to 18."""
@@ -145,6 +152,7 @@
             lambda number: f"{kinds[number % 5]}{number}", 0.02, begin + 24.0
         )
         fleet.run_until(begin + 6.0)
+        fleet.connected = self.connected
         fleet.cut(names, how)
         fleet.run_until(begin + 18.0)
         fleet.cut_off.clear()
@@ -175,6 +183,15 @@
     def test_data_centre_cut_off_and_refused(self) -> None:
         self.check(["north-0", "north-1", "north-2"], REFUSED)
 
+    # Guards against an instance that takes itself for connected, as connections
+    # to some services outlive the cut, and fails searches over others
+    # (soak 54011 and seven more seeds).
+    def test_cut_that_some_connections_outlive(self) -> None:
+        names = ["north-0", "central-1"]
+        kept = ("s0", "s1", "records", "archive")
+        self.connected = {(name, one) for name in names for one in kept}
+        self.check(names, KEPT)
+
     # Guards against a request that must not be repeated and is relayed after it
     # was sent from here.
     def test_request_that_runs_once_is_not_repeated_by_a_relay(self) -> None:
