Play invalid entries of the configuration in the soak

Half of the versions have one more entry, a route, service or account that cannot be decoded, unless another build runs beside this one: it refuses such a version as a whole. The other guarantees show whether the rest is in force.

test_invalid_entry_of_the_stand_in_costs_only_itself passes; no soak was run on this yet.

--- a/arbutusbridge/platform/standins.py
+++ b/arbutusbridge/platform/standins.py
@@ -556,6 +556,26 @@
     return orjson.dumps(document)
 
 
+INVALID_ENTRIES: tuple[tuple[str, Any], ...] = (
+    ("routes", {"host": "odd.example", "prefix": "/odd/", "kind": "odd"}),
+    ("routes", {"name": "odd", "host": "odd.example", "prefix": 5}),
+    ("routes", "odd"),
+    ("services", {"name": "odd", "max_conns": -1}),
+    ("tenants", {"name": "odd", "api_keys": ["odd"], "burst": -1}),
+    ("tenants", {"name": "odd", "rate_per_s": "9"}),
+)
+"""Entries of a configuration that cannot be decoded, by their list. They
+concern no requests of the soak."""
+
+
+def add_invalid_entry(value: bytes, rng: random.Random) -> bytes:
+    """Returns an encoded configuration with one more entry, an invalid one."""
+    row = orjson.loads(value)
+    name, entry = rng.choice([one for one in INVALID_ENTRIES if one[0] in row])
+    row[name].insert(rng.randint(0, len(row[name])), entry)
+    return orjson.dumps(row)
+
+
 def encode_account(account: Account) -> dict[str, Any]:
     """Returns the entry of an account in a configuration."""
     entry: dict[str, Any] = {
--- a/arbutusbridge/soak/environment.py
+++ b/arbutusbridge/soak/environment.py
@@ -31,6 +31,7 @@
     StoreFault,
     StoreStandIn,
     UpstreamStandIn,
+    add_invalid_entry,
     encode_announcement,
     encode_configuration,
 )
@@ -158,6 +159,7 @@
       update_rng: Random numbers for which instances run the other build.
       invalid_statuses: Whether upstreams send invalid statuses at times.
       status_rng: Random numbers for these.
+      entry_rng: Random numbers for invalid entries of the configuration.
     """
 
     channel = "soak"
@@ -187,6 +189,7 @@
         self.account_rng = random.Random(f"accounts {seed}")
         self.quota_rng = random.Random(f"quota {seed}")
         self.accounts: tuple[Account, ...] | None = None
+        self.entry_rng = random.Random(f"entries {seed}")
         self.evacuation_rng = random.Random(f"evacuation {seed}")
         self.poller = EPoll().register(self)
         self.timers = TimerService().register(self)
@@ -473,7 +476,11 @@
             self.version, routes, connections, accounts=self.accounts
         )
         self.record.configurations.append((self.clock(), configuration))
-        self.store.put(CONFIGURATION_KEY, encode_configuration(configuration))
+        value = encode_configuration(configuration)
+        # An earlier build refuses a version with an invalid entry as a whole.
+        if self.other_build is None and self.entry_rng.random() < 0.5:
+            value = add_invalid_entry(value, self.entry_rng)
+        self.store.put(CONFIGURATION_KEY, value)
 
     def create_instances(self) -> dict[str, InstanceProcess]:
         """Writes the settings of all instances, each with its own IP address.
--- a/tests/test_platform/test_configuration.py
+++ b/tests/test_platform/test_configuration.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import json
+import random
 
 import testtools
 from hypothesis import given
@@ -19,7 +20,10 @@
     decode_configuration,
     read_version,
 )
-from arbutusbridge.platform.standins import encode_configuration
+from arbutusbridge.platform.standins import (
+    add_invalid_entry,
+    encode_configuration,
+)
 
 ROUTE = {
     "name": "search",
@@ -264,6 +268,19 @@
             self.assertTrue(found.invalid.any_host)
             self.assertEqual(7, found.version)
 
+    # Guards against a soak whose invalid entries are valid.
+    def test_invalid_entry_of_the_stand_in_costs_only_itself(self) -> None:
+        row = CONFIGURATION | {"routes": [PLAIN], "tenants": []}
+        value = json.dumps(row).encode()
+        rng = random.Random(1)
+        sound = decode_configuration(value).ok_value
+        for _ in range(50):
+            found = decode_configuration(add_invalid_entry(value, rng)).ok_value
+            self.assertEqual(1, len(found.invalid.entries))
+            self.assertIn(sound.routes[0], found.routes)
+            self.assertEqual(sound.connections, found.connections)
+            self.assertEqual(sound.accounts, found.accounts)
+
     def test_weight_of_many_digits(self) -> None:
         parts = [
             {"service": "a", "weight": 10**400},
