Name the mistake of an invalid entry in the line of a refused request

The line of the answer says whether a route, an account or a service is invalid, so that the id of a request leads to the entry. test_log_line_names_the_mistake passes.

--- a/arbutusbridge/forwarding/intake.py
+++ b/arbutusbridge/forwarding/intake.py
@@ -47,7 +47,8 @@
     route = table.find(request.host, request.target)
     refused = find_route_refusal(route, request.host, table)
     if refused is not None:
-        refuse(request, *refused, shared, now, out)
+        reason = describe_route_mistake(route) if refused[1] else None
+        refuse(request, *refused, shared, now, out, reason)
         return
     assert route is not None
     account = None
@@ -57,7 +58,8 @@
         found = table.accounts.authenticate(route, request.credentials)
         if isinstance(found, Refusal):
             retry_after_s = retry_after_of(found)
-            refuse(request, found, retry_after_s, shared, now, out)
+            reason = {"why": "account"} if retry_after_s else None
+            refuse(request, found, retry_after_s, shared, now, out, reason)
             return
         account = found
         request.account = account.name if account is not None else ""
@@ -66,7 +68,9 @@
     exchange = begin_exchange(request, route, account, shared, now)
     if has_invalid_service(exchange, table):
         refusal, retry_s = Refusal.INVALID_ENTRY, OPERATOR_RETRY_AFTER_S
-        refuse(request, refusal, retry_s, shared, now, out)
+        service = exchange.parts[0].service
+        reason = {"why": "service", "service": service}
+        refuse(request, refusal, retry_s, shared, now, out, reason)
         return
     if account is not None and account.rate > 0.0:
         decision = quotas.admit(exchange, account, shared, now, out)
@@ -100,6 +104,17 @@
     return Refusal.INVALID_ENTRY, OPERATOR_RETRY_AFTER_S
 
 
+def describe_route_mistake(route: Route | None) -> dict[str, object]:
+    """Returns the log fields on a route that cannot be decoded.
+
+    Args:
+      route: The route, None if its host or prefix is unknown.
+    """
+    if route is None:
+        return {"why": "unknown_route"}
+    return {"why": "route", "route": route.name, "mistake": route.mistake}
+
+
 def retry_after_of(refusal: Refusal) -> float | None:
     """Returns the retry-after delay of a refusal because of an account."""
     return OPERATOR_RETRY_AFTER_S if refusal is Refusal.INVALID_ENTRY else None
--- a/tests/test_forwarding/test_invalid_entries.py
+++ b/tests/test_forwarding/test_invalid_entries.py
@@ -11,6 +11,7 @@
 
 import testtools
 
+from arbutusbridge.core.messages import Decision
 from arbutusbridge.forwarding import (
     Refusal,
     RefusedAnswer,
@@ -203,6 +204,12 @@
             self.assertIn(self.service_of("/a/1"), ("records", "parts"))
             self.assertIn(self.service_of("/b/1"), ("others", "records"))
 
+    def test_log_line_names_the_mistake(self) -> None:
+        self.configure(encode(2, [entry("/fetch/", "records", kind="odd")]))
+        line = only(self.ask("/fetch/x"), Decision)
+        self.assertEqual("route", line.detail["why"])
+        self.assertIn("kind", line.detail["mistake"])
+
     def test_explanation_names_the_mistake(self) -> None:
         self.configure(encode(2, [entry("/fetch/", "records", kind="odd")]))
         found = explain(self.forwarder, DescribedRequest(HOST, "/fetch/x"), NOW)
