--- a/tests/test_daemon/test_invalid_configuration.py
+++ b/tests/test_daemon/test_invalid_configuration.py
@@ -12,6 +12,8 @@
 import logbook
 from prometheus_client import generate_latest
 
+from arbutusbridge.core.messages import StoreItem
+from arbutusbridge.forwarding.following import pack_items, unpack_items
 from arbutusbridge.platform.configuration import CONFIGURATION_KEY
 from tests.test_daemon.instancecase import InstanceCase
 
@@ -116,6 +118,22 @@
         self.run_until(lambda: self.instance.forwarding.ready)
         self.check_version_7()
 
+    def test_version_that_a_peer_hands_on(self) -> None:
+        row = {"version": 7, "routes": [route("moved", "new"), weighted(-1)]}
+        key_feed = self.instance.feed.key_feed
+        revision = key_feed.revision + 1
+        items = [
+            one
+            for one in key_feed.confirmed_items()
+            if one.key != CONFIGURATION_KEY
+        ]
+        value = json.dumps(row).encode()
+        items.append(StoreItem(CONFIGURATION_KEY, value, revision))
+        packed = unpack_items(pack_items(items))
+        self.instance.feed.apply_snapshot(packed, revision, 0.0)
+        self.run_for(0.2)
+        self.check_version_7()
+
     def test_value_that_is_no_configuration(self) -> None:
         self.store.put(CONFIGURATION_KEY, b"\xff\x00")
         self.run_for(1.5)
