Split the decoding of the configuration by job

Cause: platform/configuration.py held documents, decoder and the reading of JSON text in 628 lines. Nine fields of InvalidParts stood in the decoder a second time and were copied over at its end, three loops over entries differed little, and six own validators checked what constraints of the library check.

Change: jsontext.py reads the text and converts 2.0 to 2 once, in the parser, instead of at each field; schema.py has the base of documents, so that fields.py is about single values again; configurationdocuments.py has the documents, with constraints of the library for empty names, prefixes and surrogates; configuration.py has the decoder, which fills InvalidParts and loops over entries in one place. What is decoded stays as it was; the text of a few mistakes differs ("String should match pattern" for a prefix).

The tests of the decoding pass unchanged but for an import.

--- a/arbutusbridge/forwarding/model.py
+++ b/arbutusbridge/forwarding/model.py
@@ -160,11 +160,12 @@
     mistake: str
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class InvalidParts:
     """What the invalid entries of a configuration leave unknown.
 
-    Requests that one of them may be about are refused.
+    Requests that one of them may be about are refused. The decoder fills it;
+    nothing changes it afterwards.
 
     Attributes:
       entries: The invalid entries.
@@ -180,14 +181,14 @@
     """
 
     entries: tuple[InvalidEntry, ...] = ()
-    hosts: frozenset[str] = frozenset()
+    hosts: set[str] = field(default_factory=set)
     any_host: bool = False
-    services: frozenset[str] = frozenset()
-    keys: frozenset[str] = field(default=frozenset(), repr=False)
+    services: set[str] = field(default_factory=set)
+    keys: set[str] = field(default_factory=set, repr=False)
     any_key: bool = False
-    account_names: frozenset[str] = frozenset()
+    account_names: set[str] = field(default_factory=set)
     accounts: bool = False
-    limits: frozenset[str] = frozenset()
+    limits: set[str] = field(default_factory=set)
 
     @property
     def concerns_accounts(self) -> bool:
@@ -221,7 +222,7 @@
     bounds: RequestLimits = RequestLimits()
     accounts: tuple[Account, ...] | None = None
     warm_ups: dict[str, WarmUp] = field(default_factory=dict)
-    invalid: InvalidParts = InvalidParts()
+    invalid: InvalidParts = field(default_factory=InvalidParts)
     is_numbered: bool = True
 
     @classmethod
--- a/arbutusbridge/forwarding/quotas.py
+++ b/arbutusbridge/forwarding/quotas.py
@@ -224,7 +224,7 @@
     accounts = table.configuration.accounts or ()
     names = frozenset(account.name for account in accounts)
     invalid = table.configuration.invalid
-    book.invalid_names = invalid.account_names
+    book.invalid_names = frozenset(invalid.account_names)
     if invalid.concerns_accounts:
         # The name of an invalid entry may be unknown.
         book.invalid_names |= book.names - names
--- a/arbutusbridge/forwarding/shared.py
+++ b/arbutusbridge/forwarding/shared.py
@@ -28,7 +28,7 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Callable
+    from collections.abc import Callable, Set
 
     from arbutusbridge.forwarding.choice import Locality
     from arbutusbridge.forwarding.evidence import CrashCheck
@@ -155,7 +155,7 @@
         self.final_answers_at = math.inf
 
     @property
-    def invalid_services(self) -> frozenset[str]:
+    def invalid_services(self) -> Set[str]:
         """Services whose entry in the configuration is invalid."""
         if self.table is None:
             return frozenset()
--- a/arbutusbridge/platform/documents.py
+++ b/arbutusbridge/platform/documents.py
@@ -14,12 +14,11 @@
     CONFIGURATION_KEY,
     read_version,
 )
-from arbutusbridge.platform.fields import (
+from arbutusbridge.platform.fields import decode_address, is_upstream_id
+from arbutusbridge.platform.schema import (
     Document,
     WholeNumber,
-    decode_address,
     describe_first_error,
-    is_upstream_id,
 )
 
 UPSTREAMS_PREFIX = "servers/"
--- a/arbutusbridge/platform/fields.py
+++ b/arbutusbridge/platform/fields.py
@@ -8,11 +8,6 @@
 
 import ipaddress
 import re
-from typing import Annotated
-
-from pydantic import BaseModel, BeforeValidator, ConfigDict, ValidationError
-
-from arbutusbridge.settings.loader import format_path
 
 COUNT = re.compile(rb"\d{1,7}")
 """Whole numbers in headers; no load is greater."""
@@ -26,37 +21,6 @@
 MAX_PORT = 65_535
 
 
-class Document(BaseModel):
-    """Base class of the platform's documents; unknown fields are ignored."""
-
-    model_config = ConfigDict(
-        extra="ignore", frozen=True, strict=True, allow_inf_nan=False
-    )
-
-
-def to_whole(value: object) -> object:
-    """Returns a whole number that is written with a fraction as an integer.
-
-    JSON has one type of numbers, and some encoders write 2 as 2.0.
-    """
-    if isinstance(value, float) and value.is_integer():
-        return int(value)
-    return value
-
-
-WholeNumber = Annotated[int, BeforeValidator(to_whole)]
-
-
-def describe_first_error(err: ValidationError) -> str:
-    """Returns the field and the message of the first validation error.
-
-    The invalid value is left out, as it may be a key.
-    """
-    detail = err.errors(include_input=False)[0]
-    path = format_path(detail["loc"])
-    return f"{path}: {detail['msg']}" if path else detail["msg"]
-
-
 def decode_count(value: bytes) -> int | None:
     """Decodes a whole number that is not negative; None if it is invalid."""
     value = value.strip()
--- a/tests/test_platform/test_configuration.py
+++ b/tests/test_platform/test_configuration.py
@@ -16,10 +16,10 @@
 from arbutusbridge.forwarding.model import Account, RequestLimits
 from arbutusbridge.forwarding.routes import RouteTable
 from arbutusbridge.platform.configuration import (
-    MAX_COUNT,
     decode_configuration,
     read_version,
 )
+from arbutusbridge.platform.configurationdocuments import MAX_COUNT
 from arbutusbridge.platform.standins import (
     add_invalid_entry,
     encode_configuration,
