Decide once whether enough services of a request are valid

Cause: RouteTable.has_enough_services was a twin of Exchange.is_sufficient without its tolerance: of 100 shards with a least coverage of 0.07 it wanted 8 valid ones. A second check looked at the one service of other requests, and neither ran where a request had waited for a token. The refusals for an entry were spelled out four times.

Change: lacks_valid_services uses Exchange.is_sufficient for both kinds, at the start and after a token; refuse_by_entry sends the refusals, and their retry-after delay comes from one function. RouteTable.invalid is read from its configuration instead of being kept beside it.

Behaviour: the search above goes on (test_search_with_just_enough_shards_goes_on failed before and passes). A request that is quarantined as well is refused for that, and one that has waited for a token gets invalid_entry instead of unservable. Else as before; the other tests of invalid entries, explanations and accounts pass unchanged.

--- a/arbutusbridge/forwarding/dryrun.py
+++ b/arbutusbridge/forwarding/dryrun.py
@@ -190,8 +190,7 @@
         state.quarantine.canary = canary_never
     request.account = account.name if account is not None else ""
     exchange = intake.begin_exchange(request, route, account, state, now)
-    assert state.table is not None
-    if intake.has_invalid_service(exchange, state.table):
+    if intake.lacks_valid_services(exchange, state):
         refusal = Refusal.INVALID_ENTRY.value
         return Trial(state, None, refusal, intake.OPERATOR_RETRY_AFTER_S)
     return Trial(state, exchange)
--- a/arbutusbridge/forwarding/explain.py
+++ b/arbutusbridge/forwarding/explain.py
@@ -82,7 +82,9 @@
     refused = find_route_refusal(route, described.host, table)
     if refused is not None:
         why = route.mistake if route is not None else None
-        found["refusal"] = build_refusal(refused[0].value, refused[1], why)
+        found["refusal"] = build_refusal(
+            refused.value, retry_after_of(refused), why
+        )
         return found
     assert route is not None
     found["route"] = describe_route(route)
--- a/arbutusbridge/forwarding/intake.py
+++ b/arbutusbridge/forwarding/intake.py
@@ -47,8 +47,8 @@
     route = table.find(request.host, request.target)
     refused = find_route_refusal(route, request.host, table)
     if refused is not None:
-        reason = describe_route_mistake(route) if refused[1] else None
-        refuse(request, *refused, shared, now, out, reason)
+        reason = describe_route_mistake(route)
+        refuse_by_entry(request, refused, reason, shared, now, out)
         return
     assert route is not None
     account = None
@@ -57,20 +57,15 @@
     else:
         found = table.accounts.authenticate(route, request.credentials)
         if isinstance(found, Refusal):
-            retry_after_s = retry_after_of(found)
-            reason = {"why": "account"} if retry_after_s else None
-            refuse(request, found, retry_after_s, shared, now, out, reason)
+            reason = {"why": "account"}
+            refuse_by_entry(request, found, reason, shared, now, out)
             return
         account = found
         request.account = account.name if account is not None else ""
     if refuse_unwanted(request, route, shared, now, out):
         return
     exchange = begin_exchange(request, route, account, shared, now)
-    if has_invalid_service(exchange, table):
-        refusal, retry_s = Refusal.INVALID_ENTRY, OPERATOR_RETRY_AFTER_S
-        service = exchange.parts[0].service
-        reason = {"why": "service", "service": service}
-        refuse(request, refusal, retry_s, shared, now, out, reason)
+    if refuse_invalid_services(exchange, shared, now, out):
         return
     if account is not None and account.rate > 0.0:
         decision = quotas.admit(exchange, account, shared, now, out)
@@ -85,23 +80,19 @@
 
 def find_route_refusal(
     route: Route | None, host: str, table: RouteTable
-) -> tuple[Refusal, float | None] | None:
-    """Returns why a request is refused because of its route.
+) -> Refusal | None:
+    """Returns why a request is refused because of its route, None if valid.
 
     Args:
       route: Route that it matches, None if it matches none.
       host: Host that its caller names.
       table: The routes.
-
-    Returns:
-      The refusal and its retry-after delay in seconds, None if the route is
-      valid.
     """
     if route is not None and not route.mistake:
         return None
     if route is None and table.is_complete(host):
-        return Refusal.NO_ROUTE, None
-    return Refusal.INVALID_ENTRY, OPERATOR_RETRY_AFTER_S
+        return Refusal.NO_ROUTE
+    return Refusal.INVALID_ENTRY
 
 
 def describe_route_mistake(route: Route | None) -> dict[str, object]:
@@ -116,18 +107,65 @@
 
 
 def retry_after_of(refusal: Refusal) -> float | None:
-    """Returns the retry-after delay of a refusal because of an account."""
+    """Returns the retry-after delay of a refusal because of an entry.
+
+    None if it is of a route or key that does not exist.
+    """
     return OPERATOR_RETRY_AFTER_S if refusal is Refusal.INVALID_ENTRY else None
 
 
-def has_invalid_service(exchange: Exchange, table: RouteTable) -> bool:
-    """Returns whether the entry of the one service of a request is invalid.
+def refuse_by_entry(
+    request: CallerRequest,
+    refusal: Refusal,
+    reason: dict[str, object],
+    shared: SharedState,
+    now: float,
+    out: list[object],
+) -> None:
+    """Refuses a request because an entry is invalid or does not exist.
 
-    A search goes on without the shards of which this is so.
+    Args:
+      request: The request.
+      refusal: Reason for the refusal.
+      reason: Further fields of the log entry if an entry is invalid.
+      shared: State of this instance.
+      now: The time.
+      out: Actions, to which those of this function are appended.
     """
-    return not exchange.route.shards and (
-        exchange.parts[0].service in table.invalid.services
-    )
+    retry_s = retry_after_of(refusal)
+    further = None if retry_s is None else reason
+    refuse(request, refusal, retry_s, shared, now, out, further)
+
+
+def lacks_valid_services(exchange: Exchange, shared: SharedState) -> bool:
+    """Returns whether too few services of a request have a valid entry.
+
+    A search goes on without the shards of the others, as long as these cover
+    enough.
+    """
+    invalid = shared.invalid_services
+    if not invalid:
+        return False
+    valid = sum(part.service not in invalid for part in exchange.parts)
+    return not exchange.is_sufficient(valid)
+
+
+def refuse_invalid_services(
+    exchange: Exchange, shared: SharedState, now: float, out: list[object]
+) -> bool:
+    """Refuses a request of which too few services have a valid entry.
+
+    Returns:
+      Whether it is refused.
+    """
+    if not lacks_valid_services(exchange, shared):
+        return False
+    services = {part.service for part in exchange.parts}
+    invalid = min(services & shared.invalid_services)
+    reason: dict[str, object] = {"why": "service", "service": invalid}
+    request, refusal = exchange.request, Refusal.INVALID_ENTRY
+    refuse_by_entry(request, refusal, reason, shared, now, out)
+    return True
 
 
 def find_refusal(
@@ -143,9 +181,6 @@
         return Refusal.STOPPING, STOPPING_RETRY_AFTER_S
     if not route.is_servable:
         return Refusal.UNSERVABLE, OPERATOR_RETRY_AFTER_S
-    assert shared.table is not None
-    if not shared.table.has_enough_services(route):
-        return Refusal.INVALID_ENTRY, OPERATOR_RETRY_AFTER_S
     state = shared.suspicion(request, now)
     if state is FingerprintState.QUARANTINED:
         return Refusal.QUARANTINED, shared.quarantine_left_s(request, now)
@@ -220,7 +255,9 @@
         granted, book.granted = book.granted, []
         for exchange in granted:
             request, route = exchange.request, exchange.route
-            if refuse_unwanted(request, route, shared, now, out):
+            if refuse_unwanted(
+                request, route, shared, now, out
+            ) or refuse_invalid_services(exchange, shared, now, out):
                 quotas.give_back(exchange, shared, now)
             else:
                 dispatch.start_exchange(exchange, shared, now, out)
--- a/arbutusbridge/forwarding/routes.py
+++ b/arbutusbridge/forwarding/routes.py
@@ -7,7 +7,11 @@
 from arbutusbridge.forwarding.accounts import AccountTable
 
 if TYPE_CHECKING:
-    from arbutusbridge.forwarding.model import Route, RoutingConfiguration
+    from arbutusbridge.forwarding.model import (
+        InvalidParts,
+        Route,
+        RoutingConfiguration,
+    )
 
 
 def normalise_host(host: str) -> str:
@@ -25,7 +29,6 @@
       top_urgencies: Rank of the most urgent requests to each service.
       owed_weights: Weight owed to each service, by host and prefix of a
         weighted route; names of routes may be equal.
-      invalid: What could not be decoded of the configuration.
       accounts: Client accounts, None if the configuration names none.
     """
 
@@ -33,7 +36,6 @@
         self.configuration = configuration
         self.routes_by_host: dict[str, dict[str, Route]] = {}
         self.owed_weights: dict[tuple[str, str], dict[str, float]] = {}
-        self.invalid = configuration.invalid
         self.accounts = AccountTable.from_config(configuration)
         routes = configuration.routes
         self.widest_shards = max(
@@ -58,6 +60,11 @@
                 top = self.top_urgencies.get(name, urgency)
                 self.top_urgencies[name] = min(top, urgency)
 
+    @property
+    def invalid(self) -> InvalidParts:
+        """What could not be decoded of the configuration."""
+        return self.configuration.invalid
+
     def top_urgency(self, service: str) -> int:
         """Returns the rank of the most urgent requests to a service."""
         return self.top_urgencies.get(service, 0)
@@ -84,20 +91,6 @@
         """Returns whether all routes of a host are known."""
         return not (self.invalid.any_host or host in self.invalid.hosts)
 
-    def has_enough_services(self, route: Route) -> bool:
-        """Returns whether a route has services without a mistake.
-
-        A request without shards fails only if the service chosen for it has
-        one; a search goes on as long as the others cover enough.
-        """
-        invalid = self.invalid.services
-        if not invalid:
-            return True
-        if not route.shards:
-            return any(one.name not in invalid for one in route.services)
-        valid = sum(service not in invalid for service in route.shards)
-        return valid >= max(1.0, route.least_coverage * len(route.shards))
-
     def next_service(self, route: Route) -> str:
         """Returns the next service of a weighted route.
 
--- a/tests/test_forwarding/test_invalid_entries.py
+++ b/tests/test_forwarding/test_invalid_entries.py
@@ -265,6 +265,16 @@
         self.forwarder.configure(configuration)
         self.assertEqual(Refusal.INVALID_ENTRY, self.refusal_of("/search/x"))
 
+    # Guards against a rounding error that requires one more valid shard.
+    def test_search_with_just_enough_shards_goes_on(self) -> None:
+        route = sharded(100, least_coverage=0.07)
+        self.forwarder = make_forwarder([route], shard_upstreams(100))
+        services = {f"s{number}" for number in range(7, 100)}
+        invalid = InvalidParts(services=services)
+        configuration = RoutingConfiguration(2, (route,), invalid=invalid)
+        self.forwarder.configure(configuration)
+        self.assertEqual(7, len(sends_of(self.ask("/search/x"))))
+
     # Guards against an older version of a peer that reaches it from here.
     def test_request_of_a_peer_is_declined(self) -> None:
         invalid = InvalidParts(services=frozenset({"s1"}))
