Count the unreachable parts of a search once

Cause: a counter beside the list of unreachable parts, which says the same with what each part knows of its limit; two blank lines between constants.

Change: the number is taken from the list. test_isolation passes unchanged.

--- a/arbutusbridge/daemon/forwarding.py
+++ b/arbutusbridge/daemon/forwarding.py
@@ -63,7 +63,6 @@
 """Time after the failure of a handler at which the requests are looked at that
 it may have left behind."""
 
-
 MAX_ENTRIES_LOGGED = 20
 """Maximum number of invalid entries of one configuration that are logged."""
 
--- a/arbutusbridge/forwarding/dispatch.py
+++ b/arbutusbridge/forwarding/dispatch.py
@@ -68,7 +68,6 @@
     left out.
     """
     unreachable = []
-    unconnected = 0
     limits_apply = bool(shared.limits.limited) and sends_itself(
         exchange, shared
     )
@@ -84,7 +83,6 @@
             )
         elif all(upstream.unreachable_until > now for upstream in usable):
             unreachable.append(part)
-            unconnected += 1
         elif limits_apply:
             ready_at = limits.service_ready_at(
                 exchange, part.service, shared, now
@@ -93,6 +91,7 @@
             if part.limited:
                 shared.count("limit_given_up")
                 unreachable.append(part)
+    unconnected = sum(not part.limited for part in unreachable)
     isolation.doubt_links(unconnected, shared, now)
     if exchange.is_sufficient(exchange.attainable - len(unreachable)):
         return True
